--- /dev/null
+++ b/packages/net/include/cornelrelay/net/errors.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <string>
+
+#include "cornelrelay/core/endpoint.h"
+#include "cornelrelay/core/error.h"
+
+namespace cornelrelay::net {
+
+/// \brief No connection was established, so the peer received no byte of the request.
+class ConnectFailed : public core::Error {
+ public:
+  ConnectFailed(const core::Endpoint& peer, const std::string& reason);
+};
+
+/// \brief The connection failed after the request was at least partly sent.
+class ExchangeBroken : public core::Error {
+ public:
+  ExchangeBroken(const core::Endpoint& peer, const std::string& reason);
+};
+
+/// \brief The caller closed its connection before the response was complete.
+class CallerGone : public core::Error {
+ public:
+  CallerGone();
+};
+
+/// \brief A listening socket could not be opened.
+class ListenFailed : public core::Error {
+ public:
+  ListenFailed(const core::Endpoint& endpoint, const std::string& reason);
+};
+
+/// \brief A certificate or key could not be loaded.
+class TlsSetupFailed : public core::Error {
+ public:
+  TlsSetupFailed(const std::string& file, const std::string& reason);
+};
+
+}  // namespace cornelrelay::net
--- /dev/null
+++ b/packages/net/include/cornelrelay/net/http_client.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <cstddef>
+#include <memory>
+
+#include "cornelrelay/core/endpoint.h"
+#include "cornelrelay/net/http_exchange.h"
+#include "cornelrelay/net/http_message.h"
+
+namespace cornelrelay::net {
+
+struct HttpClientLimits {
+  std::chrono::milliseconds connect_timeout{1000};
+  std::size_t idle_connections_per_peer = 64;
+  std::uint32_t head_bytes = 16 * 1024;
+  std::size_t piece_bytes = 16 * 1024;
+};
+
+/// \brief HTTP/1.1 client with a pool of idle connections per peer.
+///
+/// \code
+/// auto exchange = co_await client.Send(peer, request, ConnectionUse::kReuse, 30s);
+/// const HttpResponseHead head = co_await exchange->ReadHead();
+/// while (auto piece = co_await exchange->ReadPiece()) { ... }
+/// \endcode
+class HttpClient {
+ public:
+  enum class ConnectionUse {
+    kReuse,  ///< may use an idle connection, which the peer may just have closed
+    kFresh,  ///< opens a connection, so that ConnectFailed proves that nothing was sent
+  };
+
+  HttpClient(boost::asio::io_context& context, HttpClientLimits limits);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  /// \brief Connects and sends the whole request.
+  /// \param timeout bound on each later read or write, not on the whole exchange
+  /// \throws ConnectFailed, ExchangeBroken
+  boost::asio::awaitable<std::unique_ptr<HttpExchange>> Send(core::Endpoint peer,
+                                                             HttpRequest request, ConnectionUse use,
+                                                             std::chrono::milliseconds timeout);
+
+  /// \brief Sends a request and reads the whole response of at most `max_body` bytes.
+  /// \throws ConnectFailed, ExchangeBroken
+  boost::asio::awaitable<HttpResponse> Fetch(core::Endpoint peer, HttpRequest request,
+                                             std::chrono::milliseconds timeout,
+                                             std::size_t max_body = 4 * 1024 * 1024);
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> m_impl;
+};
+
+}  // namespace cornelrelay::net
--- /dev/null
+++ b/packages/net/include/cornelrelay/net/http_server.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "cornelrelay/core/endpoint.h"
+#include "cornelrelay/net/http_message.h"
+#include "cornelrelay/net/response_stream.h"
+#include "cornelrelay/net/tls_files.h"
+
+namespace cornelrelay::net {
+
+/// \brief Bounds on what one connection may send.
+struct HttpServerLimits {
+  std::uint32_t head_bytes = 16 * 1024;
+  std::uint64_t body_bytes = 4 * 1024 * 1024;
+  std::size_t connections = 4096;
+  std::chrono::seconds idle_timeout{75};
+  std::chrono::seconds write_timeout{60};
+};
+
+/// \brief HTTP/1.1 server with keep-alive; one coroutine per connection on the given context.
+///
+/// \code
+/// HttpServer server(context, endpoint, limits, std::nullopt, handler);
+/// server.Start();
+/// ...
+/// server.StopAccepting();   // requests in progress go on
+/// \endcode
+class HttpServer {
+ public:
+  using Handler = std::function<boost::asio::awaitable<void>(HttpRequest, ResponseStream&)>;
+
+  /// \throws ListenFailed, TlsSetupFailed
+  HttpServer(boost::asio::io_context& context, const core::Endpoint& endpoint,
+             HttpServerLimits limits, const std::optional<TlsFiles>& tls, Handler handler);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  void Start();
+
+  /// \brief Closes the listening socket and idle connections; busy ones close after their response.
+  void StopAccepting();
+
+  /// \brief Closes every connection at once.
+  void CloseAll();
+
+  std::size_t ActiveExchanges() const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> m_impl;
+};
+
+}  // namespace cornelrelay::net
