--- /dev/null
+++ b/packages/settings/include/cornelrelay/settings/log_level.h
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace cornelrelay::settings {
+
+enum class LogLevel { kTrace, kDebug, kInfo, kWarning, kError };
+
+}  // namespace cornelrelay::settings
