--- /dev/null
+++ b/packages/platform/src/store_client_dump.cc
@@ -0,0 +1,16 @@
+#include "cornelrelay/platform/store_client_dump.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cornelrelay::platform {
+
+nlohmann::json ToJson(const StoreClient& client) {
+  return {{"outage", client.InOutage()},
+          {"consecutive_failures", client.ConsecutiveFailures()},
+          {"next_trial_us", client.NextTrial().time_since_epoch().count()},
+          {"waiting", client.Waiting()},
+          {"in_flight", client.InFlight()},
+          {"late_replies", client.LateReplies()}};
+}
+
+}  // namespace cornelrelay::platform
--- /dev/null
+++ b/packages/platform/src/store_reply.cc
@@ -0,0 +1,19 @@
+#include "cornelrelay/platform/store_reply.h"
+
+#include <array>
+
+namespace cornelrelay::platform {
+
+bool IsAnswer(const StoreReply& reply) {
+  return !std::holds_alternative<RefusedForRate>(reply) &&
+         !std::holds_alternative<Unavailable>(reply) && !std::holds_alternative<TimedOut>(reply);
+}
+
+std::string_view KindName(const StoreReply& reply) {
+  constexpr std::array<std::string_view, std::variant_size_v<StoreReply>> kNames = {
+      "value_read",  "swapped",          "not_swapped", "lease_granted", "lease_expired",
+      "watch_event", "refused_for_rate", "unavailable", "timed_out"};
+  return kNames.at(reply.index());
+}
+
+}  // namespace cornelrelay::platform
