--- /dev/null
+++ b/packages/routing/src/router_estimates.cc
@@ -0,0 +1,139 @@
+#include <algorithm>
+#include <cmath>
+
+#include "cornelrelay/core/hash.h"
+#include "fleet_view.h"
+
+namespace cornelrelay::routing {
+
+namespace {
+
+// Used before the first result; any positive value ranks replicas by their load.
+constexpr double kDefaultUnitTime = 100;
+
+// A decode rate this much above the median counts against the time to first token as well. Smaller
+// differences come from the size of the batch.
+constexpr double kTokenTimeTolerance = 1.5;
+
+double Micros(core::Duration duration) { return static_cast<double>(duration.count()); }
+
+// The load of other processes drifts back to the fleet's mean after it was measured.
+double Discounted(double reported, double mean, core::Duration age, core::Duration half_life) {
+  return mean + (reported - mean) * std::exp2(-Micros(age) / Micros(half_life));
+}
+
+}  // namespace
+
+double Median(std::vector<double> values) {
+  if (values.empty()) return 0;
+  const auto middle = values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 2);
+  std::nth_element(values.begin(), middle, values.end());
+  return *middle;
+}
+
+ReplicaRouter::FleetView ReplicaRouter::View(core::Instant) const {
+  FleetView view;
+  std::vector<double> unit_times, token_times, hold_times;
+  std::size_t count = 0, ejected = 0, reported = 0;
+  for (const auto& [id, record] : m_replicas) {
+    if (record.status.leaving || (record.lost_at && !record.kept)) continue;
+    ++count;
+    if (record.phase == ReplicaPhase::kEjected) ++ejected;
+    if (record.first_work > 0) unit_times.push_back(record.first_time / record.first_work);
+    if (record.token_time > 0) token_times.push_back(record.token_time);
+    if (record.hold_time > 0) hold_times.push_back(record.hold_time);
+    view.own_outstanding += record.outstanding;
+    if (record.reported_at) {
+      ++reported;
+      view.others_outstanding += record.others_outstanding;
+      view.others_pending += record.others_pending;
+    }
+  }
+  if (count > 0) view.own_outstanding /= static_cast<double>(count);
+  if (reported > 0) {
+    view.others_outstanding /= static_cast<double>(reported);
+    view.others_pending /= static_cast<double>(reported);
+  }
+  view.measured = !unit_times.empty();
+  view.unit_time = unit_times.empty() ? kDefaultUnitTime : Median(std::move(unit_times));
+  view.token_time = Median(std::move(token_times));
+  view.hold_time = Median(std::move(hold_times));
+  view.ignore_ejection = ejected * m_config.doubt_divisor > count;
+  return view;
+}
+
+double ReplicaRouter::Slowness(const Record& record, const FleetView& fleet) const {
+  double slowness = 1;
+  if (record.first_work > 0 && fleet.unit_time > 0) {
+    slowness = record.first_time / record.first_work / fleet.unit_time;
+  }
+  if (record.token_time > 0 && fleet.token_time > 0) {
+    const double ratio = record.token_time / fleet.token_time;
+    if (ratio > kTokenTimeTolerance) slowness = std::max(slowness, ratio);
+  }
+  return slowness;
+}
+
+double ReplicaRouter::Outstanding(core::Instant now, const Record& record,
+                                  const FleetView& fleet) const {
+  const double mean = fleet.others_outstanding;
+  if (!record.reported_at) return record.outstanding + mean;
+  return record.outstanding + Discounted(record.others_outstanding, mean, now - *record.reported_at,
+                                         m_config.report_half_life);
+}
+
+double ReplicaRouter::PendingWork(core::Instant now, const Record& record,
+                                  const FleetView& fleet) const {
+  const double mean = fleet.others_pending;
+  if (!record.reported_at) return record.pending_work + mean;
+  return record.pending_work + Discounted(record.others_pending, mean, now - *record.reported_at,
+                                          m_config.report_half_life);
+}
+
+double ReplicaRouter::OwnWork(core::Instant now, const core::UpstreamId& replica,
+                              const SizeEstimate& size, const PrefixKey& key) const {
+  if (key.empty() || size.prefix <= 0) return size.prompt;
+  double hit = m_prefixes.HitChance(now, key, replica);
+  const core::UpstreamId* home = Home(key);
+  if (home != nullptr && *home == replica) hit = std::max(hit, m_config.home_hit_prior);
+  return std::max(0.0, size.prompt - hit * size.prefix);
+}
+
+core::Duration ReplicaRouter::RoundTrip(const Record& record) const {
+  const auto found = m_config.distances.find(record.status.data_centre);
+  return found == m_config.distances.end() ? core::Duration::zero() : 2 * found->second;
+}
+
+core::Duration ReplicaRouter::Score(core::Instant now, const Record& record,
+                                    const SizeEstimate& size, const PrefixKey& key,
+                                    const FleetView& fleet) const {
+  const double slowness = Slowness(record, fleet);
+  const double work = PendingWork(now, record, fleet) + OwnWork(now, record.status.id, size, key);
+  double micros = work * fleet.unit_time * slowness;
+
+  const double slots = std::max<double>(record.status.slots, 1);
+  const double above_slots = Outstanding(now, record, fleet) + 1 - slots;
+  if (above_slots > 0) micros += above_slots * fleet.hold_time * slowness / slots;
+
+  // An overdue first token is evidence before any result: a stalled replica returns none.
+  core::Duration overdue{};
+  for (const auto& [attempt, due] : record.due) overdue = std::max(overdue, now - due);
+  return RoundTrip(record) + overdue + core::Duration(static_cast<core::Duration::rep>(micros));
+}
+
+const core::UpstreamId* ReplicaRouter::Home(const PrefixKey& key) const {
+  const core::UpstreamId* home = nullptr;
+  std::uint64_t best = 0;
+  for (const auto& [id, record] : m_replicas) {
+    if (record.status.leaving || (record.lost_at && !record.kept)) continue;
+    if (record.phase == ReplicaPhase::kEjected || record.phase == ReplicaPhase::kSlow) continue;
+    const std::uint64_t score = core::RendezvousScore(key.value(), id.value());
+    if (home == nullptr || score > best) {
+      home = &id;
+      best = score;
+    }
+  }
+  return home;
+}
+
+}  // namespace cornelrelay::routing
