--- a/packages/platform/src/gateway_json.cc
+++ b/packages/platform/src/gateway_json.cc
@@ -8,13 +8,13 @@
 namespace cornelrelay::platform::internal {
 
 const nlohmann::json& Member(const nlohmann::json& object, const char* snake, const char* camel) {
-  static const nlohmann::json kAbsent;
-  if (!object.is_object()) return kAbsent;
+  static const nlohmann::json absent;
+  if (!object.is_object()) return absent;
   for (const char* name : {snake, camel}) {
     const auto found = object.find(name);
     if (found != object.end()) return *found;
   }
-  return kAbsent;
+  return absent;
 }
 
 std::int64_t Integer(const nlohmann::json& object, const char* snake, const char* camel) {
@@ -42,7 +42,7 @@
 }
 
 StoredValue ValueOf(const nlohmann::json& pair) {
-  const StoredValue stored{Bytes(pair, "value"), Integer(pair, "mod_revision", "modRevision")};
+  StoredValue stored{Bytes(pair, "value"), Integer(pair, "mod_revision", "modRevision")};
   if (stored.revision <= 0) throw MalformedStoreMessage("a pair has no mod_revision");
   return stored;
 }
--- /dev/null
+++ b/packages/profile/tests/simulation.h
@@ -0,0 +1,328 @@
+#pragma once
+
+#include <rapidcheck.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cornelrelay/core/random.h"
+#include "cornelrelay/platform/store_client.h"
+#include "cornelrelay/platform/testing/store_model.h"
+#include "cornelrelay/profile/apply_change.h"
+#include "cornelrelay/profile/catalogue_codec.h"
+#include "cornelrelay/profile/catalogue_editor.h"
+#include "cornelrelay/profile/catalogue_replica.h"
+#include "cornelrelay/profile/change_rejected.h"
+#include "store_adapter.h"
+
+namespace cornelrelay::profile::testing {
+
+/// \brief Some processes, a store and faulty networks between them, in simulated time.
+///
+/// The oracle checks at each write to the store and at each applied catalogue; CheckOutcomes()
+/// compares what operators were told with what was written. Violations are thrown as strings.
+class Simulation {
+ public:
+  struct Faults {
+    ReplicaFault replica = ReplicaFault::kNone;
+    EditorFault editor = EditorFault::kNone;
+  };
+
+  Simulation(std::size_t processes, std::uint64_t seed, Faults faults)
+      : m_faults(faults), m_random(seed) {
+    m_catalogues.push_back(Catalogue::Initial());
+    for (std::size_t i = 0; i < processes; ++i) {
+      m_processes.emplace_back();
+      Restart(i);
+    }
+  }
+
+  void SetOutage(bool outage) { m_store.SetOutage(outage); }
+  void SetStoreDelay(core::Duration delay) { m_store_delay = delay; }
+  void LoseAnswers(std::uint32_t count) { m_store.LoseAnswers(count); }
+  void SetGossip(bool gossip) { m_gossip = gossip; }
+  void Cut(std::size_t a, std::size_t b) { m_cut.insert(std::minmax(a, b)); }
+  void HealLinks() { m_cut.clear(); }
+  std::uint64_t StoreCalls() const { return m_store.Calls(); }
+  std::size_t size() const { return m_processes.size(); }
+  core::Instant now() const { return m_now; }
+  CatalogueRevision Newest() const { return m_catalogues.back().revision(); }
+  const std::vector<std::pair<ChangeRequest, EditOutcome>>& Outcomes() const { return m_outcomes; }
+
+  std::optional<CatalogueRevision> RevisionAt(std::size_t i) const {
+    return m_processes[i].replica->revision();
+  }
+  bool AllAtNewest() const {
+    for (std::size_t i = 0; i < size(); ++i) {
+      if (RevisionAt(i) != Newest()) return false;
+    }
+    return true;
+  }
+
+  void Restart(std::size_t i) {
+    Process& p = m_processes[i];
+    const int incarnation = p.incarnation + 1;
+    p = Process{};
+    p.incarnation = incarnation;
+    p.client = std::make_unique<platform::StoreClient>(platform::StoreClientOptions{}, m_random());
+    p.replica = std::make_unique<CatalogueReplica>(ReplicaOptions{}, m_random(), m_faults.replica);
+    RunReplica(i, ReplicaTick{});
+    for (std::size_t j = 0; j < i; ++j) RunReplica(j, PeerGone{core::HostId(std::to_string(i))});
+  }
+
+  void SetWatching(std::size_t i, bool watching) { RunReplica(i, WatcherChosen{watching}); }
+
+  void StartEdit(std::size_t i, const ChangeRequest& request) {
+    m_requests[request.id] = request;
+    m_processes[i].editors.emplace_back(request, EditorOptions{}, m_faults.editor);
+    RunEditor(i, m_processes[i].editors.size() - 1, EditorTick{});
+  }
+
+  void Run(core::Duration duration) {
+    const core::Instant end = m_now + duration;
+    while (m_now < end) {
+      m_now += std::chrono::milliseconds(10);
+      while (!m_messages.empty() && m_messages.begin()->first <= m_now) {
+        const auto deliver = std::move(m_messages.begin()->second);
+        m_messages.erase(m_messages.begin());
+        deliver();
+      }
+      for (const auto& fired : m_store.Advance(m_now)) AnswerWatch(fired.call, fired.reply);
+      for (std::size_t i = 0; i < size(); ++i) Wake(i);
+      if (m_gossip &&
+          m_now.time_since_epoch() % std::chrono::milliseconds(250) == core::Duration{}) {
+        Gossip();
+      }
+    }
+  }
+
+  /// \brief What operators were told must agree with what the store holds now.
+  void CheckOutcomes() const {
+    for (const auto& [request, outcome] : m_outcomes) {
+      const auto written = m_written.find(request.id);
+      if (const auto* applied = std::get_if<EditApplied>(&outcome)) {
+        Require(written != m_written.end(), "an accepted change is not in the store");
+        Require(written->second == applied->revision, "an accepted change has another revision");
+        Require(!request.seen || *request.seen + 1 == applied->revision,
+                "a change was accepted over one that its operator had not seen");
+      } else if (!std::holds_alternative<OutcomeUnknown>(outcome)) {
+        Require(written == m_written.end(), "a change reported as not made is in the store");
+      }
+      if (const auto* conflict = std::get_if<CatalogueConflict>(&outcome)) {
+        Require(conflict->mine() == request, "a conflict shows another change as the own one");
+        Require(!conflict->winners().empty(), "a conflict shows no winner");
+      }
+    }
+  }
+
+ private:
+  struct Process {
+    int incarnation = 0;
+    std::unique_ptr<platform::StoreClient> client;
+    std::unique_ptr<CatalogueReplica> replica;
+    std::vector<CatalogueEditor> editors;
+    /// Machine (0: replica, else editor index + 1) and its call number, by store call.
+    std::map<platform::StoreCallId, std::pair<std::size_t, CallNumber>> calls;
+    platform::StoreCallId last_call = 0;
+    std::optional<CatalogueRevision> revision;
+  };
+
+  static void Require(bool condition, const char* violation) {
+    if (!condition) throw std::string(violation);
+  }
+
+  void After(core::Duration delay, std::function<void()> action) {
+    m_messages.emplace(m_now + delay, std::move(action));
+  }
+  core::Duration Delay(core::Duration highest) {
+    return core::Duration(static_cast<core::Duration::rep>(
+        m_random.Below(static_cast<std::uint64_t>(highest.count()) + 1)));
+  }
+
+  void Wake(std::size_t i) {
+    Process& p = m_processes[i];
+    const auto wake = p.client->NextWake(m_now);
+    if (wake && *wake <= m_now) RunClient(i, platform::ClientTick{});
+    if (p.replica->NextWake() <= m_now) RunReplica(i, ReplicaTick{});
+    for (std::size_t e = 0; e < p.editors.size(); ++e) {
+      const auto next = p.editors[e].NextWake();
+      if (next && *next <= m_now) RunEditor(i, e, EditorTick{});
+    }
+  }
+
+  template <class Action>
+  void Submit(std::size_t i, std::size_t machine, const Action& action) {
+    Process& p = m_processes[i];
+    p.calls[++p.last_call] = {machine, action.call};
+    RunClient(i, platform::CallSubmitted{p.last_call, ToRequest(action)});
+  }
+
+  void RunClient(std::size_t i, const platform::StoreClientEvent& event) {
+    for (const auto& action : m_processes[i].client->Step(m_now, event)) {
+      std::visit(core::Overloaded{[&](const platform::TransmitCall& a) { Transmit(i, a); },
+                                  [](const platform::AbandonTransmission&) {},
+                                  [&](const platform::DeliverReply& a) { Deliver(i, a); }},
+                 action);
+    }
+  }
+
+  void Transmit(std::size_t i, const platform::TransmitCall& action) {
+    const int incarnation = m_processes[i].incarnation;
+    const auto key = ++m_last_transmission;
+    m_transmissions[key] = {i, incarnation, action.transmission};
+    After(Delay(m_store_delay), [this, key, request = action.request] {
+      const auto reply = m_store.Handle(m_now, key, request);
+      CheckWrites();
+      if (reply) AnswerWatch(key, *reply);
+    });
+  }
+
+  void AnswerWatch(std::uint64_t key, const platform::StoreReply& reply) {
+    After(Delay(m_store_delay), [this, key, reply] {
+      const Transmission& t = m_transmissions.at(key);
+      if (m_processes[t.process].incarnation != t.incarnation) return;
+      RunClient(t.process, platform::ReplyReceived{t.id, reply});
+    });
+  }
+
+  void Deliver(std::size_t i, const platform::DeliverReply& action) {
+    const auto [machine, call] = m_processes[i].calls.at(action.call);
+    std::visit(
+        [&, machine = machine](const auto& event) {
+          using Event = std::decay_t<decltype(event)>;
+          if constexpr (std::is_constructible_v<ReplicaEvent, Event>) {
+            if (machine == 0) RunReplica(i, event);
+          }
+          if constexpr (std::is_constructible_v<EditorEvent, Event>) {
+            if (machine != 0) RunEditor(i, machine - 1, event);
+          }
+        },
+        ToEvent(call, action.reply));
+  }
+
+  void RunEditor(std::size_t i, std::size_t editor, const EditorEvent& event) {
+    for (const auto& action : m_processes[i].editors[editor].Step(m_now, event)) {
+      std::visit(core::Overloaded{[&](const EditFinished& a) {
+                                    m_outcomes.emplace_back(
+                                        m_processes[i].editors[editor].request(), a.outcome);
+                                  },
+                                  [&](const auto& a) { Submit(i, editor + 1, a); }},
+                 action);
+    }
+  }
+
+  void RunReplica(std::size_t i, const ReplicaEvent& event) {
+    for (const auto& action : m_processes[i].replica->Step(m_now, event)) {
+      std::visit(core::Overloaded{[&](const ReadCatalogueKey& a) { Submit(i, 0, a); },
+                                  [&](const WatchCatalogueKey& a) { Submit(i, 0, a); },
+                                  [&](const CancelStoreCall& a) { CancelCall(i, a); },
+                                  [&](const FetchFromPeer& a) { Fetch(i, a); },
+                                  [&](const ApplyCatalogue& a) { CheckApplied(i, *a.catalogue); },
+                                  [&](const ConfirmRevision& a) { Confirm(i, a); },
+                                  [](const ReportMalformed& a) { throw a.reason; }},
+                 action);
+    }
+  }
+
+  void CancelCall(std::size_t i, const CancelStoreCall& action) {
+    for (const auto& [id, target] : m_processes[i].calls) {
+      if (target == std::pair<std::size_t, CallNumber>{0, action.call}) {
+        RunClient(i, platform::CallCancelled{id});
+        return;
+      }
+    }
+  }
+
+  void Fetch(std::size_t i, const FetchFromPeer& action) {
+    const auto peer = static_cast<std::size_t>(std::stoul(action.peer.value()));
+    if (m_cut.contains(std::minmax(i, peer))) return;  // the fetch times out
+    const int incarnation = m_processes[i].incarnation;
+    After(Delay(std::chrono::milliseconds(50)), [this, i, peer, incarnation, call = action.call] {
+      if (m_processes[i].incarnation != incarnation) return;
+      const auto& catalogue = m_processes[peer].replica->catalogue();
+      if (catalogue) {
+        RunReplica(i, PeerCatalogue{call, EncodeCatalogue(*catalogue)});
+      } else {
+        RunReplica(i, PeerFetchFailed{call});
+      }
+    });
+  }
+
+  void Gossip() {
+    for (std::size_t i = 0; i < size(); ++i) {
+      const auto j = static_cast<std::size_t>(m_random.Below(size()));
+      if (i == j || m_cut.contains(std::minmax(i, j)) || !RevisionAt(i)) continue;
+      RunReplica(j, RevisionHeard{core::HostId(std::to_string(i)), *RevisionAt(i)});
+    }
+  }
+
+  void Confirm(std::size_t i, const ConfirmRevision& action) {
+    if (!m_gossip) return;
+    for (std::size_t j = 0; j < size(); ++j) {
+      if (i == j || m_cut.contains(std::minmax(i, j))) continue;
+      const int incarnation = m_processes[j].incarnation;
+      After(Delay(std::chrono::seconds(1)), [this, j, incarnation, action] {
+        if (m_processes[j].incarnation != incarnation) return;
+        RunReplica(j, ConfirmationHeard{action.revision});
+      });
+    }
+  }
+
+  void CheckApplied(std::size_t i, const Catalogue& catalogue) {
+    Process& p = m_processes[i];
+    Require(!p.revision || catalogue.revision() > *p.revision, "a revision decreased");
+    p.revision = catalogue.revision();
+    Require(catalogue.revision() < m_catalogues.size() &&
+                m_catalogues[catalogue.revision()] == catalogue,
+            "an applied catalogue was never in the store");
+  }
+
+  void CheckWrites() {
+    for (; m_checked_writes < m_store.Writes().size(); ++m_checked_writes) {
+      const Catalogue next = DecodeCatalogue(*m_store.Writes()[m_checked_writes].value);
+      const ChangeId id = next.content().change_ids.back();
+      Require(m_written.emplace(id, next.revision()).second, "a change was applied twice");
+      Require(Follows(next, m_requests.at(id)), "a write lost an accepted change");
+      m_catalogues.push_back(next);
+    }
+  }
+
+  bool Follows(const Catalogue& next, const ChangeRequest& request) const {
+    try {
+      return next == ApplyChange(m_catalogues.back(), request);
+    } catch (const ChangeRejected&) {
+      return false;  // the edit cannot be made on the catalogue that it replaced
+    }
+  }
+
+  struct Transmission {
+    std::size_t process = 0;
+    int incarnation = 0;
+    platform::TransmissionId id = 0;
+  };
+
+  Faults m_faults;
+  core::Random m_random;
+  core::Instant m_now{};
+  platform::testing::StoreModel m_store;
+  core::Duration m_store_delay = std::chrono::milliseconds(20);
+  bool m_gossip = true;
+  std::set<std::pair<std::size_t, std::size_t>> m_cut;
+  std::vector<Process> m_processes;
+  std::multimap<core::Instant, std::function<void()>> m_messages;
+  std::map<std::uint64_t, Transmission> m_transmissions;
+  std::uint64_t m_last_transmission = 0;
+  std::map<ChangeId, ChangeRequest> m_requests;
+  std::map<ChangeId, CatalogueRevision> m_written;
+  std::vector<Catalogue> m_catalogues;  ///< by revision
+  std::size_t m_checked_writes = 0;
+  std::vector<std::pair<ChangeRequest, EditOutcome>> m_outcomes;
+};
+
+}  // namespace cornelrelay::profile::testing
