Add gossip package: records, dissemination, membership, upstream view

Cause: entry processes and agents need each other's state without a store call per change and within 8 KB/s a node. Change: versioned records merged as a lattice join, rounds of 250 ms under a byte budget, a SWIM detector with a mass-loss rule, and the view of usable upstreams. Agents report to two entry processes of their data centre.

--- /dev/null
+++ b/packages/gossip/src/disseminator.cc
@@ -0,0 +1,263 @@
+#include "cornelrelay/gossip/disseminator.h"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+
+#include "cornelrelay/core/overloaded.h"
+#include "cornelrelay/gossip/message_size.h"
+
+namespace cornelrelay::gossip {
+namespace {
+
+// Three targets a round reach 350 members in about 7 rounds; one target needs 15, over the 3 s
+// goal.
+constexpr std::size_t kUrgentTargets = 3;
+// One round in four goes to another data centre, which needs loads only for spill-over.
+constexpr std::size_t kFarRound = 4;
+// A leaf repeats its own records this seldom; its load updates carry what changes.
+constexpr std::size_t kLeafTableRounds = 40;
+constexpr std::size_t kOverhead = kEnvelopeBytes + kNetworkBytes;
+constexpr std::size_t kMinimumRoom = 64;
+constexpr std::size_t kPushHeader = 4;
+
+bool Urgent(Urgency urgency) { return urgency < Urgency::kJoin; }
+
+}  // namespace
+
+Disseminator::Disseminator(const NodeSettings& settings, const RecordTable& table, Roster& roster)
+    : m_settings(settings),
+      m_table(table),
+      m_roster(roster),
+      m_random(settings.random_seed),
+      m_budget(settings.bytes_per_second, 2 * settings.round) {
+  m_table_cursor.subject = settings.self.value();
+}
+
+unsigned Disseminator::SendLimit(Urgency urgency) const {
+  const auto log2 = static_cast<unsigned>(std::bit_width(m_roster.gossip().size() + 1));
+  return urgency == Urgency::kJoin ? log2 : 3 * log2;
+}
+
+std::size_t Disseminator::Room(std::size_t share) const {
+  const double left = m_budget.available() / static_cast<double>(share) - kOverhead;
+  if (left < kMinimumRoom) return 0;
+  return std::min(static_cast<std::size_t>(left), kDatagramLimit - kEnvelopeBytes) - kPushHeader;
+}
+
+std::vector<Action> Disseminator::Step(core::Instant now, const DisseminatorEvent& event) {
+  std::vector<Action> actions;
+  std::visit(core::Overloaded{[&](const DisseminatorTick&) { actions = Round(now); },
+                              [&](const News& news) { OnNews(news); },
+                              [&](const ContactRestored&) { RearmNotices(); },
+                              [&](const BytesSent& sent) { m_budget.Charge(sent.bytes); }},
+             event);
+  return actions;
+}
+
+void Disseminator::OnNews(const News& news) {
+  if (news.urgency != Urgency::kRoutine) {
+    m_news[news.key] = {news.urgency, 0};
+  } else if (news.key.kind == RecordKind::kUpstream) {
+    m_loads[news.key] = 0;
+  }
+}
+
+// Notices are few, and members behind a partition may have missed all of them.
+void Disseminator::RearmNotices() {
+  for (const auto& [key, stored] : m_table.records()) {
+    if (key.kind >= RecordKind::kMember) break;
+    const bool crash = key.kind == RecordKind::kCrash;
+    m_news.try_emplace(key, Pending{crash ? Urgency::kCrash : Urgency::kLeaving, 0});
+  }
+}
+
+std::vector<Action> Disseminator::Round(core::Instant now) {
+  std::vector<Action> actions;
+  if (now < m_next_round) return actions;
+  m_next_round = now + m_settings.round;
+  m_budget.Refill(now);
+  m_roster.Refresh();
+  if (m_roster.gossip().empty()) return actions;
+  ++m_rounds;
+  SendUrgent(now, actions);
+  SendBulk(now, actions);
+  return actions;
+}
+
+void Disseminator::SendUrgent(core::Instant now, std::vector<Action>& actions) {
+  const auto& peers = m_roster.gossip();
+  const std::size_t first = m_random.Below(peers.size());
+  // Distinct targets: a random start and random steps around the list.
+  std::size_t offset = 0;
+  const std::size_t targets = std::min(kUrgentTargets, peers.size());
+  for (std::size_t i = 0; i < targets; ++i) {
+    GossipPush push;
+    if (AddNews(now, Room(targets - i), true, push) == 0) return;
+    Emit(peers[(first + offset) % peers.size()], std::move(push), actions);
+    const std::size_t spare = peers.size() - offset - (targets - i);
+    offset += 1 + (spare == 0 ? 0 : m_random.Below(spare + 1));
+  }
+}
+
+void Disseminator::SendBulk(core::Instant now, std::vector<Action>& actions) {
+  const bool far = m_rounds % kFarRound == 0 && !m_roster.gossip_far().empty();
+  const auto& peers =
+      far || m_roster.gossip_near().empty() ? m_roster.gossip() : m_roster.gossip_near();
+  const std::size_t targets = m_roster.leaf() ? peers.size() : 1;
+  const bool flat = m_settings.topology == Topology::kFlat;
+  for (std::size_t i = 0; i < targets; ++i) {
+    const std::size_t room = Room(targets - i);
+    if (room == 0) return;
+    GossipPush push;
+    std::size_t used = AddNews(now, room / 2, false, push);
+    used += AddLoads(now, (room - used) * 3 / 4, push);
+    const bool table_due = !m_roster.leaf() || (m_rounds + i) % kLeafTableRounds == 0;
+    if (table_due) AddTable(now, room - used, push);
+    const auto& from = flat ? m_roster.gossip() : peers;
+    const std::size_t target = m_roster.leaf() ? i : m_random.Below(from.size());
+    Emit(from[target], std::move(push), actions);
+  }
+}
+
+bool Disseminator::Emit(const core::HostId& to, GossipPush push, std::vector<Action>& actions) {
+  if (push == GossipPush{}) return false;
+  Message message(std::move(push));
+  m_budget.Charge(EncodedSize(message) + kOverhead);
+  actions.emplace_back(Send{to, m_table.FindMember(to)->control, std::move(message)});
+  return true;
+}
+
+std::size_t Disseminator::AddNews(core::Instant now, std::size_t room, bool urgent,
+                                  GossipPush& push) {
+  std::vector<std::pair<std::pair<Urgency, unsigned>, const RecordKey*>> order;
+  for (const auto& [key, pending] : m_news) {
+    if (Urgent(pending.urgency) == urgent) {
+      order.push_back({{pending.urgency, pending.sent}, &key});
+    }
+  }
+  std::stable_sort(order.begin(), order.end(),
+                   [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::size_t used = 0;
+  std::vector<RecordKey> done;
+  for (const auto& [rank, key] : order) {
+    const StoredRecord* stored = m_table.Find(*key);
+    if (stored == nullptr) {
+      done.push_back(*key);
+      continue;
+    }
+    const std::size_t size = EncodedSize(stored->record);
+    if (used + size > room) break;
+    used += size;
+    push.records.push_back(Export(*stored, now));
+    Pending& pending = m_news.at(*key);
+    if (++pending.sent >= SendLimit(pending.urgency)) done.push_back(*key);
+  }
+  for (const RecordKey& key : done) m_news.erase(key);
+  return used;
+}
+
+std::size_t Disseminator::AddLoads(core::Instant now, std::size_t room, GossipPush& push) {
+  std::vector<std::pair<unsigned, const RecordKey*>> order;
+  order.reserve(m_loads.size());
+  for (const auto& [key, sent] : m_loads) order.emplace_back(sent, &key);
+  // The cut-off point of equally often sent updates moves with the random start, else keys that
+  // sort late would starve.
+  if (!order.empty()) {
+    std::rotate(order.begin(),
+                order.begin() + static_cast<std::ptrdiff_t>(m_random.Below(order.size())),
+                order.end());
+  }
+  std::stable_sort(order.begin(), order.end(),
+                   [](const auto& a, const auto& b) { return a.first < b.first; });
+  const auto limit = m_roster.leaf()
+                         ? 2U
+                         : static_cast<unsigned>(std::bit_width(m_roster.gossip_near().size())) + 1;
+  std::size_t used = 0;
+  std::vector<RecordKey> done;
+  for (const auto& [sent, key] : order) {
+    const StoredRecord* stored = m_table.Find(*key);
+    if (stored == nullptr) {
+      done.push_back(*key);
+      continue;
+    }
+    std::size_t size = EncodedSize(StatusSample{});
+    if (m_settings.encoding == StatusEncoding::kPackedArray) {
+      if (used + size > room) break;
+      push.samples.push_back(ExportSample(*stored, now));
+    } else if (m_settings.encoding == StatusEncoding::kFullRecords ||
+               stored->record.version.sequence == stored->base_sequence) {
+      size = EncodedSize(stored->record);
+      if (used + size > room) break;
+      push.records.push_back(Export(*stored, now));
+    } else {
+      StatusDelta delta = ExportDelta(*stored, now);
+      size = EncodedSize(delta);
+      if (used + size > room) break;
+      push.deltas.push_back(std::move(delta));
+    }
+    used += size;
+    if (++m_loads.at(*key) >= limit) done.push_back(*key);
+  }
+  for (const RecordKey& key : done) m_loads.erase(key);
+  return used;
+}
+
+std::size_t Disseminator::AddTable(core::Instant now, std::size_t room, GossipPush& push) {
+  const auto& records = m_table.records();
+  const auto members = records.lower_bound({RecordKind::kMember, ""});
+  std::size_t used = 0;
+  // Notices and crash records get half of the room: they are few and must survive partitions.
+  const auto walk = [&](auto begin, auto end, RecordKey& cursor, std::size_t limit) {
+    if (begin == end) return;
+    const RecordKey* first = nullptr;
+    for (auto it = records.upper_bound(cursor);; ++it) {
+      if (it == records.end() || it == end || it->first < begin->first) it = begin;
+      if (first == &it->first) return;  // once around
+      if (first == nullptr) first = &it->first;
+      const Record& record = it->second.record;
+      const bool skip =
+          record.version.incarnation == 0 || (m_roster.leaf() && record.origin != m_settings.self);
+      const std::size_t size = EncodedSize(record);
+      if (!skip && used + size > limit) return;
+      cursor = it->first;
+      if (skip) continue;
+      used += size;
+      push.records.push_back(Export(it->second, now));
+    }
+  };
+  walk(records.begin(), members, m_notice_cursor, room / 2);
+  walk(members, records.end(), m_table_cursor, room);
+  return used;
+}
+
+std::size_t Disseminator::AddEntries(core::Instant now, std::size_t room, GossipPush& push) {
+  const auto& entries = m_roster.gossip();
+  std::size_t used = 0;
+  for (std::size_t i = 0; i < entries.size(); ++i) {
+    const core::HostId& host = entries[m_entry_cursor % entries.size()];
+    const StoredRecord* stored = m_table.Find({RecordKind::kMember, host.value()});
+    if (stored == nullptr) break;
+    const std::size_t size = EncodedSize(stored->record);
+    if (used + size > room) break;
+    ++m_entry_cursor;
+    if (stored->record.version.incarnation == 0) continue;
+    used += size;
+    push.records.push_back(Export(*stored, now));
+  }
+  return used;
+}
+
+GossipPush Disseminator::Piggyback(core::Instant now, std::size_t room, bool to_leaf) {
+  m_roster.Refresh();
+  GossipPush push;
+  if (to_leaf) {
+    AddEntries(now, room, push);
+    return push;
+  }
+  const std::size_t used = AddNews(now, room, true, push);
+  if (!m_roster.leaf()) AddTable(now, room - used, push);
+  return push;
+}
+
+}  // namespace cornelrelay::gossip
--- /dev/null
+++ b/packages/gossip/src/urgency.cc
@@ -0,0 +1,31 @@
+#include "cornelrelay/gossip/urgency.h"
+
+#include "cornelrelay/core/overloaded.h"
+
+namespace cornelrelay::gossip {
+
+Urgency UrgencyOf(const Record* previous, const Record& record, std::uint64_t highest_revision) {
+  const bool restarted =
+      previous == nullptr || previous->version.incarnation != record.version.incarnation;
+  return std::visit(
+      core::Overloaded{
+          [](const LeavingNotice&) { return Urgency::kLeaving; },
+          [](const CrashRecord&) { return Urgency::kCrash; },
+          [&](const UpstreamStatus& status) {
+            if (status.draining &&
+                !(previous != nullptr && std::get<UpstreamStatus>(previous->payload).draining)) {
+              return Urgency::kLeaving;
+            }
+            return restarted ? Urgency::kJoin : Urgency::kRoutine;
+          },
+          [&](const MemberState& member) {
+            if (member.revision > highest_revision) return Urgency::kRevision;
+            const Life before =
+                previous == nullptr ? Life::kAlive : std::get<MemberState>(previous->payload).life;
+            if (member.life != before) return Urgency::kSuspicion;
+            return restarted ? Urgency::kJoin : Urgency::kRoutine;
+          }},
+      record.payload);
+}
+
+}  // namespace cornelrelay::gossip
