--- /dev/null
+++ b/packages/wire/tests/message_generator.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include <rapidcheck.h>
+
+#include <string>
+
+#include "cornelrelay/wire/control_message.h"
+
+namespace cornelrelay::wire::testing {
+
+template <class T>
+T Any() {
+  return *rc::gen::arbitrary<T>();
+}
+
+inline std::size_t Below(std::size_t bound) { return *rc::gen::inRange<std::size_t>(0, bound); }
+
+inline std::string AnyText(std::size_t longest = 20) {
+  return *rc::gen::container<std::string>(Below(longest + 1), rc::gen::arbitrary<char>());
+}
+
+inline core::Endpoint AnyEndpoint() { return {AnyText(), Any<std::uint16_t>()}; }
+
+inline gossip::Load AnyLoad() {
+  return {Any<std::uint8_t>(), Any<std::uint8_t>(), Any<std::uint8_t>(), Any<std::uint8_t>()};
+}
+
+inline Digest AnyDigest() { return Any<Digest>(); }
+
+inline gossip::Record AnyRecord() {
+  gossip::Record record;
+  record.key.kind = static_cast<gossip::RecordKind>(Below(5));
+  record.key.subject = AnyText();
+  record.origin = core::HostId(AnyText());
+  record.version.incarnation = Any<std::uint64_t>();
+  record.version.sequence = Any<std::uint32_t>();
+  record.time_to_live = std::chrono::seconds(Any<std::uint16_t>());
+  record.age = Any<std::uint16_t>() * core::Duration(200000);
+  switch (record.key.kind) {
+    case gossip::RecordKind::kMember:
+      record.payload = gossip::MemberState{
+          static_cast<gossip::Life>(Below(4)), static_cast<gossip::Role>(Below(2)),
+          core::DataCentreId(AnyText()), AnyEndpoint(), Any<std::uint64_t>()};
+      break;
+    case gossip::RecordKind::kUpstream:
+      record.payload =
+          gossip::UpstreamStatus{core::ServiceId(AnyText()), core::DataCentreId(AnyText()),
+                                 AnyEndpoint(), AnyLoad(), Any<bool>()};
+      break;
+    case gossip::RecordKind::kCrash: {
+      gossip::CrashRecord crash;
+      crash.fingerprint = AnyDigest();
+      for (std::size_t i = Below(5); i > 0; --i) crash.upstreams.emplace_back(AnyText());
+      crash.unix_milliseconds = Any<std::uint64_t>();
+      record.payload = crash;
+      break;
+    }
+    default:
+      record.payload = gossip::LeavingNotice{static_cast<gossip::LeavingScope>(Below(2))};
+  }
+  return record;
+}
+
+inline gossip::GossipPush AnyPush() {
+  gossip::GossipPush push;
+  for (std::size_t i = Below(4); i > 0; --i) push.records.push_back(AnyRecord());
+  for (std::size_t i = Below(4); i > 0; --i) {
+    gossip::StatusDelta delta{core::UpstreamId(AnyText()),
+                              Any<std::uint16_t>(),
+                              Any<std::uint32_t>(),
+                              Any<std::uint32_t>(),
+                              static_cast<std::uint8_t>(Below(32)),
+                              AnyLoad(),
+                              Any<std::uint8_t>() * core::Duration(250000)};
+    if ((delta.changed & 1U) == 0) delta.load.running = 0;
+    if ((delta.changed & 2U) == 0) delta.load.waiting = 0;
+    if ((delta.changed & 4U) == 0) delta.load.cache_use = 0;
+    if ((delta.changed & 8U) == 0) delta.load.step_time = 0;
+    push.deltas.push_back(delta);
+  }
+  for (std::size_t i = Below(4); i > 0; --i) {
+    push.samples.push_back({Any<std::uint32_t>(), Any<std::uint16_t>(), Any<std::uint32_t>(),
+                            AnyLoad(), Any<bool>(), Any<std::uint8_t>() * core::Duration(250000)});
+  }
+  return push;
+}
+
+inline ClaimAnswer AnyAnswer() {
+  switch (Below(5)) {
+    case 0:
+      return ClaimGranted{};
+    case 1:
+      return ClaimAlreadyTaken{};
+    case 2:
+      return ClaimCompleted{AnyText(kMaxRecordedAnswer)};
+    case 3:
+      return ClaimBodyMismatch{};
+    default:
+      return ClaimRefused{static_cast<ClaimRefusal>(Below(4)), Any<std::uint32_t>()};
+  }
+}
+
+inline FinishOutcome AnyOutcome() {
+  switch (Below(3)) {
+    case 0:
+      return FinishCompleted{AnyText(kMaxRecordedAnswer)};
+    case 1:
+      return FinishReleased{};
+    default:
+      return FinishUnknown{};
+  }
+}
+
+inline ControlMessage AnyMessage() {
+  const auto id = Any<std::uint64_t>();
+  const auto number = Any<std::uint32_t>();
+  switch (Below(10)) {
+    case 0:
+      return gossip::Probe{number, AnyPush()};
+    case 1:
+      return gossip::ProbeAck{number, AnyPush()};
+    case 2:
+      return gossip::ProbeRequest{number, core::HostId(AnyText()), AnyPush()};
+    case 3:
+      return AnyPush();
+    case 4:
+      return ClaimCall{id,
+                       number,
+                       AnyDigest(),
+                       AnyDigest(),
+                       core::ClientAccountId(AnyText()),
+                       Any<std::uint64_t>()};
+    case 5:
+      return ClaimReply{id, AnyAnswer()};
+    case 6:
+      return ClaimFinish{id, number, AnyDigest(), AnyOutcome()};
+    case 7:
+      return CatalogueFetch{id};
+    case 8:
+      return CatalogueTransfer{id, AnyText(2000)};
+    default:
+      return OrderForward{core::GroupId(AnyText()), id, AnyText(2000)};
+  }
+}
+
+}  // namespace cornelrelay::wire::testing
