Add admission limits

Change: add package limits with ShareLedger, AdmissionController, FairQueue and RetryBudget. A larger share applies after all members of the view have stated that they keep within theirs; a new process settles only with a member that settled before. The statements cost one gossip record per process and membership change.

--- /dev/null
+++ b/packages/limits/include/cornelrelay/limits/limits_state_json.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "cornelrelay/limits/admission_controller.h"
+#include "cornelrelay/limits/retry_budget.h"
+
+namespace cornelrelay::limits {
+
+/// \brief State dumps for `/dump`.
+nlohmann::json ToJson(const AdmissionController& controller);
+nlohmann::json ToJson(const RetryBudget& budget);
+
+}  // namespace cornelrelay::limits
--- /dev/null
+++ b/packages/limits/src/admission_controller.cc
@@ -0,0 +1,156 @@
+#include "cornelrelay/limits/admission_controller.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace cornelrelay::limits {
+
+AdmissionController::AdmissionController(AdmissionConfig config)
+    : m_config(std::move(config)), m_ledger(m_config.ledger) {
+  if (m_config.ledger.fault == AdmissionFault::kAgingOff) m_config.queue.aging.reset();
+}
+
+std::vector<AdmissionAction> AdmissionController::Step(core::Instant now,
+                                                       const AdmissionEvent& event) {
+  Actions out;
+  std::visit([&](const auto& e) { Apply(now, e, out); }, event);
+  return out;
+}
+
+void AdmissionController::Apply(core::Instant now, const RequestFinished& event, Actions& out) {
+  Release(now, event.request, event.completed, out);
+}
+
+void AdmissionController::Apply(core::Instant now, const RequestCancelled& event, Actions& out) {
+  for (auto& [id, service] : m_services) {
+    if (service.queue.Remove(event.request)) return;
+  }
+  Release(now, event.request, false, out);
+}
+
+void AdmissionController::Release(core::Instant now, const core::RequestId& request, bool measure,
+                                  Actions& out) {
+  const auto found = m_running.find(request);
+  if (found == m_running.end()) return;
+  const Running run = found->second;
+  m_running.erase(found);
+  ServiceState& service = m_services.at(run.service);
+  AccountState& account = Account(now, run.service, service, run.account);
+  assert(service.running > 0 && account.running > 0);
+  --service.running;
+  --account.running;
+  if (measure) service.times.Learn(now - run.started, run.work);
+  ConfirmIfWithin(now, out);
+  Drain(now, run.service, service, out);
+}
+
+void AdmissionController::Apply(core::Instant now, const MembersChanged& event, Actions& out) {
+  RefillAll(now);
+  if (!m_ledger.SetView(now, event.members)) return;
+  ConfirmIfWithin(now, out);
+  DrainAll(now, out);
+}
+
+void AdmissionController::Apply(core::Instant now, const SettledReceived& event, Actions& out) {
+  const bool before = m_ledger.settled();
+  RefillAll(now);
+  m_ledger.Receive(now, event.member, event.view, event.standing, event.sequence);
+  NoteSettled(now, before, out);
+  if (m_ledger.settled() && !before) DrainAll(now, out);
+}
+
+void AdmissionController::Apply(core::Instant now, const LimitsChanged& event, Actions& out) {
+  const auto [found, inserted] =
+      m_services.try_emplace(event.service, ServiceState{.queue = FairQueue(m_config.queue)});
+  found->second.limits = event.limits;
+  ConfirmIfWithin(now, out);
+  Drain(now, event.service, found->second, out);
+}
+
+void AdmissionController::Apply(core::Instant now, const TickElapsed&, Actions& out) {
+  const bool before = m_ledger.settled();
+  if (!before) RefillAll(now);
+  m_ledger.Tick(now);
+  NoteSettled(now, before, out);
+  for (auto& [id, service] : m_services) {
+    const auto late = service.queue.RemoveIf([&,
+                                              &times = service.times](const QueuedRequest& item) {
+      return item.deadline != core::Instant::max() && now + times.Expect(item.work) > item.deadline;
+    });
+    for (const QueuedRequest& item : late) {
+      out.emplace_back(
+          RefuseRequest{item.request, RefusalReason::kDeadline, service.times.mean(), {}});
+    }
+  }
+  DrainAll(now, out);
+  // States of idle accounts with a full bucket hold no information.
+  for (auto& [id, service] : m_services) {
+    std::erase_if(service.accounts, [&, &sid = id, &limits = service.limits](const auto& entry) {
+      const double burst =
+          static_cast<double>(Usable(sid, entry.first, limits.Of(entry.first).burst));
+      return entry.second.running == 0 && entry.second.bucket.tokens() >= burst;
+    });
+  }
+}
+
+void AdmissionController::RefillAll(core::Instant now) {
+  // The time before a change of shares earns tokens at the old rate.
+  for (auto& [id, service] : m_services) {
+    for (const auto& [account, state] : service.accounts) Account(now, id, service, account);
+  }
+}
+
+void AdmissionController::NoteSettled(core::Instant now, bool before, Actions& out) {
+  if (!m_ledger.settled() || before) return;
+  // Buckets of accounts without a state must not start with the burst of a process that is gone.
+  if (m_ledger.members().size() <= m_settled_members || m_settled_members == 0) m_since = now;
+  // The statement that allowed the first settling said that this process is new; others wait for a
+  // settled one.
+  if (m_settled_members == 0) {
+    out.emplace_back(PublishSettled{m_ledger.view(), m_ledger.standing()});
+  }
+  m_settled_members = m_ledger.members().size();
+}
+
+void AdmissionController::DrainAll(core::Instant now, Actions& out) {
+  for (auto& [id, service] : m_services) Drain(now, id, service, out);
+}
+
+void AdmissionController::Drain(core::Instant now, const core::ServiceId& id, ServiceState& service,
+                                Actions& out) {
+  while (const auto item = service.queue.Pop(now, [&](const core::ClientAccountId& account) {
+    return MayStart(now, id, service, account);
+  })) {
+    if (item->deadline != core::Instant::max() &&
+        now + service.times.Expect(item->work) > item->deadline) {
+      out.emplace_back(
+          RefuseRequest{item->request, RefusalReason::kDeadline, service.times.mean(), {}});
+      continue;
+    }
+    Start(now, id, service, *item, out);
+  }
+}
+
+bool AdmissionController::WithinTargets() const {
+  for (const auto& [id, service] : m_services) {
+    if (service.running > m_ledger.Target(service.limits.concurrency, id.value())) return false;
+    for (const auto& [account, state] : service.accounts) {
+      const std::string key = id.value() + '\n' + account.value();
+      if (state.running > m_ledger.Target(service.limits.Of(account).concurrency, key)) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+void AdmissionController::ConfirmIfWithin(core::Instant now, Actions& out) {
+  if (m_ledger.confirmed() || m_ledger.members().empty() || !WithinTargets()) return;
+  const bool before = m_ledger.settled();
+  RefillAll(now);
+  m_ledger.Confirm(now);
+  out.emplace_back(PublishSettled{m_ledger.view(), m_ledger.standing()});
+  NoteSettled(now, before, out);
+}
+
+}  // namespace cornelrelay::limits
--- /dev/null
+++ b/packages/limits/src/limits_state_json.cc
@@ -0,0 +1,42 @@
+#include "cornelrelay/limits/limits_state_json.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cornelrelay::limits {
+
+nlohmann::json ToJson(const AdmissionController& controller) {
+  nlohmann::json services = nlohmann::json::object();
+  const ShareLedger& ledger = controller.ledger();
+  for (const auto& [id, service] : controller.services()) {
+    nlohmann::json accounts = nlohmann::json::object();
+    for (const auto& [account, state] : service.accounts) {
+      accounts[account.value()] = {{"running", state.running},
+                                   {"queued", service.queue.SizeOf(account)},
+                                   {"tokens", state.bucket.tokens()}};
+    }
+    services[id.value()] = {{"running", service.running},
+                            {"share", ledger.Usable(service.limits.concurrency, id.value())},
+                            {"queued", service.queue.size()},
+                            {"mean_service_us", service.times.mean().count()},
+                            {"accounts", std::move(accounts)}};
+  }
+  nlohmann::json members = nlohmann::json::array();
+  for (const Member& member : ledger.members()) {
+    members.push_back({{"host", member.id.value()}, {"incarnation", member.incarnation}});
+  }
+  return {{"members", std::move(members)},
+          {"view", ledger.view()},
+          {"confirmed", ledger.confirmed()},
+          {"settled", ledger.settled()},
+          {"standing", std::string(ToString(ledger.standing()))},
+          {"services", std::move(services)}};
+}
+
+nlohmann::json ToJson(const RetryBudget& budget) {
+  return {{"requests", budget.requests()},
+          {"retries", budget.retries()},
+          {"refused", budget.refused()},
+          {"saved", budget.saved()}};
+}
+
+}  // namespace cornelrelay::limits
--- /dev/null
+++ b/packages/limits/src/share_ledger.cc
@@ -0,0 +1,115 @@
+#include "cornelrelay/limits/share_ledger.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+#include "cornelrelay/limits/share.h"
+
+namespace cornelrelay::limits {
+
+namespace {
+
+// A long partition can prevent settling for hours while hosts are replaced. Two views merge into
+// their union, whose shares are no larger than in either.
+constexpr std::size_t kMostViews = 16;
+
+std::vector<Member> Union(const std::vector<Member>& a, const std::vector<Member>& b) {
+  std::map<core::HostId, std::uint64_t> ids;
+  for (const auto* members : {&a, &b}) {
+    for (const Member& member : *members) {
+      std::uint64_t& incarnation = ids[member.id];
+      incarnation = std::max(incarnation, member.incarnation);
+    }
+  }
+  std::vector<Member> all;
+  all.reserve(ids.size());
+  for (const auto& [id, incarnation] : ids) all.push_back({id, incarnation});
+  return all;
+}
+
+}  // namespace
+
+ShareLedger::ShareLedger(LedgerConfig config) : m_config(std::move(config)) {}
+
+bool ShareLedger::SetView(core::Instant now, std::vector<Member> members) {
+  std::sort(members.begin(), members.end());
+  if (members == m_views.back()) return false;
+  const bool lost =
+      !std::includes(members.begin(), members.end(), m_views.back().begin(), m_views.back().end());
+  if (lost && m_standing == Standing::kNew) m_standing = Standing::kOrphan;
+  // The first entry stays apart: in it a new process has no share.
+  if (m_views.size() >= kMostViews) {
+    m_views[1] = Union(m_views[1], m_views[2]);
+    m_views.erase(m_views.begin() + 2);
+  }
+  m_view = ViewId(members);
+  m_view_since = now;
+  m_views.push_back(std::move(members));
+  m_confirmed = m_settled = false;
+  return true;
+}
+
+void ShareLedger::Receive(core::Instant now, const core::HostId& member, std::uint64_t view,
+                          Standing standing, std::uint64_t sequence) {
+  Statement& statement = m_statements[member];
+  if (sequence <= statement.sequence) return;
+  statement = {view, standing, sequence};
+  TrySettle(now);
+}
+
+void ShareLedger::Confirm(core::Instant now) {
+  m_confirmed = true;
+  TrySettle(now);
+}
+
+bool ShareLedger::MayJoin(core::Instant now) const {
+  if (m_config.fault == AdmissionFault::kSettleAlone) return true;
+  if (m_standing == Standing::kSettled) return true;
+  bool all_new = m_standing == Standing::kNew;
+  for (const Member& member : members()) {
+    if (member.id == m_config.self) continue;
+    const Standing standing = m_statements.at(member.id).standing;
+    if (standing == Standing::kSettled) return true;
+    all_new = all_new && standing == Standing::kNew;
+  }
+  return now - m_view_since >= (all_new ? m_config.bootstrap_wait : m_config.orphan_wait);
+}
+
+void ShareLedger::TrySettle(core::Instant now) {
+  if (!m_confirmed || m_settled) return;
+  for (const Member& member : members()) {
+    if (member.id == m_config.self) continue;
+    const auto found = m_statements.find(member.id);
+    if (found == m_statements.end() || found->second.view != m_view) return;
+  }
+  if (!MayJoin(now)) return;
+  m_settled = true;
+  m_standing = Standing::kSettled;
+  m_views.erase(m_views.begin(), m_views.end() - 1);
+  std::erase_if(m_statements, [this](const auto& entry) {
+    return std::none_of(members().begin(), members().end(),
+                        [&](const Member& member) { return member.id == entry.first; });
+  });
+}
+
+std::uint64_t ShareLedger::Share(std::uint64_t limit, std::string_view key,
+                                 const std::vector<Member>& members) const {
+  const std::uint64_t share = ShareOf(limit, key, members, m_config.self);
+  if (m_config.fault != AdmissionFault::kShareRoundedUp || members.empty()) return share;
+  return (limit + members.size() - 1) / members.size();
+}
+
+std::uint64_t ShareLedger::Target(std::uint64_t limit, std::string_view key) const {
+  return Share(limit, key, members());
+}
+
+std::uint64_t ShareLedger::Usable(std::uint64_t limit, std::string_view key) const {
+  if (m_config.fault == AdmissionFault::kGrowAtOnce) return Target(limit, key);
+  std::uint64_t usable = limit;
+  for (const auto& view : m_views) usable = std::min(usable, Share(limit, key, view));
+  assert(usable <= limit);
+  return usable;
+}
+
+}  // namespace cornelrelay::limits
