request: fuzz whole answers; retry 429 of idempotent calls

Cause: the fuzz world covered streams only, and an idempotent call that one busy replica refused with 429 ended although another could run it.

Change: a quarter of the fuzz requests get a whole answer that may be cut, swapped or unfinished. 429 is treated like a server error. A test fixes that a partly forwarded body that cannot resume is not retried.

Conclusion: both answer forms are judged by the same oracle.

--- a/packages/request/include/cornelrelay/request/answer_verifier.h
+++ b/packages/request/include/cornelrelay/request/answer_verifier.h
@@ -12,7 +12,8 @@
 
 /// \brief Checks a whole (not streamed) chat completion: its length against the announced one, its
 /// JSON `id` against the attempt, and a finish_reason in every choice. Gives End, Truncated,
-/// Foreign or Malformed.
+/// Foreign or Malformed. For a status other than 200 use CheckPlainAnswer: such answers have no
+/// such body.
 ///
 /// \code
 /// const StreamVerdict verdict = CheckModelAnswer(attempt, head.content_length, body);
--- a/packages/request/include/cornelrelay/request/request_event.h
+++ b/packages/request/include/cornelrelay/request/request_event.h
@@ -58,7 +58,8 @@
   core::AttemptId attempt;
   int status = 0;
 };
-/// \brief One checked event of a stream, or a whole answer with verdict End and its body.
+/// \brief One checked event of a stream (for `[DONE]` without payload), or a whole answer with
+/// verdict End and its body.
 struct ChunkChecked {
   core::AttemptId attempt;
   StreamVerdict verdict;
--- a/packages/request/src/request_machine.cc
+++ b/packages/request/src/request_machine.cc
@@ -17,8 +17,13 @@
 using internal::ChunkAccepted;
 using internal::Stopped;
 
+constexpr int kTooManyRequests = 429;
 constexpr int kFirstServerError = 500;
 
+bool MayDifferElsewhere(int status) {
+  return status == kTooManyRequests || status >= kFirstServerError;
+}
+
 template <class Event>
 concept OfAttempt = requires(const Event& event) {
   event.attempt;
@@ -94,10 +99,10 @@
         AttemptBroken{AttemptResult::kConnectFailed, RequestError::kConnectFailed, false});
   }
 
-  // A server error of an idempotent call may be cured by another replica. That of a non-idempotent
-  // call is its answer, and the caller receives it as it is.
+  // Another replica may answer an idempotent call that this one failed or was too busy for. For a
+  // non-idempotent call the error is its answer, and the caller receives it as it is.
   void Process(const Head& event) {
-    if (event.status >= kFirstServerError && m_idempotent) {
+    if (m_idempotent && MayDifferElsewhere(event.status)) {
       m_table.process_event(
           AttemptBroken{AttemptResult::kFailed, RequestError::kUpstreamFailed, true});
     } else {
--- a/packages/request/tests/fake_upstream.h
+++ b/packages/request/tests/fake_upstream.h
@@ -55,4 +55,19 @@
   return out;
 }
 
+/// \brief A whole answer that can be cut, without its finish_reason, or another request's.
+struct WholeAnswer {
+  std::string body;
+  std::size_t announced_length = 0;
+};
+inline WholeAnswer FaultyAnswer(const core::AttemptId& attempt, Tape& tape) {
+  WholeAnswer answer{ChunkJson(attempt.value(), "own-1", true), 0};
+  const std::size_t choice = tape.Below(8);
+  if (choice == 5) answer.body = ChunkJson(attempt.value(), "own-1", false);
+  if (choice == 6) answer.body = ChunkJson("other-1", "other", true);
+  answer.announced_length = answer.body.size();
+  if (choice == 7) answer.body.resize(tape.Below(answer.body.size()));
+  return answer;
+}
+
 }  // namespace cornelrelay::request
--- a/packages/request/tests/request_fuzz_test.cc
+++ b/packages/request/tests/request_fuzz_test.cc
@@ -18,7 +18,8 @@
   settings.policy.deadline = milliseconds(500);
   settings.policy.claim_timeout = milliseconds(100);
   settings.facts = {core::RequestId("r"), "e1-1-1", tape.Below(2) == 1, true};
-  settings.answer_length = 1 + tape.Below(5);
+  settings.facts.resumable = !tape.OneIn(4);
+  settings.answer_length = settings.facts.resumable ? 1 + tape.Below(5) : 1;
   return settings;
 }
 
--- a/packages/request/tests/request_machine_test.cc
+++ b/packages/request/tests/request_machine_test.cc
@@ -42,18 +42,35 @@
   CHECK(Find<SendError>(actions)->execution == core::Execution::kUnknown);
 }
 
-// Guards against a server error that another replica could cure ending an idempotent call, and
-// against hiding such an answer of a non-idempotent call from its caller.
+// Guards against an idempotent call that ends with an error which another replica could have
+// avoided, and against hiding such an answer of a non-idempotent call from its caller.
 TEST_CASE("a server error is retried only for idempotent calls") {
+  const int status = GENERATE(429, 500, 503);
   for (const bool idempotent : {true, false}) {
     RequestMachine machine = Connecting({idempotent, false, 2, milliseconds(500), {}});
     machine.Step(kStart, BytesSent{kFirst});
-    const auto actions = machine.Step(kStart, Head{kFirst, 503});
+    const auto actions = machine.Step(kStart, Head{kFirst, status});
     CHECK((Find<AskRetryToken>(actions) != nullptr) == idempotent);
     CHECK((machine.state() == RequestState::kStreaming) == !idempotent);
   }
 }
 
+// Guards against a second attempt that repeats the part of a body which the caller already has.
+TEST_CASE("a partly forwarded answer that cannot resume is not retried") {
+  RequestMachine machine({true, false, 3, milliseconds(500), {}},
+                         {core::RequestId("r"), "e1", false, false}, kStart);
+  machine.Step(kStart, Started{});
+  machine.Step(kStart, Admitted{});
+  machine.Step(kStart, ReplicaChosen{core::UpstreamId("u1")});
+  machine.Step(kStart, BytesSent{kFirst});
+  machine.Step(kStart, Head{kFirst, 200});
+  machine.Step(kStart, ChunkChecked{kFirst, Accepted{{1, {}, {}}}, "part"});
+  const auto actions = machine.Step(kStart, UpstreamClosed{kFirst});
+  REQUIRE(Find<SendError>(actions) != nullptr);
+  CHECK(Find<SendError>(actions)->error == RequestError::kUpstreamBroken);
+  CHECK(Find<AskRetryToken>(actions) == nullptr);
+}
+
 // Guards against an inspection dump that lacks what an operator needs to see why a request waits.
 TEST_CASE("the state dump names state, attempt and tried replicas") {
   const auto dump = ToJson(Connecting({true, false, 2, milliseconds(500), {}}).snapshot());
--- a/packages/request/tests/request_world.cc
+++ b/packages/request/tests/request_world.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "cornelrelay/request/answer_verifier.h"
 #include "fake_upstream.h"
 
 namespace cornelrelay::request {
@@ -91,6 +92,7 @@
     if (!std::exchange(attempt.closed, true)) Step(UpstreamClosed{id});
     return;
   }
+  if (!m_settings.facts.resumable) return DeliverWhole(id, attempt);
   const SseEvent event = attempt.stream.front();
   attempt.stream.pop_front();
   std::string text;
@@ -105,6 +107,13 @@
   }
 }
 
+void RequestWorld::DeliverWhole(const core::AttemptId& id, Attempt& attempt) {
+  attempt.stream.clear();
+  const WholeAnswer answer = FaultyAnswer(id, m_tape);
+  const auto verdict = CheckModelAnswer(id, answer.announced_length, answer.body, m_fault);
+  Step(ChunkChecked{id, verdict, answer.body});
+}
+
 void RequestWorld::Run(const AskAdmission&) {
   if (m_tape.OneIn(20)) return m_replies.push_back(Refused{RequestError::kOverloaded, {}});
   m_replies.push_back(Admitted{});
--- a/packages/request/tests/request_world.h
+++ b/packages/request/tests/request_world.h
@@ -16,7 +16,7 @@
 struct WorldSettings {
   RequestPolicy policy;
   RequestFacts facts;
-  std::size_t answer_length = 3;
+  std::size_t answer_length = 3;  ///< events of a stream; 1 for a whole answer
 };
 
 /// \brief Runs a RequestMachine, SseParser and StreamVerifier against a fake upstream, admission,
@@ -44,6 +44,7 @@
   bool Send(const BytesSent& event);
   void Disturb();
   void Deliver(const core::AttemptId& id, Attempt& attempt);
+  void DeliverWhole(const core::AttemptId& id, Attempt& attempt);
   void Expect(bool holds, const std::string& rule) {
     if (!holds) m_violations.insert(rule);
   }
