--- a/packages/settings/src/entry_settings.cc
+++ b/packages/settings/src/entry_settings.cc
@@ -86,10 +86,9 @@
     table.Fault("id", "another service has this id");
   }
   CheckModel(table, service, seen);
-  table.Sections("upstreams", [&](TableReader& upstream) {
+  table.Sections("upstreams", Presence::kRequired, [&](TableReader& upstream) {
     service.upstreams.push_back(ReadUpstream(upstream, seen));
   });
-  if (!table.Has("upstreams")) table.Fault("upstreams", "missing");
   return service;
 }
 
@@ -127,10 +126,10 @@
       settings.tls = TlsFiles{internal::ReadFilePath(table, "cert_file"),
                               internal::ReadFilePath(table, "key_file")};
     });
-    root.Sections("accounts", [&](TableReader& table) {
+    root.Sections("accounts", Presence::kOptional, [&](TableReader& table) {
       settings.accounts.push_back(ReadAccount(table, seen));
     });
-    root.Sections("services", [&](TableReader& table) {
+    root.Sections("services", Presence::kOptional, [&](TableReader& table) {
       settings.services.push_back(ReadService(table, seen));
     });
     internal::RemoveOwnPeer(settings.common);
--- a/packages/settings/src/table_reader.cc
+++ b/packages/settings/src/table_reader.cc
@@ -3,7 +3,6 @@
 #include <arpa/inet.h>
 
 #include <algorithm>
-#include <array>
 #include <chrono>
 
 #include "cornelrelay/core/invalid_endpoint.h"
@@ -17,10 +16,8 @@
     "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789._-";
 
 bool IsIpNumber(const std::string& address) {
-  std::array<unsigned char, sizeof(in6_addr)> parsed{};
-  if (inet_pton(AF_INET, address.c_str(), parsed.data()) == 1) return true;
-  if (!address.starts_with('[') || !address.ends_with(']')) return false;
-  return inet_pton(AF_INET6, address.substr(1, address.size() - 2).c_str(), parsed.data()) == 1;
+  in_addr parsed{};
+  return inet_pton(AF_INET, address.c_str(), &parsed) == 1;
 }
 
 }  // namespace
@@ -110,7 +107,7 @@
   if (!text) return fault("expected a string of the form address:port");
   try {
     core::Endpoint endpoint = core::ParseEndpoint(*text);
-    if (!IsIpNumber(endpoint.address)) return fault("the address must be an IP number");
+    if (!IsIpNumber(endpoint.address)) return fault("the address must be an IPv4 number");
     return endpoint;
   } catch (const core::InvalidEndpoint& e) {
     return fault(e.what());
@@ -156,9 +153,11 @@
   reader.ReportUnknownKeys();
 }
 
-void TableReader::Sections(std::string_view key, const Body& body) {
+void TableReader::Sections(std::string_view key, Presence presence, const Body& body) {
   const toml::node* node = Find(key);
-  if (!node) return;
+  const bool empty = !node || (node->is_array() && node->as_array()->empty());
+  if (empty && presence == Presence::kRequired) Fault(key, "missing");
+  if (empty) return;
   const toml::array* list = node->as_array();
   if (!list ||
       !std::all_of(list->begin(), list->end(), [](const auto& n) { return n.is_table(); })) {
--- a/packages/settings/src/table_reader.h
+++ b/packages/settings/src/table_reader.h
@@ -74,8 +74,8 @@
   /// \brief Reads a sub-table and then reports its unknown keys.
   void Section(std::string_view key, Presence presence, const Body& body);
 
-  /// \brief Reads each table of an array of tables.
-  void Sections(std::string_view key, const Body& body);
+  /// \brief Reads each table of an array of tables; kRequired demands at least one.
+  void Sections(std::string_view key, Presence presence, const Body& body);
 
   /// \brief Adds a fault at the value of `key`, or at the table if the key is absent.
   void Fault(std::string_view key, const std::string& message);
--- a/packages/settings/tests/settings_test.cc
+++ b/packages/settings/tests/settings_test.cc
@@ -1,3 +1,4 @@
+#include <rapidcheck.h>
 #include <unistd.h>
 
 #include <catch2/catch.hpp>
@@ -85,7 +86,7 @@
         "e.toml:2:15: data_centre: expected 1 to 64 characters from A-Z a-z 0-9 . _ -\n"
         "e.toml:3:1: colour: unknown key\n"
         "e.toml:4:21: shutdown_limit_ms: must be from 0 to 86400000\n"
-        "e.toml:5:10: peers[0]: the address must be an IP number\n"
+        "e.toml:5:10: peers[0]: the address must be an IPv4 number\n"
         "e.toml:5:25: peers[1]: expected a string of the form address:port\n"
         "e.toml:7:11: listen.callers: expected address:port, got \"127.0.0.1\"\n"
         "e.toml:9:11: listen.control: another listener uses this endpoint\n"
@@ -105,6 +106,8 @@
   CHECK(faults("\"counter-south\"", "\"counter-north\"").find("has this id") != std::string::npos);
   CHECK(faults("key-counter-north\"", "key-counter-south\"").find("this API key") !=
         std::string::npos);
+  CHECK(EntryFaults("[[services]]\nupstreams = []\n").find("upstreams: missing") !=
+        std::string::npos);
   CHECK(faults("\"assistant-2\"", "\"assistant-1\"").find("has this id") != std::string::npos);
   CHECK(faults("\"plain\"", "\"model\"").find("required for a model service") != std::string::npos);
   CHECK(faults("# key_file = \"control.key\"", "key_file = \"x\"").find("either key or key_file") !=
@@ -119,6 +122,26 @@
   CHECK_THROWS_AS(LoadAgentSettings("/nonexistent/agent.toml"), InvalidSettings);
 }
 
+// Guards against a crash or an exception of another type for a damaged file.
+TEST_CASE("a damaged file gives settings or InvalidSettings") {
+  const std::string text = Example("entry.toml");
+  CHECK(rc::check([&] {
+    std::string damaged = text;
+    const auto edits = *rc::gen::inRange(1, 6);
+    for (int i = 0; i < edits; ++i) {
+      const auto at = *rc::gen::inRange<std::size_t>(0, damaged.size());
+      const auto length = *rc::gen::inRange<std::size_t>(0, 12);
+      damaged.replace(at, length,
+                      *rc::gen::element<std::string>("", "[", "\"", "=", "\n", "0", "\x80"));
+    }
+    try {
+      ParseEntrySettings(damaged, "e.toml");
+    } catch (const InvalidSettings& e) {
+      RC_ASSERT(!e.faults().empty());
+    }
+  }));
+}
+
 // Guards against a key file that is read from the working directory or with its line end.
 TEST_CASE("a key file is read relative to the settings") {
   const auto directory =
