Add transfer of the whole record table to a starting entry process

Cause: at 350 entry processes and 940 agents a table of about 2,200 records takes minutes to learn from gossip rounds.

--- a/packages/gossip/include/cornelrelay/gossip/gossip_node.h
+++ b/packages/gossip/include/cornelrelay/gossip/gossip_node.h
@@ -32,6 +32,9 @@
 
   std::vector<Action> Step(core::Instant now, const NodeEvent& event);
 
+  /// \brief All records that peers may know, for SnapshotReceived at a starting process.
+  std::vector<Record> Snapshot(core::Instant now) const;
+
   const NodeSettings& settings() const { return m_settings; }
   const RecordTable& table() const { return m_table; }
   const Disseminator& disseminator() const { return m_disseminator; }
@@ -49,7 +52,7 @@
   void Absorb(core::Instant now, const Record& record, const Received& from);
   void AbsorbLoad(core::Instant now, const RecordKey& key, bool was_draining, MergeResult result);
   void Refute(core::Instant now, const Record& claim, const Received& from);
-  void Accept(core::Instant now, const Record& record);
+  void Accept(core::Instant now, const Record& record, bool news = true);
   void PublishOwn(core::Instant now, const RecordKey& key, Payload payload, core::Duration life);
   void PublishMember(core::Instant now, Life life);
   void Apply(core::Instant now, std::vector<Action> actions);
--- a/packages/gossip/include/cornelrelay/gossip/node_event.h
+++ b/packages/gossip/include/cornelrelay/gossip/node_event.h
@@ -49,7 +49,13 @@
   std::vector<HostListEntry> hosts;
 };
 
+/// \brief The whole table of a peer, fetched by TCP when an entry process starts: learning it from
+/// gossip rounds would take minutes. Its records are not passed on as news.
+struct SnapshotReceived {
+  std::vector<Record> records;
+};
+
 using NodeEvent = std::variant<Tick, Received, PublishStatus, AnnounceLeaving, Leave, ReportCrash,
-                               SetRevision, HostListReceived>;
+                               SetRevision, HostListReceived, SnapshotReceived>;
 
 }  // namespace cornelrelay::gossip
--- a/packages/gossip/src/gossip_node.cc
+++ b/packages/gossip/src/gossip_node.cc
@@ -57,30 +57,38 @@
     m_detector.Step(now, PauseDetected{now - *m_last_step});
   }
   m_last_step = now;
-  std::visit(
-      core::Overloaded{[&](const Tick&) { OnTick(now); },
-                       [&](const Received& received) { OnReceived(now, received); },
-                       [&](const PublishStatus& report) { OnStatus(now, report); },
-                       [&](const AnnounceLeaving& leaving) {
-                         PublishOwn(now, {RecordKind::kUpstreamLeaving, leaving.upstream.value()},
-                                    LeavingNotice{LeavingScope::kUpstream}, kLeavingLife);
-                       },
-                       [&](const Leave&) { OnLeave(now); },
-                       [&](const ReportCrash& report) {
-                         const auto& bytes = report.crash.fingerprint;
-                         // One record per reporter: two observers of a crash must not overwrite
-                         // each other.
-                         std::string subject(bytes.begin(), bytes.end());
-                         PublishOwn(now, {RecordKind::kCrash, subject + m_settings.self.value()},
-                                    report.crash, kCrashLife);
-                       },
-                       [&](const SetRevision& set) {
-                         if (set.revision <= m_revision) return;
-                         m_revision = set.revision;
-                         PublishMember(now, m_left ? Life::kLeft : Life::kAlive);
-                       },
-                       [&](const HostListReceived& list) { OnHostList(now, list); }},
-      event);
+  std::visit(core::Overloaded{
+                 [&](const Tick&) { OnTick(now); },
+                 [&](const Received& received) { OnReceived(now, received); },
+                 [&](const PublishStatus& report) { OnStatus(now, report); },
+                 [&](const AnnounceLeaving& leaving) {
+                   PublishOwn(now, {RecordKind::kUpstreamLeaving, leaving.upstream.value()},
+                              LeavingNotice{LeavingScope::kUpstream}, kLeavingLife);
+                 },
+                 [&](const Leave&) { OnLeave(now); },
+                 [&](const ReportCrash& report) {
+                   const auto& bytes = report.crash.fingerprint;
+                   // One record per reporter: two observers of a crash must not overwrite
+                   // each other.
+                   std::string subject(bytes.begin(), bytes.end());
+                   PublishOwn(now, {RecordKind::kCrash, subject + m_settings.self.value()},
+                              report.crash, kCrashLife);
+                 },
+                 [&](const SetRevision& set) {
+                   if (set.revision <= m_revision) return;
+                   m_revision = set.revision;
+                   PublishMember(now, m_left ? Life::kLeft : Life::kAlive);
+                 },
+                 [&](const HostListReceived& list) { OnHostList(now, list); },
+                 [&](const SnapshotReceived& snapshot) {
+                   for (const Record& record : snapshot.records) {
+                     // An own record of an earlier life is refuted when a peer sends it.
+                     const bool wanted = record.key != m_member_key &&
+                                         record.version.incarnation > 0 && m_roster.Wants(record);
+                     if (wanted) Accept(now, record, false);
+                   }
+                 }},
+             event);
   return std::exchange(m_out, {});
 }
 
--- a/packages/gossip/src/gossip_node_absorb.cc
+++ b/packages/gossip/src/gossip_node_absorb.cc
@@ -55,12 +55,12 @@
   SendDirect(now, {from.from, from.endpoint, GossipPush{}});
 }
 
-void GossipNode::Accept(core::Instant now, const Record& record) {
+void GossipNode::Accept(core::Instant now, const Record& record, bool news) {
   const StoredRecord* stored = m_table.Find(record.key);
   const std::optional<Record> previous =
       stored == nullptr ? std::nullopt : std::optional(stored->record);
   if (m_table.Merge(record, now) != MergeResult::kNewer) return;
-  if (record.version.incarnation > 0) {
+  if (news && record.version.incarnation > 0) {
     const Urgency urgency = UrgencyOf(previous ? &*previous : nullptr, record, m_highest_revision);
     m_disseminator.Step(now, News{record.key, urgency});
   }
@@ -77,4 +77,12 @@
   m_out.emplace_back(RecordChanged{record});
 }
 
+std::vector<Record> GossipNode::Snapshot(core::Instant now) const {
+  std::vector<Record> records;
+  for (const auto& [key, stored] : m_table.records()) {
+    if (stored.record.version.incarnation > 0) records.push_back(Export(stored, now));
+  }
+  return records;
+}
+
 }  // namespace cornelrelay::gossip
--- a/packages/wire/include/cornelrelay/wire/control_message.h
+++ b/packages/wire/include/cornelrelay/wire/control_message.h
@@ -10,13 +10,15 @@
 #include "cornelrelay/wire/claim_finish.h"
 #include "cornelrelay/wire/claim_reply.h"
 #include "cornelrelay/wire/order_forward.h"
+#include "cornelrelay/wire/table_messages.h"
 
 namespace cornelrelay::wire {
 
 /// \brief Every message between own processes. The order of the alternatives is the wire format.
-using ControlMessage = std::variant<gossip::Probe, gossip::ProbeAck, gossip::ProbeRequest,
-                                    gossip::GossipPush, ClaimCall, ClaimReply, ClaimFinish,
-                                    CatalogueFetch, CatalogueTransfer, OrderForward>;
+using ControlMessage =
+    std::variant<gossip::Probe, gossip::ProbeAck, gossip::ProbeRequest, gossip::GossipPush,
+                 ClaimCall, ClaimReply, ClaimFinish, CatalogueFetch, CatalogueTransfer,
+                 OrderForward, TableFetch, TableTransfer>;
 
 /// \brief Longest encoded message: a catalogue and its header.
 inline constexpr std::size_t kMaxMessage = kMaxCatalogue + 64;
--- a/packages/wire/src/control_message.cc
+++ b/packages/wire/src/control_message.cc
@@ -24,6 +24,15 @@
   Bytes<std::uint32_t>(ar, forward.order, kMaxOrder);
 }
 
+template <class Ar>
+void Code(Ar&, Ref<Ar, TableFetch>) {}
+
+template <class Ar>
+void Code(Ar& ar, Ref<Ar, TableTransfer> transfer) {
+  List<std::uint16_t>(ar, transfer.records, kMaxTableRecords, kRecordBytes,
+                      [&](auto& record) { Code(ar, record); });
+}
+
 }  // namespace internal
 
 std::string Encode(const ControlMessage& message) {
--- a/packages/wire/src/fields.h
+++ b/packages/wire/src/fields.h
@@ -135,14 +135,14 @@
   if constexpr (Ar::kReads) value = unit * static_cast<core::Duration::rep>(units);
 }
 
-/// \brief Up to 255 elements; a count that the remaining bytes cannot hold is refused before
-/// allocation.
-template <class Ar, class T, class Element>
+/// \brief A count of sizeof(Count) bytes and the elements; a count that the remaining bytes cannot
+/// hold is refused before allocation.
+template <class Count, class Ar, class T, class Element>
 void List(Ar& ar, T& values, std::size_t bound, std::size_t element_bytes, Element element) {
-  std::uint8_t count = 0;
+  Count count = 0;
   if constexpr (!Ar::kReads) {
     if (values.size() > bound) throw MessageTooLarge();
-    count = static_cast<std::uint8_t>(values.size());
+    count = static_cast<Count>(values.size());
   }
   ar.archive(count);
   if constexpr (Ar::kReads) {
--- a/packages/wire/src/gossip_fields.h
+++ b/packages/wire/src/gossip_fields.h
@@ -54,8 +54,8 @@
 template <class Ar>
 void Code(Ar& ar, Ref<Ar, gossip::CrashRecord> crash) {
   ar.archive(cereal::binary_data(crash.fingerprint.data(), crash.fingerprint.size()));
-  List(ar, crash.upstreams, gossip::CrashRecord::kMaxUpstreams, 1,
-       [&](auto& upstream) { Identifier(ar, upstream); });
+  List<std::uint8_t>(ar, crash.upstreams, gossip::CrashRecord::kMaxUpstreams, 1,
+                     [&](auto& upstream) { Identifier(ar, upstream); });
   ar.archive(crash.unix_milliseconds);
 }
 
@@ -114,9 +114,12 @@
 
 template <class Ar>
 void Code(Ar& ar, Ref<Ar, gossip::GossipPush> push) {
-  List(ar, push.records, kMaxElements, kRecordBytes, [&](auto& record) { Code(ar, record); });
-  List(ar, push.deltas, kMaxElements, kDeltaBytes, [&](auto& delta) { Code(ar, delta); });
-  List(ar, push.samples, kMaxElements, kSampleBytes, [&](auto& sample) { Code(ar, sample); });
+  List<std::uint8_t>(ar, push.records, kMaxElements, kRecordBytes,
+                     [&](auto& record) { Code(ar, record); });
+  List<std::uint8_t>(ar, push.deltas, kMaxElements, kDeltaBytes,
+                     [&](auto& delta) { Code(ar, delta); });
+  List<std::uint8_t>(ar, push.samples, kMaxElements, kSampleBytes,
+                     [&](auto& sample) { Code(ar, sample); });
 }
 
 template <class Ar>
--- a/packages/wire/tests/control_message_test.cc
+++ b/packages/wire/tests/control_message_test.cc
@@ -50,7 +50,7 @@
     std::string bytes = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
     RC_ASSERT(DecodesOrFails(bytes));
     // A valid head leads deeper into the decoder.
-    bytes.insert(0, std::string("\0", 1) + static_cast<char>(Below(10)));
+    bytes.insert(0, std::string("\0", 1) + static_cast<char>(Below(12)));
     RC_ASSERT(DecodesOrFails(bytes));
 
     const std::string valid = Encode(AnyMessage());
--- a/packages/wire/tests/message_generator.h
+++ b/packages/wire/tests/message_generator.h
@@ -114,7 +114,7 @@
 inline ControlMessage AnyMessage() {
   const auto id = Any<std::uint64_t>();
   const auto number = Any<std::uint32_t>();
-  switch (Below(10)) {
+  switch (Below(12)) {
     case 0:
       return gossip::Probe{number, AnyPush()};
     case 1:
@@ -138,8 +138,12 @@
       return CatalogueFetch{id};
     case 8:
       return CatalogueTransfer{id, AnyText(2000)};
-    default:
+    case 9:
       return OrderForward{core::GroupId(AnyText()), id, AnyText(2000)};
+    case 10:
+      return TableFetch{};
+    default:
+      return TableTransfer{AnyPush().records};
   }
 }
 
