--- a/cmake/CornelrelayOptions.cmake
+++ b/cmake/CornelrelayOptions.cmake
@@ -1,5 +1,8 @@
 add_library(cornelrelay_options INTERFACE)
 target_compile_options(cornelrelay_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Werror)
+# g++ 12 reports uninitialized reads inside std::variant and std::optional that cannot happen, and
+# mismatched allocation functions for the frames of Boost.Asio coroutines.
+target_compile_options(cornelrelay_options INTERFACE -Wno-maybe-uninitialized -Wno-mismatched-new-delete)
 # Boost.MSM tables over 20 rows need larger MPL limits, and these need the preprocessed headers switched off.
 target_compile_definitions(
   cornelrelay_options INTERFACE BOOST_MPL_CFG_NO_PREPROCESSED_HEADERS BOOST_MPL_LIMIT_VECTOR_SIZE=50
--- /dev/null
+++ b/packages/agent/main/cornelrelay-agent.cc
@@ -0,0 +1,69 @@
+#include <spdlog/sinks/stdout_sinks.h>
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <functional>
+#include <iostream>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <string>
+
+#include "cornelrelay/agent/agent_process.h"
+#include "cornelrelay/settings/invalid_settings.h"
+
+namespace {
+
+constexpr int kExitInvalidInput = 2;
+
+std::uint64_t SeedOf(const cornelrelay::settings::CommonSettings& common) {
+  if (common.seed) return *common.seed;
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+int Run(const std::string& file) {
+  namespace telemetry = cornelrelay::telemetry;
+  const auto settings = cornelrelay::settings::LoadAgentSettings(file);
+  telemetry::JsonLog log(settings.common.host.value(), settings.common.log_level,
+                         std::make_shared<spdlog::sinks::stderr_sink_mt>());
+  boost::asio::io_context context(1);
+  cornelrelay::agent::AgentProcess process(context, settings, log, SeedOf(settings.common));
+  process.Start();
+  boost::asio::signal_set signals(context, SIGTERM, SIGINT, SIGUSR1);
+  std::function<void()> wait = [&] {
+    signals.async_wait([&](const boost::system::error_code& ec, int signal) {
+      if (ec) return;
+      if (signal == SIGUSR1) {
+        std::cout << process.Dump().dump() << std::endl;
+      } else {
+        process.Shutdown();
+      }
+      wait();
+    });
+  };
+  wait();
+  context.run();
+  log.Flush();
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("Agent beside one upstream; SIGUSR1 prints its state, SIGTERM drains the upstream");
+  std::string file;
+  app.add_option("--settings", file, "TOML settings file")->required();
+  CLI11_PARSE(app, argc, argv);
+  try {
+    return Run(file);
+  } catch (const cornelrelay::settings::InvalidSettings& error) {
+    std::cerr << cornelrelay::settings::FormatFaults(error.faults());
+    return kExitInvalidInput;
+  } catch (const cornelrelay::core::Error& error) {
+    std::cerr << error.code() << ": " << error.what() << '\n';
+    return 1;
+  }
+}
--- a/packages/core/include/cornelrelay/core/time.h
+++ b/packages/core/include/cornelrelay/core/time.h
@@ -5,6 +5,8 @@
 namespace cornelrelay::core {
 
 /// \brief Tag clock of logical time: it has no now(), so decision code cannot read a wall clock.
+// The member names are those that std::chrono requires.
+// NOLINTBEGIN(readability-identifier-naming)
 struct LogicalClock {
   using duration = std::chrono::microseconds;
   using rep = duration::rep;
@@ -12,6 +14,7 @@
   using time_point = std::chrono::time_point<LogicalClock, duration>;
   static constexpr bool is_steady = true;
 };
+// NOLINTEND(readability-identifier-naming)
 
 using Duration = LogicalClock::duration;
 
--- /dev/null
+++ b/packages/entry/src/entry_process.cc
@@ -0,0 +1,307 @@
+#include "cornelrelay/entry/entry_process.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+#include <utility>
+#include <vector>
+
+#include "cornelrelay/core/hash.h"
+#include "cornelrelay/gossip/quantise.h"
+#include "cornelrelay/gossip/upstream_view.h"
+#include "dump.h"
+
+namespace cornelrelay::entry {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::size_t kDecisions = 10'000;
+constexpr std::size_t kWatchersPerDataCentre = 2;
+/// The health check fails this long before connections are refused, so that the balancer notices.
+constexpr std::chrono::milliseconds kAnnounceTime{2000};
+constexpr std::chrono::milliseconds kDrainPoll{20};
+/// Load reports age and notices arrive without an event of their own.
+constexpr std::chrono::milliseconds kRefreshInterval{200};
+
+std::uint64_t IncarnationAt(const runtime::ProcessClock& clock) {
+  return static_cast<std::uint64_t>(clock.Now().time_since_epoch().count());
+}
+
+wire::MacKey ToMacKey(const settings::ControlKey& key) {
+  return wire::MacKey(std::string(key.bytes().begin(), key.bytes().end()));
+}
+
+net::HttpServerLimits CallerLimits(const settings::SizeLimits& limits) {
+  net::HttpServerLimits server;
+  server.head_bytes = static_cast<std::uint32_t>(limits.head);
+  server.body_bytes = limits.body;
+  return server;
+}
+
+std::optional<net::TlsFiles> ToTls(const std::optional<settings::TlsFiles>& files) {
+  if (!files) return std::nullopt;
+  return net::TlsFiles{files->certificate, files->key};
+}
+
+// Incarnations are start times in microseconds, so the sum keeps rising over restarts.
+std::uint64_t StatementOrder(const gossip::Version& version) {
+  return version.incarnation + version.sequence;
+}
+
+limits::ServiceLimits ToLimits(const profile::Profile& profile, std::size_t accounts) {
+  limits::ServiceLimits limits;
+  limits.account.concurrency = profile.account.concurrency;
+  limits.account.rate = static_cast<std::uint64_t>(std::max(1.0, profile.account.rate_per_s));
+  limits.account.burst = limits.account.rate;
+  limits.account.queue = profile.account.queue;
+  // No profile field limits a service as a whole; the sum over its accounts does.
+  limits.concurrency = limits.account.concurrency * std::max<std::size_t>(1, accounts);
+  return limits;
+}
+
+}  // namespace
+
+EntryProcess::EntryProcess(asio::io_context& context, settings::EntrySettings settings,
+                           telemetry::JsonLog& log, std::uint64_t seed)
+    : m_context(context),
+      m_settings(std::move(settings)),
+      m_log(log),
+      m_incarnation(IncarnationAt(m_clock)),
+      m_upstream_client(context, net::HttpClientLimits{}),
+      m_platform_client(context, net::HttpClientLimits{}),
+      m_decisions(kDecisions),
+      m_store(std::make_shared<runtime::StoreLink>(context, m_clock, m_platform_client,
+                                                   m_settings.common.store,
+                                                   platform::StoreClientOptions{}, seed + 1)),
+      m_control(
+          context, m_clock, NodeSettings(m_incarnation), ToMacKey(m_settings.common.control_key),
+          [this](const core::HostId& from, const wire::ControlMessage& message) {
+            m_claims.Receive(from, message);
+          },
+          [this](const gossip::Record& record) { OnRecord(record); }),
+      m_catalogues(context, m_clock, *m_store, m_platform_client, m_control, log, seed + 2,
+                   [this](const profile::Catalogue& catalogue) { OnCatalogue(catalogue); }),
+      m_admission(context, m_clock,
+                  limits::AdmissionConfig{.ledger = {.self = m_settings.common.host}},
+                  [this](const limits::PublishSettled& standing) {
+                    m_control.Step(gossip::PublishStanding{gossip::LimitStanding{
+                        standing.view, static_cast<std::uint8_t>(standing.standing)}});
+                  }),
+      m_claims(context, m_clock, *m_store, m_control, m_settings.common.host, m_incarnation,
+               seed + 3),
+      m_crashes(m_clock, m_control, log),
+      m_services(MakeServices(seed + 4)),
+      m_gateway(
+          RequestServices{context, m_clock, m_upstream_client, m_admission, m_claims, m_crashes,
+                          m_decisions, m_metrics, log, m_settings.limits},
+          CallerRequestParser(m_settings.accounts, m_settings.services), m_services,
+          [this] { return m_catalogues.replica().catalogue(); }, m_settings.common.host,
+          m_incarnation),
+      m_admin_api(AdminServices{context, m_clock, *m_store, m_catalogues, m_control, m_decisions,
+                                m_metrics, log, [this] { return Dump(); }},
+                  m_settings.operator_credential, seed + 5),
+      m_host_list(context, m_platform_client, m_settings.common.host_list, seed + 6,
+                  [this](std::vector<gossip::HostListEntry> hosts) {
+                    m_control.Step(gossip::HostListReceived{std::move(hosts)});
+                  }),
+      m_refresh(context, m_clock, [this] { RefreshReplicas(); }),
+      m_callers(context, m_settings.callers, CallerLimits(m_settings.limits), ToTls(m_settings.tls),
+                [this](net::HttpRequest request, net::ResponseStream& response) {
+                  return m_gateway.Serve(std::move(request), response);
+                }),
+      m_admin(context, m_settings.admin, net::HttpServerLimits{}, std::nullopt,
+              [this](net::HttpRequest request, net::ResponseStream& response) {
+                return m_admin_api.Serve(std::move(request), response);
+              }),
+      m_control_tcp(context, m_settings.common.control, net::HttpServerLimits{}, std::nullopt,
+                    [this](net::HttpRequest request, net::ResponseStream& response) {
+                      return ServeControl(std::move(request), response);
+                    }) {}
+
+void EntryProcess::Start() {
+  m_control.Start();
+  m_control_tcp.Start();
+  m_catalogues.Start();
+  m_host_list.Start();
+  UpdateMembers();
+  RefreshReplicas();
+  m_callers.Start();
+  m_admin.Start();
+  m_log.Info("entry_process_started", {{"callers", core::ToString(m_settings.callers)},
+                                       {"admin", core::ToString(m_settings.admin)}});
+}
+
+gossip::NodeSettings EntryProcess::NodeSettings(std::uint64_t incarnation) const {
+  gossip::NodeSettings node;
+  node.self = m_settings.common.host;
+  node.role = gossip::Role::kEntry;
+  node.data_centre = m_settings.common.data_centre;
+  node.control = m_settings.common.control;
+  node.incarnation = incarnation;
+  node.seeds = m_settings.common.peers;
+  node.random_seed = incarnation;
+  return node;
+}
+
+ServiceMap EntryProcess::MakeServices(std::uint64_t seed) const {
+  ServiceMap services;
+  for (const auto& service : m_settings.services) {
+    routing::RouterConfig router;
+    router.seed = core::Hash64(service.id.value(), seed);
+    router.data_centre = m_settings.common.data_centre;
+    services.emplace(service.id, std::make_unique<ServiceRuntime>(service, std::move(router)));
+  }
+  return services;
+}
+
+void EntryProcess::OnRecord(const gossip::Record& record) {
+  if (const auto* member = std::get_if<gossip::MemberState>(&record.payload)) {
+    OnMember(record, *member);
+  } else if (const auto* standing = std::get_if<gossip::LimitStanding>(&record.payload)) {
+    m_admission.Receive(limits::SettledReceived{record.origin, standing->view,
+                                                static_cast<limits::Standing>(standing->standing),
+                                                StatementOrder(record.version)});
+  } else if (const auto* crash = std::get_if<gossip::CrashRecord>(&record.payload)) {
+    m_crashes.Receive(*crash);
+  } else {
+    UpdateReplicas();
+  }
+}
+
+void EntryProcess::OnMember(const gossip::Record& record, const gossip::MemberState& member) {
+  UpdateMembers();
+  if (member.role != gossip::Role::kEntry || record.key.subject == m_settings.common.host.value()) {
+    return;
+  }
+  const core::HostId peer(record.key.subject);
+  const bool present = member.life == gossip::Life::kAlive || member.life == gossip::Life::kSuspect;
+  if (present) {
+    m_catalogues.OnEvent(profile::RevisionHeard{peer, member.revision});
+  } else {
+    m_catalogues.OnEvent(profile::PeerGone{peer});
+  }
+}
+
+void EntryProcess::UpdateMembers() {
+  const core::HostId& self = m_settings.common.host;
+  std::vector<limits::Member> sharing;
+  std::set<core::HostId> live{self};
+  std::vector<core::HostId> local{self};
+  for (const auto& [key, stored] : m_control.node().table().records()) {
+    const auto* member = std::get_if<gossip::MemberState>(&stored.record.payload);
+    if (member == nullptr || member->role != gossip::Role::kEntry) continue;
+    const core::HostId host(key.subject);
+    const bool alive = member->life == gossip::Life::kAlive;
+    if (alive || member->life == gossip::Life::kSuspect) {
+      sharing.push_back({host, stored.record.version.incarnation});
+    }
+    if (alive) live.insert(host);
+    if (alive && host != self && member->data_centre == m_settings.common.data_centre)
+      local.push_back(host);
+  }
+  m_admission.SetMembers(std::move(sharing));
+  m_claims.SetMembers(live);
+  const std::string key = "watch/" + m_settings.common.data_centre.value();
+  std::sort(local.begin(), local.end(), [&](const core::HostId& a, const core::HostId& b) {
+    return core::RendezvousScore(key, a.value()) > core::RendezvousScore(key, b.value());
+  });
+  local.resize(std::min(local.size(), kWatchersPerDataCentre));
+  const bool watching = std::find(local.begin(), local.end(), self) != local.end();
+  if (watching != m_catalogues.replica().Watching()) {
+    m_catalogues.OnEvent(profile::WatcherChosen{watching});
+  }
+}
+
+void EntryProcess::RefreshReplicas() {
+  UpdateReplicas();
+  m_refresh.SetAt(m_clock.Now() + kRefreshInterval);
+}
+
+void EntryProcess::UpdateReplicas() {
+  const auto now = m_clock.Now();
+  const gossip::UpstreamView view(m_control.node().table());
+  for (auto& [id, service] : m_services) {
+    routing::ReplicaSetUpdated update;
+    for (const auto& upstream : service->settings().upstreams) {
+      routing::ReplicaStatus status;
+      status.id = upstream.id;
+      status.data_centre = upstream.data_centre;
+      if (const auto known = view.Find(upstream.id, now)) {
+        status.leaving = known->leaving;
+        const auto running = gossip::CountOf(known->status.load.running);
+        const auto waiting = gossip::CountOf(known->status.load.waiting);
+        status.load.outstanding =
+            routing::QuantisedLoad::From(static_cast<std::uint64_t>(running + waiting));
+        status.load.age = known->age;
+      }
+      update.replicas.push_back(std::move(status));
+    }
+    service->router().Step(now, update);
+  }
+}
+
+void EntryProcess::OnCatalogue(const profile::Catalogue& catalogue) { ApplyLimits(catalogue); }
+
+void EntryProcess::ApplyLimits(const profile::Catalogue& catalogue) {
+  for (const auto& [id, service] : m_services) {
+    m_admission.SetLimits(id, ToLimits(service->ProfileIn(catalogue), m_settings.accounts.size()));
+  }
+}
+
+asio::awaitable<void> EntryProcess::ServeControl(net::HttpRequest request,
+                                                 net::ResponseStream& response) {
+  net::HttpResponse answer;
+  answer.body = m_catalogues.AnswerFetch(request.body);
+  if (request.target != "/catalogue" || answer.body.empty()) answer.status = 400;
+  co_await response.SendWhole(std::move(answer));
+}
+
+void EntryProcess::Shutdown() {
+  if (std::exchange(m_shutting_down, true)) {
+    m_log.Warning("shutdown_forced", {{"requests", m_gateway.tasks().size()}});
+    m_gateway.EndAll();
+    asio::post(m_context, [this] { m_context.stop(); });
+    return;
+  }
+  m_log.Info("shutdown_started", {{"requests", m_gateway.tasks().size()}});
+  asio::co_spawn(
+      m_context, [this] { return DrainAndStop(); }, asio::detached);
+}
+
+asio::awaitable<void> EntryProcess::DrainAndStop() {
+  const auto limit = m_clock.Now() + m_settings.common.shutdown_limit;
+  m_gateway.SetDraining();
+  m_callers.AnnounceClosing();
+  m_control.Step(gossip::Leave{});
+  co_await Pause(kAnnounceTime);
+  m_callers.StopAccepting();
+  while (m_clock.Now() < limit) {
+    if (m_gateway.tasks().empty() && m_callers.ActiveExchanges() == 0) break;
+    co_await Pause(kDrainPoll);
+  }
+  if (!m_gateway.tasks().empty()) {
+    m_gateway.EndAll();
+    co_await Pause(std::chrono::milliseconds(200));
+  }
+  while (m_claims.HasUnfinished() && m_clock.Now() < limit) co_await Pause(kDrainPoll);
+  m_log.Info("shutdown_finished");
+  m_context.stop();
+}
+
+asio::awaitable<void> EntryProcess::Pause(core::Duration time) {
+  asio::steady_timer timer(m_context, time);
+  boost::system::error_code ec;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
+nlohmann::json EntryProcess::Dump() const {
+  return internal::DumpOf({m_gateway, m_services, m_admission, m_claims, m_crashes, m_catalogues,
+                           m_control, *m_store, m_clock.Now()});
+}
+
+}  // namespace cornelrelay::entry
--- /dev/null
+++ b/packages/entry/src/request_task.cc
@@ -0,0 +1,382 @@
+#include "cornelrelay/entry/request_task.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <variant>
+
+#include "cornelrelay/core/hash.h"
+#include "cornelrelay/entry/request_errors.h"
+#include "cornelrelay/net/errors.h"
+#include "cornelrelay/request/answer_id.h"
+
+namespace cornelrelay::entry {
+namespace {
+
+constexpr std::chrono::milliseconds kClaimTimeout{1500};
+constexpr std::size_t kMaxRecordedBytes = 512;
+constexpr std::size_t kFlushBytes = 16 * 1024;
+constexpr int kStatusOk = 200;
+
+core::Duration DeadlineOf(const CallerRequest& request, const profile::Profile& profile) {
+  return request.deadline ? std::min(*request.deadline, profile.request.deadline)
+                          : profile.request.deadline;
+}
+
+request::RequestPolicy PolicyOf(const CallerRequest& request, const profile::Profile& profile) {
+  request::RequestPolicy policy;
+  policy.idempotent = profile.IsIdempotent(request.upstream.method, request.upstream.target);
+  policy.key_required = profile.request.key_required;
+  policy.max_attempts = static_cast<int>(profile.retry.attempts);
+  policy.deadline = DeadlineOf(request, profile);
+  policy.claim_timeout = kClaimTimeout;
+  return policy;
+}
+
+request::RequestFacts FactsOf(const CallerRequest& request, const core::RequestId& internal_id) {
+  request::RequestFacts facts;
+  facts.id = request.id;
+  facts.attempt_prefix = internal_id.value();
+  facts.has_key = request.key.has_value();
+  facts.resumable = request.kind == settings::ServiceKind::kModel && request.stream;
+  return facts;
+}
+
+std::string FingerprintOf(const CallerRequest& request) {
+  const std::string place =
+      request.account.value() + '\n' + request.service.value() + '\n' + request.upstream.target;
+  return std::to_string(core::Hash64(request.upstream.body, core::Hash64(place)));
+}
+
+std::uint8_t PriorityOf(const profile::Profile& profile) {
+  return static_cast<std::uint8_t>(profile.request.priority);
+}
+
+}  // namespace
+
+RequestTask::RequestTask(RequestServices& services, ServiceRuntime& service,
+                         const profile::Profile& profile, CallerRequest request,
+                         core::RequestId internal_id, net::ResponseStream& response)
+    : m_services(services),
+      m_service(service),
+      m_request(std::move(request)),
+      m_profile(profile),
+      m_internal_id(std::move(internal_id)),
+      m_response(response),
+      m_mailbox(std::make_shared<RequestMailbox>(services.context)),
+      m_machine(PolicyOf(m_request, m_profile), FactsOf(m_request, m_internal_id),
+                services.clock.Now()),
+      m_deadline(services.clock.Now() + DeadlineOf(m_request, m_profile)),
+      m_fingerprint(FingerprintOf(m_request)) {
+  m_record.time = std::chrono::sys_time<std::chrono::milliseconds>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          services.clock.Now().time_since_epoch()));
+  m_record.request = m_request.id;
+  m_record.account = m_request.account;
+  m_record.service = m_request.service;
+}
+
+boost::asio::awaitable<void> RequestTask::Run() {
+  m_response.NotifyGone([mailbox = m_mailbox] { mailbox->Push(request::CallerGone{}); });
+  m_service.retry_budget().OnRequest();
+  Step(request::Started{});
+  while (!m_outcome) {
+    const auto wake = m_machine.WakeAt();
+    co_await m_mailbox->WaitUntil(m_services.clock.ToSteady(wake.value_or(core::Instant::max())));
+    while (m_output.size() < kFlushBytes) {
+      std::optional<request::RequestEvent> event = m_mailbox->Pop();
+      if (!event) break;
+      Step(*event);
+    }
+    Step(request::TimePassed{});
+    co_await Flush();
+    m_mailbox->MarkTaken();
+  }
+  co_await Flush();
+  m_response.NotifyGone(nullptr);
+  if (m_claim_requested) m_services.claims.Abandon(m_internal_id);
+  m_services.admission.Finish(m_internal_id, !m_outcome->error.has_value());
+  m_services.decisions.Append(std::move(m_record));
+  m_mailbox->Close();
+}
+
+void RequestTask::EndForShutdown() { m_mailbox->Push(request::ShutdownLimit{}); }
+
+void RequestTask::Step(const request::RequestEvent& event) {
+  for (const auto& action : m_machine.Step(m_services.clock.Now(), event)) {
+    std::visit([this](const auto& a) { Perform(a); }, action);
+  }
+}
+
+void RequestTask::Perform(const request::AskAdmission&) {
+  limits::RequestArrived arrival;
+  arrival.request = m_internal_id;
+  arrival.account = m_request.account;
+  arrival.service = m_request.service;
+  arrival.priority = PriorityOf(m_profile);
+  arrival.deadline = m_deadline;
+  arrival.work = m_request.size.prompt + m_request.size.output;
+  if (!m_services.crashes.MayRun(m_fingerprint)) {
+    m_mailbox->Push(request::Refused{request::RequestError::kRequestQuarantined, std::nullopt});
+    return;
+  }
+  m_services.admission.Arrive(
+      arrival, [mailbox = m_mailbox](const request::RequestEvent& event) { mailbox->Push(event); });
+}
+
+void RequestTask::Perform(const request::RequestClaim& action) {
+  m_claim_requested = true;
+  ClaimOrder order;
+  order.request = m_internal_id;
+  order.account = m_request.account;
+  order.service = m_request.service;
+  order.key = m_request.key.value_or("");
+  order.body =
+      m_request.upstream.method + ' ' + m_request.upstream.target + '\n' + m_request.upstream.body;
+  order.deadline = std::min(action.answer_by, m_deadline);
+  m_services.claims.Request(
+      order, [mailbox = m_mailbox](const request::RequestEvent& event) { mailbox->Push(event); });
+}
+
+void RequestTask::Perform(const request::ChooseReplica& action) {
+  routing::RouteQuery query;
+  query.request = m_request.id;
+  query.size = m_request.size;
+  if (m_profile.routing.prefix_affinity) query.prefix_key = m_request.prefix;
+  query.priority = PriorityOf(m_profile);
+  query.excluded = action.excluded;
+  const auto decision = m_service.router().Choose(m_services.clock.Now(), query);
+  NoteCandidates(decision);
+  if (decision.chosen) {
+    m_mailbox->Push(request::ReplicaChosen{*decision.chosen});
+  } else {
+    m_mailbox->Push(request::NoReplica{std::chrono::seconds(1)});
+  }
+}
+
+void RequestTask::NoteCandidates(const routing::RoutingDecision& decision) {
+  m_record.candidates.clear();
+  for (const auto& candidate : decision.candidates) {
+    telemetry::CandidateRecord record;
+    record.upstream = candidate.replica;
+    if (candidate.score)
+      record.score_seconds = std::chrono::duration<double>(*candidate.score).count();
+    if (candidate.exclusion) record.exclusion = std::string(ToString(*candidate.exclusion));
+    m_record.candidates.push_back(std::move(record));
+  }
+}
+
+void RequestTask::Perform(const request::AskRetryToken&) {
+  if (m_service.retry_budget().TryRetry()) {
+    m_mailbox->Push(request::RetryGranted{});
+  } else {
+    m_mailbox->Push(request::RetryDenied{});
+  }
+}
+
+void RequestTask::Perform(const request::OpenAttempt& action) {
+  const auto now = m_services.clock.Now();
+  routing::AttemptStarted started;
+  started.attempt = action.attempt;
+  started.replica = action.upstream;
+  started.size = m_request.size;
+  if (m_profile.routing.prefix_affinity) started.prefix_key = m_request.prefix;
+  m_service.router().Step(now, started);
+  m_services.crashes.Started(m_fingerprint, action.attempt, action.upstream);
+
+  AttemptOrder order;
+  order.attempt = action.attempt;
+  order.upstream = m_service.EndpointOf(action.upstream);
+  order.request = m_request.upstream;
+  order.request.headers["X-Request-Id"] = action.attempt.value();
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - now);
+  order.request.headers["X-Deadline-Ms"] = std::to_string(std::max<std::int64_t>(1, left.count()));
+  if (action.resume_after.sequence > 0) {
+    order.request.headers["Last-Event-ID"] = std::to_string(action.resume_after.sequence);
+  }
+  order.kind = m_request.kind;
+  order.stream = m_request.stream;
+  order.reuse_connection =
+      m_profile.IsIdempotent(m_request.upstream.method, m_request.upstream.target);
+  order.resume_after = action.resume_after;
+  order.max_event_bytes = m_services.limits.event;
+  order.silence_limit = std::max(left, std::chrono::milliseconds(1));
+  m_attempt_id = action.attempt;
+  m_attempt = std::make_shared<AttemptRunner>(m_services.context, m_services.client,
+                                              std::move(order), m_mailbox);
+  m_attempt->Start();
+}
+
+void RequestTask::Perform(const request::CancelAttempt& action) {
+  if (m_attempt && action.attempt == m_attempt_id) m_attempt->Cancel();
+}
+
+void RequestTask::Perform(const request::ForwardChunk& action) {
+  if (m_output_events == 0) {
+    m_service.router().Step(m_services.clock.Now(), routing::FirstTokenReceived{m_attempt_id});
+  }
+  ++m_output_events;
+  // A recorded answer has no attempt, and only completions carry their id in the body.
+  const bool completion = m_request.kind == settings::ServiceKind::kModel && m_attempt &&
+                          AnswerHead().status == kStatusOk;
+  const std::string payload =
+      completion ? request::ReplaceAnswerId(action.payload, m_attempt_id, m_request.id)
+                 : action.payload;
+  if (m_request.stream && completion) {
+    m_output += "data: " + payload + "\n\n";
+  } else {
+    m_output += payload;
+  }
+}
+
+void RequestTask::Perform(const request::FinishAnswer&) { m_finished = true; }
+
+void RequestTask::Perform(const request::SendError& action) { m_error = ToTypedError(action); }
+
+void RequestTask::Perform(const request::FinishClaim& action) {
+  std::string recorded;
+  const bool whole = action.outcome == request::ClaimOutcome::kCompleted && !m_request.stream;
+  if (whole && m_output.size() <= kMaxRecordedBytes) {
+    recorded = m_output;
+  }
+  m_claim_requested = false;
+  m_services.claims.Finish(m_internal_id, action.outcome, recorded);
+}
+
+void RequestTask::Perform(const request::RecordAttempt& action) {
+  const auto now = m_services.clock.Now();
+  using request::AttemptResult;
+  switch (action.result) {
+    case AttemptResult::kCompleted:
+      m_service.router().Step(now, routing::AttemptFinished{action.attempt, m_output_events});
+      m_services.crashes.Completed(action.attempt);
+      break;
+    case AttemptResult::kCancelled:
+      m_service.router().Step(now, routing::AttemptCancelled{action.attempt});
+      m_services.crashes.Ended(action.attempt);
+      break;
+    case AttemptResult::kBroken:
+      m_service.router().Step(now, routing::AttemptFailed{action.attempt});
+      m_services.crashes.Broken(action.attempt);
+      break;
+    case AttemptResult::kConnectFailed:
+    case AttemptResult::kFailed:
+    case AttemptResult::kForeign:
+      m_service.router().Step(now, routing::AttemptFailed{action.attempt});
+      m_services.crashes.Ended(action.attempt);
+      break;
+  }
+  telemetry::AttemptRecord record;
+  record.attempt = action.attempt;
+  record.upstream = action.upstream;
+  record.result = std::string(ToString(action.result));
+  m_record.attempts.push_back(std::move(record));
+}
+
+void RequestTask::Perform(const request::RecordOutcome& action) {
+  m_outcome = action;
+  m_record.outcome = action.error ? std::string(ToString(*action.error)) : "completed";
+  m_record.execution = action.execution;
+  m_record.elapsed = action.elapsed;
+  CountOutcome(action);
+}
+
+void RequestTask::CountOutcome(const request::RecordOutcome& action) {
+  auto& metrics = m_services.metrics;
+  const std::string service = m_request.service.value();
+  metrics
+      .GetCounter("cornelrelay_requests_total", "Finished requests.",
+                  {{"service", service}, {"outcome", m_record.outcome}})
+      .Add();
+  metrics
+      .GetCounter("cornelrelay_attempts_total", "Attempts sent to upstreams.",
+                  {{"service", service}})
+      .Add(static_cast<std::uint64_t>(action.attempts));
+  metrics
+      .GetLatency("cornelrelay_request_seconds", "Time from a request to the end of its answer.",
+                  {{"service", service}})
+      .Observe(m_services.clock.Now(), action.elapsed);
+  m_services.log.Debug("request_finished", {{"request", m_request.id},
+                                            {"account", m_request.account},
+                                            {"service", m_request.service},
+                                            {"outcome", m_record.outcome},
+                                            {"execution", action.execution},
+                                            {"attempts", action.attempts},
+                                            {"elapsed_us", action.elapsed}});
+}
+
+boost::asio::awaitable<void> RequestTask::Flush() {
+  bool gone = false;
+  try {
+    if (m_error) {
+      co_await FlushError();
+    } else if (m_request.stream) {
+      co_await FlushStream();
+    } else if (m_finished) {
+      co_await FlushWhole();
+    }
+  } catch (const net::CallerGone&) {
+    gone = true;
+  }
+  if (gone) m_mailbox->Push(request::CallerGone{});
+}
+
+boost::asio::awaitable<void> RequestTask::FlushStream() {
+  const bool event_stream =
+      m_attempt && m_attempt->head() && m_attempt->head()->status == kStatusOk;
+  if (m_finished && !m_response.Started() && !event_stream) {
+    co_await FlushWhole();
+    co_return;
+  }
+  if (!m_output.empty()) {
+    if (!m_response.Started()) {
+      net::HttpResponseHead head = AnswerHead();
+      co_await m_response.StartStream(std::move(head));
+    }
+    const std::string output = std::exchange(m_output, {});
+    co_await m_response.SendPiece(output);
+  }
+  if (m_finished) {
+    m_finished = false;
+    co_await m_response.SendPiece("data: [DONE]\n\n");
+    co_await m_response.FinishStream();
+  }
+}
+
+boost::asio::awaitable<void> RequestTask::FlushWhole() {
+  m_finished = false;
+  net::HttpResponseHead head = AnswerHead();
+  net::HttpResponse answer;
+  answer.status = head.status;
+  answer.headers = std::move(head.headers);
+  answer.body = std::exchange(m_output, {});
+  co_await m_response.SendWhole(std::move(answer));
+}
+
+boost::asio::awaitable<void> RequestTask::FlushError() {
+  const TypedError failure = *std::exchange(m_error, std::nullopt);
+  if (!m_response.Started()) {
+    net::HttpResponse answer = ToResponse(failure, m_request.id);
+    co_await m_response.SendWhole(std::move(answer));
+    co_return;
+  }
+  // Neither [DONE] nor the last HTTP chunk follows, so no client can take the answer for whole.
+  const std::string event = std::exchange(m_output, {}) + ToSseEvent(failure, m_request.id);
+  co_await m_response.SendPiece(event);
+  m_response.Abort();
+}
+
+net::HttpResponseHead RequestTask::AnswerHead() const {
+  net::HttpResponseHead head;
+  head.status = kStatusOk;
+  head.headers["Content-Type"] = "application/json";
+  if (m_attempt && m_attempt->head()) {
+    head.status = m_attempt->head()->status;
+    const auto type = net::FindHeader(m_attempt->head()->headers, "Content-Type");
+    if (type) head.headers["Content-Type"] = *type;
+  }
+  head.headers["X-Request-Id"] = m_request.id.value();
+  return head;
+}
+
+}  // namespace cornelrelay::entry
--- /dev/null
+++ b/packages/entry/src/serve_command.cc
@@ -0,0 +1,55 @@
+#include <spdlog/sinks/stdout_sinks.h>
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "cornelrelay/entry/commands.h"
+#include "cornelrelay/entry/entry_process.h"
+#include "cornelrelay/settings/entry_settings.h"
+
+namespace cornelrelay::entry {
+namespace {
+
+std::uint64_t SeedOf(const settings::CommonSettings& common) {
+  if (common.seed) return *common.seed;
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+int Serve(const std::string& file) {
+  const settings::EntrySettings settings = settings::LoadEntrySettings(file);
+  telemetry::JsonLog log(settings.common.host.value(), settings.common.log_level,
+                         std::make_shared<spdlog::sinks::stderr_sink_mt>());
+  boost::asio::io_context context(1);
+  EntryProcess process(context, settings, log, SeedOf(settings.common));
+  process.Start();
+  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+  std::function<void()> wait = [&] {
+    signals.async_wait([&](const boost::system::error_code& ec, int) {
+      if (ec) return;
+      process.Shutdown();
+      wait();
+    });
+  };
+  wait();
+  context.run();
+  log.Flush();
+  return 0;
+}
+
+}  // namespace
+
+void AddServeCommand(CLI::App& app, int& exit_code) {
+  auto* command = app.add_subcommand("serve", "run the entry process");
+  const auto file = std::make_shared<std::string>();
+  command->add_option("--settings", *file, "TOML settings file")->required();
+  command->callback([file, &exit_code] { exit_code = Serve(*file); });
+}
+
+}  // namespace cornelrelay::entry
--- a/packages/fakes/main/cornelrelay-fakes.cc
+++ b/packages/fakes/main/cornelrelay-fakes.cc
@@ -7,7 +7,9 @@
 
 #include "cornelrelay/core/error.h"
 #include "cornelrelay/fakes/fake_engine.h"
+#include "cornelrelay/fakes/fake_host_list.h"
 #include "cornelrelay/fakes/fake_plain_service.h"
+#include "cornelrelay/fakes/fake_store.h"
 
 namespace {
 
@@ -21,6 +23,7 @@
   int step_us = 5000;
   int load_lag_ms = 1000;
   int work_ms = 5;
+  int list_lag_ms = 30000;
   bool ignores_fencing = false;
   std::string ledger;
 };
@@ -55,6 +58,19 @@
   return RunUntilSignal(context, service);
 }
 
+int RunStore(const Arguments& arguments) {
+  boost::asio::io_context context(1);
+  fakes::FakeStore store(context, ParseEndpoint(arguments.listen));
+  return RunUntilSignal(context, store);
+}
+
+int RunHostList(const Arguments& arguments) {
+  boost::asio::io_context context(1);
+  fakes::FakeHostList hosts(context, ParseEndpoint(arguments.listen),
+                            std::chrono::milliseconds(arguments.list_lag_ms));
+  return RunUntilSignal(context, hosts);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -63,7 +79,9 @@
   app.require_subcommand(1);
   auto* engine = app.add_subcommand("engine", "model engine");
   auto* plain = app.add_subcommand("plain", "plain service");
-  for (auto* command : {engine, plain}) {
+  auto* store = app.add_subcommand("store", "key-value service");
+  auto* hosts = app.add_subcommand("hosts", "host list");
+  for (auto* command : {engine, plain, store, hosts}) {
     command->add_option("--id", arguments.id);
     command->add_option("--listen", arguments.listen, "address:port")->required();
   }
@@ -73,9 +91,13 @@
   engine->add_flag("--ignores-fencing", arguments.ignores_fencing);
   plain->add_option("--work-ms", arguments.work_ms, "time of one call in milliseconds");
   plain->add_option("--ledger", arguments.ledger, "file that records each executed POST");
+  hosts->add_option("--lag-ms", arguments.list_lag_ms, "lag of the list in milliseconds");
   CLI11_PARSE(app, argc, argv);
   try {
-    return engine->parsed() ? RunEngine(arguments) : RunPlainService(arguments);
+    if (engine->parsed()) return RunEngine(arguments);
+    if (plain->parsed()) return RunPlainService(arguments);
+    if (store->parsed()) return RunStore(arguments);
+    return RunHostList(arguments);
   } catch (const cornelrelay::core::Error& error) {
     std::cerr << error.code() << ": " << error.what() << '\n';
     return 1;
--- a/packages/gossip/include/cornelrelay/gossip/node_event.h
+++ b/packages/gossip/include/cornelrelay/gossip/node_event.h
@@ -45,6 +45,10 @@
   std::uint64_t revision = 0;
 };
 
+/// \brief This process keeps within its share of the limits in a view of the members.
+struct PublishStanding {
+  LimitStanding standing;
+};
 struct HostListReceived {
   std::vector<HostListEntry> hosts;
 };
@@ -56,6 +60,6 @@
 };
 
 using NodeEvent = std::variant<Tick, Received, PublishStatus, AnnounceLeaving, Leave, ReportCrash,
-                               SetRevision, HostListReceived, SnapshotReceived>;
+                               SetRevision, PublishStanding, HostListReceived, SnapshotReceived>;
 
 }  // namespace cornelrelay::gossip
--- a/packages/gossip/include/cornelrelay/gossip/record.h
+++ b/packages/gossip/include/cornelrelay/gossip/record.h
@@ -6,6 +6,7 @@
 #include "cornelrelay/core/time.h"
 #include "cornelrelay/gossip/crash_record.h"
 #include "cornelrelay/gossip/leaving_notice.h"
+#include "cornelrelay/gossip/limit_standing.h"
 #include "cornelrelay/gossip/member_state.h"
 #include "cornelrelay/gossip/record_key.h"
 #include "cornelrelay/gossip/upstream_status.h"
@@ -13,7 +14,8 @@
 
 namespace cornelrelay::gossip {
 
-using Payload = std::variant<MemberState, UpstreamStatus, LeavingNotice, CrashRecord>;
+using Payload =
+    std::variant<MemberState, UpstreamStatus, LeavingNotice, CrashRecord, LimitStanding>;
 
 /// \brief One versioned fact, passed between processes.
 ///
--- a/packages/gossip/include/cornelrelay/gossip/record_key.h
+++ b/packages/gossip/include/cornelrelay/gossip/record_key.h
@@ -6,7 +6,14 @@
 
 namespace cornelrelay::gossip {
 
-enum class RecordKind : std::uint8_t { kHostLeaving, kUpstreamLeaving, kCrash, kMember, kUpstream };
+enum class RecordKind : std::uint8_t {
+  kHostLeaving,
+  kUpstreamLeaving,
+  kCrash,
+  kMember,
+  kUpstream,
+  kLimitStanding
+};
 
 /// \brief Identity of a record: one record per kind and subject is kept.
 struct RecordKey {
--- a/packages/gossip/src/gossip_node.cc
+++ b/packages/gossip/src/gossip_node.cc
@@ -79,6 +79,10 @@
                    m_revision = set.revision;
                    PublishMember(now, m_left ? Life::kLeft : Life::kAlive);
                  },
+                 [&](const PublishStanding& own) {
+                   PublishOwn(now, {RecordKind::kLimitStanding, m_settings.self.value()},
+                              own.standing, {});
+                 },
                  [&](const HostListReceived& list) { OnHostList(now, list); },
                  [&](const SnapshotReceived& snapshot) {
                    for (const Record& record : snapshot.records) {
--- a/packages/gossip/src/message_size.cc
+++ b/packages/gossip/src/message_size.cc
@@ -21,6 +21,7 @@
                                               Text(s.data_centre.value()) + Address(s.endpoint) + 5;
                                      },
                                      [](const LeavingNotice&) { return std::size_t{1}; },
+                                     [](const LimitStanding&) { return std::size_t{9}; },
                                      [](const CrashRecord& c) {
                                        std::size_t size = c.fingerprint.size() + 1 + 8;
                                        for (const auto& upstream : c.upstreams) {
--- a/packages/gossip/src/state_dump.cc
+++ b/packages/gossip/src/state_dump.cc
@@ -48,6 +48,9 @@
                                                    {"draining", s.draining}};
                                      },
                                      [](const LeavingNotice&) { return json::object(); },
+                                     [](const LimitStanding& l) {
+                                       return json{{"view", l.view}, {"standing", l.standing}};
+                                     },
                                      [](const CrashRecord& c) {
                                        json upstreams = json::array();
                                        for (const auto& upstream : c.upstreams) {
@@ -63,8 +66,8 @@
 }  // namespace
 
 json ToJson(const RecordTable& table, core::Instant now) {
-  constexpr std::string_view kKinds[] = {"host_leaving", "upstream_leaving", "crashes", "members",
-                                         "upstreams"};
+  constexpr std::string_view kKinds[] = {"host_leaving", "upstream_leaving", "crashes",
+                                         "members",      "upstreams",        "limit_standings"};
   json dump = json::object();
   for (const auto& [key, stored] : table.records()) {
     const Record& record = stored.record;
--- a/packages/gossip/src/upstream_view.cc
+++ b/packages/gossip/src/upstream_view.cc
@@ -20,7 +20,8 @@
 std::vector<KnownUpstream> UpstreamView::All(core::Instant now) const {
   std::vector<KnownUpstream> all;
   const auto& records = m_table.records();
-  for (auto it = records.lower_bound({RecordKind::kUpstream, ""}); it != records.end(); ++it) {
+  for (auto it = records.lower_bound({RecordKind::kUpstream, ""});
+       it != records.end() && it->first.kind == RecordKind::kUpstream; ++it) {
     all.push_back(Describe(it->second, now));
   }
   return all;
--- a/packages/gossip/src/urgency.cc
+++ b/packages/gossip/src/urgency.cc
@@ -10,6 +10,8 @@
   return std::visit(
       core::Overloaded{
           [](const LeavingNotice&) { return Urgency::kLeaving; },
+          // Shares stay small until every member has heard every statement.
+          [](const LimitStanding&) { return Urgency::kRevision; },
           [](const CrashRecord&) { return Urgency::kCrash; },
           [&](const UpstreamStatus& status) {
             if (status.draining &&
--- a/packages/net/include/cornelrelay/net/http_client.h
+++ b/packages/net/include/cornelrelay/net/http_client.h
@@ -22,7 +22,8 @@
 /// \brief HTTP/1.1 client with a pool of idle connections per peer.
 ///
 /// \code
-/// auto exchange = co_await client.Send(peer, request, ConnectionUse::kReuse, 30s);
+/// auto exchange = co_await client.Open(peer, HttpClient::ConnectionUse::kReuse, 30s);
+/// co_await exchange->SendRequest(request);
 /// const HttpResponseHead head = co_await exchange->ReadHead();
 /// while (auto piece = co_await exchange->ReadPiece()) { ... }
 /// \endcode
@@ -30,7 +31,7 @@
  public:
   enum class ConnectionUse {
     kReuse,  ///< may use an idle connection, which the peer may just have closed
-    kFresh,  ///< opens a connection, so that ConnectFailed proves that nothing was sent
+    kFresh,  ///< opens a connection, so that the peer was reachable a moment ago
   };
 
   HttpClient(boost::asio::io_context& context, HttpClientLimits limits);
@@ -38,11 +39,10 @@
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
-  /// \brief Connects and sends the whole request.
+  /// \brief Connects without sending anything.
   /// \param timeout bound on each later read or write, not on the whole exchange
-  /// \throws ConnectFailed, ExchangeBroken
-  boost::asio::awaitable<std::unique_ptr<HttpExchange>> Send(core::Endpoint peer,
-                                                             HttpRequest request, ConnectionUse use,
+  /// \throws ConnectFailed
+  boost::asio::awaitable<std::unique_ptr<HttpExchange>> Open(core::Endpoint peer, ConnectionUse use,
                                                              std::chrono::milliseconds timeout);
 
   /// \brief Sends a request and reads the whole response of at most `max_body` bytes.
--- a/packages/net/include/cornelrelay/net/http_exchange.h
+++ b/packages/net/include/cornelrelay/net/http_exchange.h
@@ -8,13 +8,17 @@
 
 namespace cornelrelay::net {
 
-/// \brief One request that was sent and whose response is being read.
+/// \brief One request and its response on one connection.
 ///
 /// Destroying an exchange before its end closes the connection, which cancels the work upstream.
 class HttpExchange {
  public:
   virtual ~HttpExchange() = default;
 
+  /// \brief Sends the whole request; after a failure the peer may have received it.
+  /// \throws ExchangeBroken
+  virtual boost::asio::awaitable<void> SendRequest(HttpRequest request) = 0;
+
   /// \throws ExchangeBroken
   virtual boost::asio::awaitable<HttpResponseHead> ReadHead() = 0;
 
--- a/packages/net/include/cornelrelay/net/http_server.h
+++ b/packages/net/include/cornelrelay/net/http_server.h
@@ -46,6 +46,9 @@
 
   void Start();
 
+  /// \brief Ends each connection after its next response, which says so; still accepts new ones.
+  void AnnounceClosing();
+
   /// \brief Closes the listening socket and idle connections; busy ones close after their response.
   void StopAccepting();
 
--- a/packages/net/src/http_client.cc
+++ b/packages/net/src/http_client.cc
@@ -76,7 +76,7 @@
 class Exchange : public HttpExchange {
  public:
   Exchange(core::Endpoint peer, ConnectionPtr connection, std::shared_ptr<ConnectionPool> pool,
-           std::chrono::milliseconds timeout, const HttpClientLimits& limits, bool head_only)
+           std::chrono::milliseconds timeout, const HttpClientLimits& limits)
       : m_peer(std::move(peer)),
         m_connection(std::move(connection)),
         m_pool(std::move(pool)),
@@ -84,7 +84,22 @@
         m_piece(limits.piece_bytes, '\0') {
     m_parser.header_limit(limits.head_bytes);
     m_parser.body_limit(boost::none);
-    if (head_only) m_parser.skip(true);
+  }
+
+  asio::awaitable<void> SendRequest(HttpRequest request) override {
+    http::request<http::string_body> message;
+    message.version(11);
+    message.method_string(request.method);
+    message.target(request.target);
+    internal::CopyHeaders(request.headers, message);
+    message.set(http::field::host, core::ToString(m_peer));
+    message.body() = std::move(request.body);
+    message.prepare_payload();
+    if (request.method == "HEAD") m_parser.skip(true);
+    error_code ec;
+    m_connection->stream.expires_after(m_timeout);
+    co_await http::async_write(m_connection->stream, message, Redirect(ec));
+    if (ec) throw ExchangeBroken(m_peer, ec.message());
   }
 
   asio::awaitable<HttpResponseHead> ReadHead() override {
@@ -143,26 +158,13 @@
         m_limits(limits),
         m_pool(std::make_shared<ConnectionPool>(limits.idle_connections_per_peer)) {}
 
-  asio::awaitable<std::unique_ptr<HttpExchange>> Send(core::Endpoint peer, HttpRequest request,
-                                                      ConnectionUse use,
+  asio::awaitable<std::unique_ptr<HttpExchange>> Open(core::Endpoint peer, ConnectionUse use,
                                                       std::chrono::milliseconds timeout) {
     ConnectionPtr connection;
     if (use == ConnectionUse::kReuse) connection = m_pool->Take(peer);
     if (!connection) connection = co_await Connect(peer);
-    http::request<http::string_body> message;
-    message.version(11);
-    message.method_string(request.method);
-    message.target(request.target);
-    internal::CopyHeaders(request.headers, message);
-    message.set(http::field::host, core::ToString(peer));
-    message.body() = std::move(request.body);
-    message.prepare_payload();
-    error_code ec;
-    connection->stream.expires_after(timeout);
-    co_await http::async_write(connection->stream, message, Redirect(ec));
-    if (ec) throw ExchangeBroken(peer, ec.message());
     co_return std::make_unique<Exchange>(std::move(peer), std::move(connection), m_pool, timeout,
-                                         m_limits, request.method == "HEAD");
+                                         m_limits);
   }
 
  private:
@@ -188,21 +190,25 @@
 
 HttpClient::~HttpClient() = default;
 
-asio::awaitable<std::unique_ptr<HttpExchange>> HttpClient::Send(core::Endpoint peer,
-                                                                HttpRequest request,
+asio::awaitable<std::unique_ptr<HttpExchange>> HttpClient::Open(core::Endpoint peer,
                                                                 ConnectionUse use,
                                                                 std::chrono::milliseconds timeout) {
   const auto impl = m_impl;
-  co_return co_await impl->Send(std::move(peer), std::move(request), use, timeout);
+  co_return co_await impl->Open(std::move(peer), use, timeout);
 }
 
 asio::awaitable<HttpResponse> HttpClient::Fetch(core::Endpoint peer, HttpRequest request,
                                                 std::chrono::milliseconds timeout,
                                                 std::size_t max_body) {
-  auto exchange = co_await Send(peer, std::move(request), ConnectionUse::kFresh, timeout);
-  const HttpResponseHead head = co_await exchange->ReadHead();
-  HttpResponse response{head.status, head.headers, {}};
-  while (auto piece = co_await exchange->ReadPiece()) {
+  auto exchange = co_await Open(peer, ConnectionUse::kFresh, timeout);
+  co_await exchange->SendRequest(std::move(request));
+  HttpResponseHead head = co_await exchange->ReadHead();
+  HttpResponse response;
+  response.status = head.status;
+  response.headers = std::move(head.headers);
+  while (true) {
+    std::optional<std::string> piece = co_await exchange->ReadPiece();
+    if (!piece) break;
     if (response.body.size() + piece->size() > max_body) {
       throw ExchangeBroken(peer, "response body exceeds its limit");
     }
--- a/packages/net/src/http_server.cc
+++ b/packages/net/src/http_server.cc
@@ -73,10 +73,13 @@
         m_context, [self = shared_from_this()] { return self->AcceptLoop(); }, asio::detached);
   }
 
+  void AnnounceClosing() { m_registry->SetDraining(); }
+
   void StopAccepting() {
     error_code ec;
     m_acceptor.close(ec);
-    m_registry->Drain();
+    m_registry->SetDraining();
+    m_registry->CloseIdle();
   }
 
   void CloseAll() { m_registry->CloseAll(); }
@@ -136,6 +139,7 @@
 }
 
 void HttpServer::Start() { m_impl->Start(); }
+void HttpServer::AnnounceClosing() { m_impl->AnnounceClosing(); }
 void HttpServer::StopAccepting() { m_impl->StopAccepting(); }
 void HttpServer::CloseAll() { m_impl->CloseAll(); }
 std::size_t HttpServer::ActiveExchanges() const { return m_impl->ActiveExchanges(); }
--- a/packages/net/src/http_session.h
+++ b/packages/net/src/http_session.h
@@ -55,7 +55,7 @@
 
   asio::awaitable<void> Run() {
     bool usable = co_await ServerHandshake(m_stream, m_limits.idle_timeout);
-    while (usable && m_open && !m_registry->draining()) usable = co_await ServeOne();
+    while (usable && m_open) usable = co_await ServeOne();
     if (Lowest().socket().is_open()) co_await CloseGracefully(m_stream);
   }
 
@@ -126,7 +126,12 @@
     error_code ec;
     Lowest().socket().close(ec);
   }
-  bool Busy() const override { return m_busy; }
+  // Bytes that wait in the kernel belong to a request that the caller has already sent.
+  bool Busy() const override {
+    error_code ec;
+    return m_busy || m_buffer.size() > 0 ||
+           beast::get_lowest_layer(m_stream).socket().available(ec) > 0;
+  }
 
  private:
   static auto Redirect(error_code& ec) { return asio::redirect_error(asio::use_awaitable, ec); }
@@ -167,7 +172,7 @@
     }
     m_on_gone = nullptr;
     m_busy = false;
-    co_return !failed && m_open && m_keep_alive;
+    co_return !failed && m_open && m_keep_alive && !m_registry->draining();
   }
 
   asio::awaitable<void> AnswerBadInput(error_code reason) {
--- a/packages/net/src/session_registry.h
+++ b/packages/net/src/session_registry.h
@@ -29,8 +29,9 @@
     return count;
   }
 
-  void Drain() {
-    m_draining = true;
+  void SetDraining() { m_draining = true; }
+
+  void CloseIdle() {
     CloseIf([](const SessionControl& session) { return !session.Busy(); });
   }
 
--- /dev/null
+++ b/packages/runtime/src/store_link.cc
@@ -0,0 +1,126 @@
+#include "cornelrelay/runtime/store_link.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "cornelrelay/core/overloaded.h"
+#include "cornelrelay/net/errors.h"
+
+namespace cornelrelay::runtime {
+namespace {
+
+namespace asio = boost::asio;
+using platform::StoreReply;
+
+constexpr std::size_t kMaxAnswerBytes = 2 * 1024 * 1024;
+
+std::chrono::milliseconds ToMilliseconds(core::Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+}
+
+}  // namespace
+
+StoreLink::StoreLink(asio::io_context& context, const ProcessClock& clock, net::HttpClient& client,
+                     core::Endpoint store, const platform::StoreClientOptions& options,
+                     std::uint64_t seed)
+    : m_context(context),
+      m_clock(clock),
+      m_http(client),
+      m_store(std::move(store)),
+      m_options(options),
+      m_machine(options, seed),
+      m_timer(context, clock, [this] { Step(platform::ClientTick{}); }) {}
+
+platform::StoreCallId StoreLink::Call(platform::StoreRequest request, ReplyHandler on_reply) {
+  const platform::StoreCallId id = m_next_call++;
+  m_handlers.emplace(id, std::move(on_reply));
+  Step(platform::CallSubmitted{id, std::move(request)});
+  return id;
+}
+
+void StoreLink::Cancel(platform::StoreCallId call) {
+  m_handlers.erase(call);
+  Step(platform::CallCancelled{call});
+}
+
+void StoreLink::Step(const platform::StoreClientEvent& event) {
+  for (const auto& action : m_machine.Step(m_clock.Now(), event)) {
+    std::visit(core::Overloaded{[this](const platform::TransmitCall& call) { Transmit(call); },
+                                [](const platform::AbandonTransmission&) {},
+                                [this](const platform::DeliverReply& d) { Deliver(d); }},
+               action);
+  }
+  if (const auto wake = m_machine.NextWake(m_clock.Now())) m_timer.SetAt(*wake);
+}
+
+void StoreLink::Transmit(const platform::TransmitCall& call) {
+  ++m_transmissions;
+  asio::co_spawn(
+      m_context, [self = shared_from_this(), call] { return self->Run(call); }, asio::detached);
+}
+
+asio::awaitable<void> StoreLink::Run(platform::TransmitCall call) {
+  StoreReply reply = platform::TimedOut{};
+  try {
+    reply = co_await Exchange(call.request);
+  } catch (const net::ConnectFailed&) {
+    reply = platform::Unavailable{};
+  } catch (const net::ExchangeBroken&) {
+    reply = platform::TimedOut{};
+  }
+  platform::ReplyReceived received;
+  received.transmission = call.transmission;
+  received.reply = std::move(reply);
+  Step(received);
+}
+
+asio::awaitable<StoreReply> StoreLink::Exchange(const platform::StoreRequest& request) {
+  const auto* watch = std::get_if<platform::Watch>(&request);
+  const auto timeout = ToMilliseconds(watch ? m_options.watch_timeout : m_options.call_timeout);
+  auto exchange = co_await m_http.Open(m_store, net::HttpClient::ConnectionUse::kFresh, timeout);
+  platform::StoreHttpRequest message = m_codec.ToHttp(request);
+  net::HttpRequest http;
+  http.method = "POST";
+  http.target = std::move(message.path);
+  http.headers["Content-Type"] = "application/json";
+  http.body = std::move(message.body);
+  co_await exchange->SendRequest(std::move(http));
+  const net::HttpResponseHead head = co_await exchange->ReadHead();
+  if (watch && head.status == 200) co_return co_await ReadWatch(*watch, *exchange);
+  std::string body;
+  while (true) {
+    std::optional<std::string> piece = co_await exchange->ReadPiece();
+    if (!piece || body.size() > kMaxAnswerBytes) break;
+    body += *piece;
+  }
+  co_return m_codec.FromHttp(request, head.status, body);
+}
+
+asio::awaitable<StoreReply> StoreLink::ReadWatch(const platform::Watch& watch,
+                                                 net::HttpExchange& exchange) {
+  std::string buffer;
+  while (true) {
+    std::optional<std::string> piece = co_await exchange.ReadPiece();
+    if (!piece || buffer.size() > kMaxAnswerBytes) break;
+    buffer += *piece;
+    for (auto end = buffer.find('\n'); end != std::string::npos; end = buffer.find('\n')) {
+      std::optional<StoreReply> reply = m_codec.FromWatchLine(watch, buffer.substr(0, end));
+      buffer.erase(0, end + 1);
+      if (reply) co_return std::move(*reply);
+    }
+  }
+  co_return StoreReply(platform::TimedOut{});
+}
+
+void StoreLink::Deliver(const platform::DeliverReply& delivery) {
+  const auto found = m_handlers.find(delivery.call);
+  if (found == m_handlers.end()) return;
+  const ReplyHandler handler = std::move(found->second);
+  m_handlers.erase(found);
+  handler(delivery.reply);
+}
+
+}  // namespace cornelrelay::runtime
--- a/packages/wire/include/cornelrelay/wire/control_message.h
+++ b/packages/wire/include/cornelrelay/wire/control_message.h
@@ -4,11 +4,9 @@
 #include <string_view>
 #include <variant>
 
+#include "cornelrelay/claims/claim_messages.h"
 #include "cornelrelay/gossip/message.h"
 #include "cornelrelay/wire/catalogue_messages.h"
-#include "cornelrelay/wire/claim_call.h"
-#include "cornelrelay/wire/claim_finish.h"
-#include "cornelrelay/wire/claim_reply.h"
 #include "cornelrelay/wire/order_forward.h"
 #include "cornelrelay/wire/table_messages.h"
 
@@ -17,8 +15,9 @@
 /// \brief Every message between own processes. The order of the alternatives is the wire format.
 using ControlMessage =
     std::variant<gossip::Probe, gossip::ProbeAck, gossip::ProbeRequest, gossip::GossipPush,
-                 ClaimCall, ClaimReply, ClaimFinish, CatalogueFetch, CatalogueTransfer,
-                 OrderForward, TableFetch, TableTransfer>;
+                 claims::ClaimCall, claims::ClaimReply, claims::ClaimFinish, CatalogueFetch,
+                 CatalogueTransfer, OrderForward, TableFetch, TableTransfer,
+                 claims::ClaimFinishAck>;
 
 /// \brief Longest encoded message: a catalogue and its header.
 inline constexpr std::size_t kMaxMessage = kMaxCatalogue + 64;
--- a/packages/wire/src/gossip_fields.h
+++ b/packages/wire/src/gossip_fields.h
@@ -59,6 +59,11 @@
   ar.archive(crash.unix_milliseconds);
 }
 
+template <class Ar>
+void Code(Ar& ar, Ref<Ar, gossip::LimitStanding> standing) {
+  ar.archive(standing.view, standing.standing);
+}
+
 inline gossip::Payload EmptyPayload(gossip::RecordKind kind) {
   switch (kind) {
     case gossip::RecordKind::kMember:
@@ -67,6 +72,8 @@
       return gossip::UpstreamStatus{};
     case gossip::RecordKind::kCrash:
       return gossip::CrashRecord{};
+    case gossip::RecordKind::kLimitStanding:
+      return gossip::LimitStanding{};
     case gossip::RecordKind::kHostLeaving:
     case gossip::RecordKind::kUpstreamLeaving:
       break;
@@ -77,7 +84,7 @@
 /// \brief The kind of the key tells the type of the payload, so no index is sent.
 template <class Ar>
 void Code(Ar& ar, Ref<Ar, gossip::Record> record) {
-  Choice(ar, record.key.kind, gossip::RecordKind::kUpstream);
+  Choice(ar, record.key.kind, gossip::RecordKind::kLimitStanding);
   Text(ar, record.key.subject);
   Identifier(ar, record.origin);
   ar.archive(record.version.incarnation);
--- a/packages/wire/tests/control_message_test.cc
+++ b/packages/wire/tests/control_message_test.cc
@@ -66,7 +66,9 @@
 
 // Guards against fields over their bound being sent, and lengths over the bound being allocated.
 TEST_CASE("fields over their bound are refused") {
-  CHECK_THROWS_AS(Encode(ClaimReply{1, ClaimCompleted{std::string(513, 'a')}}), MessageTooLarge);
+  CHECK_THROWS_AS(
+      Encode(claims::ClaimReply{{}, claims::ClaimAnswer::kCompleted, std::string(513, 'a')}),
+      MessageTooLarge);
   CHECK_THROWS_AS(Encode(CatalogueTransfer{1, std::string(kMaxCatalogue + 1, 'a')}),
                   MessageTooLarge);
   const std::string largest = Encode(CatalogueTransfer{1, std::string(kMaxCatalogue, 'a')});
--- a/packages/wire/tests/message_generator.h
+++ b/packages/wire/tests/message_generator.h
@@ -25,11 +25,9 @@
   return {Any<std::uint8_t>(), Any<std::uint8_t>(), Any<std::uint8_t>(), Any<std::uint8_t>()};
 }
 
-inline Digest AnyDigest() { return Any<Digest>(); }
-
 inline gossip::Record AnyRecord() {
   gossip::Record record;
-  record.key.kind = static_cast<gossip::RecordKind>(Below(5));
+  record.key.kind = static_cast<gossip::RecordKind>(Below(6));
   record.key.subject = AnyText();
   record.origin = core::HostId(AnyText());
   record.version.incarnation = Any<std::uint64_t>();
@@ -47,9 +45,12 @@
           gossip::UpstreamStatus{core::ServiceId(AnyText()), core::DataCentreId(AnyText()),
                                  AnyEndpoint(), AnyLoad(), Any<bool>()};
       break;
+    case gossip::RecordKind::kLimitStanding:
+      record.payload = gossip::LimitStanding{Any<std::uint64_t>(), Any<std::uint8_t>()};
+      break;
     case gossip::RecordKind::kCrash: {
       gossip::CrashRecord crash;
-      crash.fingerprint = AnyDigest();
+      crash.fingerprint = Any<gossip::Fingerprint>();
       for (std::size_t i = Below(5); i > 0; --i) crash.upstreams.emplace_back(AnyText());
       crash.unix_milliseconds = Any<std::uint64_t>();
       record.payload = crash;
@@ -85,36 +86,35 @@
   return push;
 }
 
-inline ClaimAnswer AnyAnswer() {
-  switch (Below(5)) {
-    case 0:
-      return ClaimGranted{};
-    case 1:
-      return ClaimAlreadyTaken{};
-    case 2:
-      return ClaimCompleted{AnyText(kMaxRecordedAnswer)};
-    case 3:
-      return ClaimBodyMismatch{};
-    default:
-      return ClaimRefused{static_cast<ClaimRefusal>(Below(4)), Any<std::uint32_t>()};
-  }
+template <class Tag>
+claims::Id128<Tag> AnyId() {
+  return claims::Id128<Tag>(Any<std::uint64_t>(), Any<std::uint64_t>());
 }
 
-inline FinishOutcome AnyOutcome() {
-  switch (Below(3)) {
-    case 0:
-      return FinishCompleted{AnyText(kMaxRecordedAnswer)};
-    case 1:
-      return FinishReleased{};
-    default:
-      return FinishUnknown{};
-  }
+inline claims::ClaimCall AnyCall() {
+  claims::ClaimCall call;
+  call.call = AnyId<claims::ClaimCallIdTag>();
+  call.partition = Any<std::uint32_t>();
+  call.key = AnyId<claims::KeyDigestTag>();
+  call.body = AnyId<claims::BodyDigestTag>();
+  call.key_time = core::Instant(std::chrono::milliseconds(Any<std::uint32_t>()));
+  return call;
+}
+
+inline claims::ClaimReply AnyReply() {
+  return {AnyId<claims::ClaimCallIdTag>(), static_cast<claims::ClaimAnswer>(1 + Below(6)),
+          AnyText(claims::kMaxRecordedAnswer)};
+}
+
+inline claims::ClaimFinish AnyFinish() {
+  return {AnyId<claims::ClaimCallIdTag>(), Any<std::uint32_t>(), AnyId<claims::KeyDigestTag>(),
+          static_cast<claims::ClaimState>(1 + Below(4)), AnyText(claims::kMaxRecordedAnswer)};
 }
 
 inline ControlMessage AnyMessage() {
   const auto id = Any<std::uint64_t>();
   const auto number = Any<std::uint32_t>();
-  switch (Below(12)) {
+  switch (Below(13)) {
     case 0:
       return gossip::Probe{number, AnyPush()};
     case 1:
@@ -124,16 +124,11 @@
     case 3:
       return AnyPush();
     case 4:
-      return ClaimCall{id,
-                       number,
-                       AnyDigest(),
-                       AnyDigest(),
-                       core::ClientAccountId(AnyText()),
-                       Any<std::uint64_t>()};
+      return AnyCall();
     case 5:
-      return ClaimReply{id, AnyAnswer()};
+      return AnyReply();
     case 6:
-      return ClaimFinish{id, number, AnyDigest(), AnyOutcome()};
+      return AnyFinish();
     case 7:
       return CatalogueFetch{id};
     case 8:
@@ -142,6 +137,8 @@
       return OrderForward{core::GroupId(AnyText()), id, AnyText(2000)};
     case 10:
       return TableFetch{};
+    case 11:
+      return claims::ClaimFinishAck{AnyId<claims::ClaimCallIdTag>()};
     default:
       return TableTransfer{AnyPush().records};
   }
