Finish streamed answers and fail the health check until limits are shared

Cause: the end of a stream was passed on with its [DONE] text as a payload; replacing the answer id in it threw, and the session closed the connection without a trace. A starting process refused every request for about 3 s, because it had no share of the limits, while its health check was good. Change: the end of a stream carries no payload; an unexpected failure of a request is logged; the health check needs a settled share.

--- a/packages/entry/src/attempt_runner.cc
+++ b/packages/entry/src/attempt_runner.cc
@@ -114,8 +114,12 @@
       request::ChunkChecked chunk;
       chunk.attempt = m_order.attempt;
       chunk.verdict = verifier.Check(*event);
-      chunk.payload = std::move(event->data);
-      ended = ended || std::holds_alternative<request::End>(chunk.verdict);
+      // [DONE] carries no content; the caller's own [DONE] is written when the answer is finished.
+      if (std::holds_alternative<request::End>(chunk.verdict)) {
+        ended = true;
+      } else {
+        chunk.payload = std::move(event->data);
+      }
       Report(std::move(chunk));
     }
     co_await m_mailbox->UntilTaken();
--- a/packages/entry/src/caller_gateway.cc
+++ b/packages/entry/src/caller_gateway.cc
@@ -64,7 +64,14 @@
   }
   m_tasks.insert(task.get());
   BOOST_SCOPE_EXIT_ALL(this, &task) { m_tasks.erase(task.get()); };
-  co_await task->Run();
+  try {
+    co_await task->Run();
+  } catch (const net::CallerGone&) {
+    throw;
+  } catch (const std::exception& error) {
+    m_services.log.Error("request_failed", {{"request", id}, {"reason", error.what()}});
+    response.Abort();
+  }
 }
 
 std::shared_ptr<RequestTask> CallerGateway::MakeTask(const core::RequestId& id,
@@ -84,7 +91,10 @@
 
 net::HttpResponse CallerGateway::Health() const {
   net::HttpResponse response;
-  const bool ready = !m_draining && m_catalogue() != nullptr;
+  // Without a share of the limits every request would be refused.
+  const bool admits =
+      m_services.admission.controller().ledger().standing() == limits::Standing::kSettled;
+  const bool ready = !m_draining && admits && m_catalogue() != nullptr;
   response.status = ready ? 200 : 503;
   response.headers["Content-Type"] = "application/json";
   response.body = ready ? R"({"status":"ok"})" : R"({"status":"unavailable"})";
