--- a/packages/platform/include/cornelrelay/platform/store_http_codec.h
+++ b/packages/platform/include/cornelrelay/platform/store_http_codec.h
@@ -26,8 +26,9 @@
 
   /// \brief Never throws: an answer that cannot be understood leaves the outcome unknown.
   ///
-  /// A server error (5xx) is Unavailable for requests that change nothing. For writes it is
-  /// TimedOut, because a gateway may give up on a write that its cluster still carries out.
+  /// An error status is Unavailable for requests that change nothing. For writes, only a status
+  /// that refuses the request as such is; others, like 503, are TimedOut, because a gateway may
+  /// give up on a write that its cluster still carries out.
   StoreReply FromHttp(const StoreRequest& request, int status, std::string_view body) const;
 
   /// \brief Reads one line of a watch stream; empty for lines without an event.
--- a/packages/platform/src/store_http_codec.cc
+++ b/packages/platform/src/store_http_codec.cc
@@ -56,6 +56,12 @@
   return LeaseGranted{lease, std::chrono::seconds(ttl)};
 }
 
+/// \brief True for statuses that a gateway gives before it passes a request on.
+bool IsRefusal(int status) {
+  return status == 400 || status == 401 || status == 403 || status == 404 || status == 405 ||
+         status == 413;
+}
+
 StoreReply ErrorReply(const StoreRequest& request, int status, std::string_view body) {
   const json error = json::parse(body, nullptr, false);
   const bool typed = error.is_object() && error.contains("code") && error["code"].is_number();
@@ -70,7 +76,7 @@
   const bool writes = std::holds_alternative<CompareAndSwap>(request) ||
                       std::holds_alternative<LeaseGrant>(request) ||
                       std::holds_alternative<LeaseRevoke>(request);
-  if (status >= 500 && writes) return TimedOut{};
+  if (writes && !IsRefusal(status)) return TimedOut{};
   return Unavailable{};
 }
 
--- a/packages/profile/include/cornelrelay/profile/catalogue_editor.h
+++ b/packages/profile/include/cornelrelay/profile/catalogue_editor.h
@@ -65,7 +65,7 @@
 
   State state() const { return m_state; }
   const ChangeRequest& request() const { return m_request; }
-  /// \brief True while a write may have taken effect or may still do so.
+  /// \brief True while a write, also one of an earlier editor, may have taken effect or may do so.
   bool Unsettled() const { return m_unsettled; }
 
  private:
@@ -81,6 +81,10 @@
   void Read(State state, Actions& out);
   void Swap(Actions& out);
   void Finish(EditOutcome outcome, Actions& out);
+  void FinishUnknown(Actions& out);
+  void FinishMalformed(const MalformedCatalogue& error, Actions& out);
+  /// \brief Ends an edit that the key's value rules out: conflict, or unknown outcome.
+  void FinishSuperseded(const Catalogue& current, Actions& out);
 
   ChangeRequest m_request;
   EditorOptions m_options;
@@ -90,7 +94,7 @@
   core::Instant m_retry_at{};
   CallNumber m_call = 0;
   KeyRevision m_expected = 0;
-  CatalogueRevision m_next = 0;  ///< revision of the catalogue that is written
+  CatalogueRevision m_next = 1;  ///< revision of the catalogue that is written
   std::string m_bytes;
   bool m_unsettled = false;
 };
--- a/packages/profile/include/cornelrelay/profile/change.h
+++ b/packages/profile/include/cornelrelay/profile/change.h
@@ -69,6 +69,8 @@
   std::int64_t unix_ms = 0;
   std::optional<CatalogueRevision> seen;  ///< empty: whatever is current when the edit starts
   Edit edit;
+  /// The same change ended as OutcomeUnknown before, with this id; needs `seen`.
+  bool sent_again = false;
 
   friend auto operator<=>(const ChangeRequest&, const ChangeRequest&) = default;
 };
--- a/packages/profile/include/cornelrelay/profile/edit_outcome.h
+++ b/packages/profile/include/cornelrelay/profile/edit_outcome.h
@@ -45,13 +45,16 @@
 /// \brief The write has no answer and could not be settled by reading back.
 class OutcomeUnknown : public core::Error {
  public:
-  explicit OutcomeUnknown(ChangeId id);
+  OutcomeUnknown(ChangeId id, CatalogueRevision seen);
 
   /// \brief Look for it in the history to learn whether the change was made.
   const ChangeId& id() const { return m_id; }
+  /// \brief The revision to name as `seen` when the change is sent again.
+  CatalogueRevision seen() const { return m_seen; }
 
  private:
   ChangeId m_id;
+  CatalogueRevision m_seen;
 };
 
 /// \brief How an edit ended; all alternatives but EditApplied are exceptions to be thrown or shown.
--- a/packages/profile/include/cornelrelay/profile/profile_check.h
+++ b/packages/profile/include/cornelrelay/profile/profile_check.h
@@ -17,7 +17,7 @@
   friend auto operator<=>(const FieldFault&, const FieldFault&) = default;
 };
 
-/// \brief At most 63 small letters, digits and hyphens, not beginning with a hyphen.
+/// \brief 1 to 64 characters from `A-Z a-z 0-9 . _ -`, as in the settings of both binaries.
 bool IsValidName(std::string_view name);
 
 /// \brief All faults of a profile's name and values; empty for a profile that may be used.
--- a/packages/profile/src/apply_change.cc
+++ b/packages/profile/src/apply_change.cc
@@ -95,17 +95,20 @@
 void CheckRequest(const ChangeRequest& request) {
   CheckText(request.id.value(), kMaxIdBytes, "change id");
   CheckText(request.author.value(), kMaxAuthorBytes, "operator name");
-  std::visit(core::Overloaded{[](const CreateProfile& e) { CheckValues(e.profile); },
-                              [](const ChangeProfile& e) { CheckValues(e.profile); },
-                              [](const AssignService& e) {
-                                if (!IsValidName(e.service.value())) {
-                                  throw InvalidEdit(
-                                      "service name: must have 1 to 63 small "
-                                      "letters, digits and hyphens");
-                                }
-                              },
-                              [](const auto&) {}},
-             request.edit);
+  if (request.sent_again && !request.seen) {
+    throw InvalidEdit("a change that is sent again must name the revision that was seen");
+  }
+  std::visit(
+      core::Overloaded{[](const CreateProfile& e) { CheckValues(e.profile); },
+                       [](const ChangeProfile& e) { CheckValues(e.profile); },
+                       [](const AssignService& e) {
+                         if (!IsValidName(e.service.value())) {
+                           throw InvalidEdit(
+                               "service: expected 1 to 64 characters from A-Z a-z 0-9 . _ -");
+                         }
+                       },
+                       [](const auto&) {}},
+      request.edit);
 }
 
 Catalogue ApplyChange(const Catalogue& catalogue, const ChangeRequest& request) {
--- a/packages/profile/src/catalogue_editor.cc
+++ b/packages/profile/src/catalogue_editor.cc
@@ -40,7 +40,12 @@
 
 CatalogueEditor::CatalogueEditor(ChangeRequest request, const EditorOptions& options,
                                  EditorFault fault)
-    : m_request(std::move(request)), m_options(options), m_fault(fault) {}
+    : m_request(std::move(request)),
+      m_options(options),
+      m_fault(fault),
+      m_unsettled(m_request.sent_again) {
+  if (m_request.seen) m_next = *m_request.seen + 1;
+}
 
 std::vector<EditorAction> CatalogueEditor::Step(core::Instant now, const EditorEvent& event) {
   Actions out;
@@ -79,7 +84,7 @@
   }
   if (now >= m_deadline) {
     if (m_unsettled || m_state == State::kSwapping) {
-      Finish(OutcomeUnknown(m_request.id), out);
+      FinishUnknown(out);
     } else {
       Finish(StoreUnavailable(), out);
     }
@@ -100,8 +105,7 @@
       return;
     }
     if (m_request.seen && *m_request.seen != base.revision()) {
-      Finish(CatalogueConflict(m_request, base.revision(), base.ChangesAfter(*m_request.seen)),
-             out);
+      FinishSuperseded(base, out);
       return;
     }
     auto result = TryApply(base, m_request);
@@ -115,7 +119,7 @@
     m_expected = content ? content->revision : 0;
     Swap(out);
   } catch (const MalformedCatalogue& e) {
-    Finish(e, out);
+    FinishMalformed(e, out);
   }
 }
 
@@ -126,26 +130,15 @@
     return;
   }
   // The key has moved past the expected revision, so no write of this edit can take effect later.
-  const bool vanished = !content && m_unsettled;
   try {
     const Catalogue current = CatalogueIn(content);
     if (current.Contains(m_request.id)) {
       Finish(EditApplied{current.RevisionOf(m_request.id)}, out);
-    } else if (vanished ||
-               (m_unsettled && (current.revision() < m_next ||
-                                current.revision() - m_next >= Catalogue::kChangeIdLimit))) {
-      // The change may have been made and its id may have left the list since.
-      Finish(OutcomeUnknown(m_request.id), out);
     } else {
-      Finish(CatalogueConflict(m_request, current.revision(), current.ChangesAfter(m_next - 1)),
-             out);
+      FinishSuperseded(current, out);
     }
   } catch (const MalformedCatalogue& e) {
-    if (m_unsettled) {
-      Finish(OutcomeUnknown(m_request.id), out);
-    } else {
-      Finish(e, out);
-    }
+    FinishMalformed(e, out);
   }
 }
 
@@ -210,6 +203,30 @@
   out.emplace_back(SwapCatalogueKey{++m_call, m_expected, m_bytes});
 }
 
+void CatalogueEditor::FinishSuperseded(const Catalogue& current, Actions& out) {
+  // The change may have been made and its id may have left the list since. A lower revision means
+  // that the key was deleted or overwritten, which hides what was there.
+  const bool hidden =
+      current.revision() < m_next || current.revision() - m_next >= Catalogue::kChangeIdLimit;
+  if (m_unsettled && hidden) {
+    FinishUnknown(out);
+    return;
+  }
+  Finish(CatalogueConflict(m_request, current.revision(), current.ChangesAfter(m_next - 1)), out);
+}
+
+void CatalogueEditor::FinishMalformed(const MalformedCatalogue& error, Actions& out) {
+  if (m_unsettled) {
+    FinishUnknown(out);
+  } else {
+    Finish(error, out);
+  }
+}
+
+void CatalogueEditor::FinishUnknown(Actions& out) {
+  Finish(OutcomeUnknown(m_request.id, m_next - 1), out);
+}
+
 void CatalogueEditor::Finish(EditOutcome outcome, Actions& out) {
   m_state = State::kFinished;
   out.emplace_back(EditFinished{std::move(outcome)});
--- a/packages/profile/src/edit_outcome.cc
+++ b/packages/profile/src/edit_outcome.cc
@@ -28,10 +28,12 @@
 StoreUnavailable::StoreUnavailable()
     : core::Error("store_unavailable", "the store did not answer; the change was not made") {}
 
-OutcomeUnknown::OutcomeUnknown(ChangeId id)
+OutcomeUnknown::OutcomeUnknown(ChangeId id, CatalogueRevision seen)
     : core::Error("outcome_unknown", "the store did not confirm the write; look for change " +
-                                         id.value() + " in the history"),
-      m_id(std::move(id)) {}
+                                         id.value() + " in the history, or send it again with " +
+                                         "its id and revision " + std::to_string(seen)),
+      m_id(std::move(id)),
+      m_seen(seen) {}
 
 CatalogueRevision RevisionOrThrow(const EditOutcome& outcome) {
   return std::visit(core::Overloaded{[](const EditApplied& applied) { return applied.revision; },
--- a/packages/profile/src/profile_check.cc
+++ b/packages/profile/src/profile_check.cc
@@ -58,16 +58,16 @@
 
 bool IsValidName(std::string_view name) {
   const auto permitted = [](char c) {
-    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-';
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '.' ||
+           c == '_' || c == '-';
   };
-  return !name.empty() && name.size() <= 63 && name.front() != '-' &&
-         std::all_of(name.begin(), name.end(), permitted);
+  return !name.empty() && name.size() <= 64 && std::all_of(name.begin(), name.end(), permitted);
 }
 
 std::vector<FieldFault> CheckProfile(const Profile& profile) {
   std::vector<FieldFault> faults;
   if (!IsValidName(profile.name.value())) {
-    faults.push_back({{"name"}, "must have 1 to 63 small letters, digits and hyphens"});
+    faults.push_back({{"name"}, "expected 1 to 64 characters from A-Z a-z 0-9 . _ -"});
   }
   VisitFields(profile, RangeCheck(faults));
   if (profile.retry.hedges >= profile.retry.attempts) {
--- a/packages/profile/tests/profile_document_test.cc
+++ b/packages/profile/tests/profile_document_test.cc
@@ -45,7 +45,7 @@
 
 // Guards against operators having to correct a document one message at a time.
 TEST_CASE("all faults of a document are reported with their places") {
-  const auto faults = FaultsOf(R"(name = "Orders"
+  const auto faults = FaultsOf(R"(name = "Or ders"
 colour = 1
 [request]
 deadline_ms = "soon"
