--- a/packages/profile/tests/distribution_test.cc
+++ b/packages/profile/tests/distribution_test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include "cornelrelay/profile/confirmation_tracker.h"
 #include "cornelrelay/profile/dump.h"
@@ -108,6 +109,20 @@
   CHECK(std::holds_alternative<CatalogueConflict>(settle(KeyContent{near, 300})));
 }
 
+// Guards against "not made" for a write that is still on its way when the operator's time is over.
+TEST_CASE("the time limit ends an edit as unknown only when a write was sent") {
+  const core::Instant late(seconds(12));
+  const auto outcome = [&](bool written) {
+    CatalogueEditor editor(Change(1), {});
+    editor.Step({}, EditorTick{});
+    if (written) editor.Step({}, CatalogueKeyRead{1, std::nullopt});
+    REQUIRE(editor.NextWake() == late);
+    return std::get<EditFinished>(editor.Step(late, EditorTick{}).at(0)).outcome;
+  };
+  CHECK(std::holds_alternative<OutcomeUnknown>(outcome(true)));
+  CHECK(std::holds_alternative<StoreUnavailable>(outcome(false)));
+}
+
 // Guards against damaged bytes replacing a good catalogue.
 TEST_CASE("a replica reports damaged bytes and keeps its catalogue") {
   CatalogueReplica replica({}, 1);
@@ -124,6 +139,25 @@
   CHECK(replica.revision() == CatalogueRevision{1});
 }
 
+// Guards against a confirmation of another revision putting off the read that would find the
+// change.
+TEST_CASE("only a confirmation of the applied revision puts off the next read") {
+  CatalogueReplica replica({}, 1);
+  replica.Step({}, ReplicaTick{});
+  const auto bytes = EncodeCatalogue(ApplyChange(Catalogue::Initial(), Change(1)));
+  replica.Step({}, CatalogueKeyRead{1, KeyContent{bytes, 1}});
+  const auto planned = replica.NextRead();
+  CHECK(planned <= core::Instant(seconds(12)));
+  const core::Instant later(seconds(7));
+  replica.Step(later, ConfirmationHeard{2});
+  CHECK(replica.NextRead() == planned);
+  replica.Step(later, ConfirmationHeard{1});
+  CHECK(replica.NextRead() >= later + seconds(5));
+  const auto dump = ToJson(replica);
+  CHECK(dump["catalogue"]["revision"] == 1);
+  CHECK(dump["catalogue"]["last_change"]["operator"] == "ana");
+}
+
 // Guards against `--wait` ending while a live member lacks the change.
 TEST_CASE("the tracker names the live members that have not confirmed") {
   const core::HostId a("a");
