--- a/packages/gossip/include/cornelrelay/gossip/disseminator.h
+++ b/packages/gossip/include/cornelrelay/gossip/disseminator.h
@@ -52,10 +52,14 @@
   bool Emit(const core::HostId& to, GossipPush push, std::vector<Action>& actions);
   std::size_t AddNews(core::Instant now, std::size_t room, bool urgent, GossipPush& push);
   std::size_t AddLoads(core::Instant now, std::size_t room, GossipPush& push);
+  std::size_t AddLoadsOf(core::Instant now, bool near, std::size_t room, GossipPush& push);
+  bool AddLoad(core::Instant now, const StoredRecord& stored, std::size_t room, std::size_t& used,
+               GossipPush& push) const;
   std::size_t AddTable(core::Instant now, std::size_t room, GossipPush& push);
   std::size_t AddEntries(core::Instant now, std::size_t room, GossipPush& push);
   unsigned SendLimit(Urgency urgency) const;
-  std::size_t Room(std::size_t share) const;
+  std::size_t Overhead() const;
+  std::size_t Room(std::size_t share, double reserve) const;
 
   const NodeSettings& m_settings;
   const RecordTable& m_table;
@@ -64,6 +68,7 @@
   ByteBudget m_budget;
   core::Instant m_next_round{};
   std::size_t m_rounds = 0;
+  std::size_t m_reports = 0;
   std::map<RecordKey, Pending> m_news;
   std::map<RecordKey, unsigned> m_loads;  // times that the current load was sent
   RecordKey m_table_cursor;
--- a/packages/gossip/include/cornelrelay/gossip/gossip_node.h
+++ b/packages/gossip/include/cornelrelay/gossip/gossip_node.h
@@ -32,7 +32,8 @@
 
   std::vector<Action> Step(core::Instant now, const NodeEvent& event);
 
-  /// \brief All records that peers may know, for SnapshotReceived at a starting process.
+  /// \brief Records for SnapshotReceived at a starting process of the same data centre. Agents of
+  /// other data centres are left out: they are a third of the table and can arrive by rounds.
   std::vector<Record> Snapshot(core::Instant now) const;
 
   const NodeSettings& settings() const { return m_settings; }
@@ -76,6 +77,7 @@
   std::optional<core::Instant> m_last_step;
   core::Instant m_next_expiry{};
   core::Instant m_next_reconnect{};
+  core::Instant m_next_seed{};
   std::map<core::HostId, core::Instant> m_told;
   std::vector<Action> m_out;
 };
--- a/packages/gossip/include/cornelrelay/gossip/message_size.h
+++ b/packages/gossip/include/cornelrelay/gossip/message_size.h
@@ -10,6 +10,8 @@
 inline constexpr std::size_t kDatagramLimit = 1200;
 /// \brief Bound of what the sealed envelope adds to a message (sender id up to 32 bytes).
 inline constexpr std::size_t kEnvelopeBytes = 76;
+/// \brief What the envelope of this sender adds, with the mark that each encoding begins with.
+std::size_t EnvelopeBytes(const core::HostId& sender);
 /// \brief IP and UDP headers; they count against the byte budget.
 inline constexpr std::size_t kNetworkBytes = 28;
 
--- a/packages/gossip/include/cornelrelay/gossip/record_table.h
+++ b/packages/gossip/include/cornelrelay/gossip/record_table.h
@@ -47,6 +47,8 @@
  private:
   MergeResult ApplyLoad(StoredRecord& stored, std::uint64_t sequence, const Load& load,
                         bool draining, core::Duration age, core::Instant now);
+  void AddHash(const Record& record);
+  void RemoveHash(const Record& record);
   bool Replaces(const Record& a, const Record& b) const;
 
   Faults m_faults;
--- a/packages/gossip/include/cornelrelay/gossip/roster.h
+++ b/packages/gossip/include/cornelrelay/gossip/roster.h
@@ -30,6 +30,7 @@
   bool leaf() const { return m_leaf; }
 
  private:
+  bool Watches(const core::HostId& agent) const;
   void KeepHomes(std::vector<core::HostId>& hosts) const;
 
   const NodeSettings& m_settings;
--- a/packages/gossip/include/cornelrelay/gossip/urgency.h
+++ b/packages/gossip/include/cornelrelay/gossip/urgency.h
@@ -5,7 +5,9 @@
 namespace cornelrelay::gossip {
 
 /// \brief Order in which news are sent; all but kJoin and kRoutine go before anything else.
-enum class Urgency { kLeaving, kSuspicion, kCrash, kRevision, kJoin, kRoutine };
+///
+/// Suspicions come last of the urgent ones: a partition yields hundreds of them at once.
+enum class Urgency { kLeaving, kCrash, kRevision, kSuspicion, kJoin, kRoutine };
 
 /// \brief Urgency of `record`, which replaced `previous` (null if there was none).
 Urgency UrgencyOf(const Record* previous, const Record& record, std::uint64_t highest_revision);
--- a/packages/gossip/src/disseminator.cc
+++ b/packages/gossip/src/disseminator.cc
@@ -17,7 +17,14 @@
 constexpr std::size_t kFarRound = 4;
 // A leaf repeats its own records this seldom; its load updates carry what changes.
 constexpr std::size_t kLeafTableRounds = 40;
-constexpr std::size_t kOverhead = kEnvelopeBytes + kNetworkBytes;
+// Part of a round's bytes that urgent records leave to loads and the table: after a partition they
+// would take all of the budget for minutes.
+constexpr double kBulkShare = 1.0 / 3;
+// Suspicions alone leave more.
+constexpr double kBulkShareOfSuspicion = 1.0 / 2;
+// Part of the bytes for loads that is kept for other data centres', which count for spill-over
+// only.
+constexpr double kFarLoadShare = 0.3;
 constexpr std::size_t kMinimumRoom = 64;
 constexpr std::size_t kPushHeader = 4;
 
@@ -39,8 +46,13 @@
   return urgency == Urgency::kJoin ? log2 : 3 * log2;
 }
 
-std::size_t Disseminator::Room(std::size_t share) const {
-  const double left = m_budget.available() / static_cast<double>(share) - kOverhead;
+std::size_t Disseminator::Overhead() const {
+  return EnvelopeBytes(m_settings.self) + kNetworkBytes;
+}
+
+std::size_t Disseminator::Room(std::size_t share, double reserve) const {
+  const double left = (m_budget.available() - reserve) / static_cast<double>(share) -
+                      static_cast<double>(Overhead());
   if (left < kMinimumRoom) return 0;
   return std::min(static_cast<std::size_t>(left), kDatagramLimit - kEnvelopeBytes) - kPushHeader;
 }
@@ -90,10 +102,17 @@
   const std::size_t first = m_random.Below(peers.size());
   // Distinct targets: a random start and random steps around the list.
   std::size_t offset = 0;
-  const std::size_t targets = std::min(kUrgentTargets, peers.size());
+  const bool only_suspicion = std::none_of(m_news.begin(), m_news.end(), [](const auto& news) {
+    return news.second.urgency < Urgency::kSuspicion;
+  });
+  const double reserve = (only_suspicion ? kBulkShareOfSuspicion : kBulkShare) *
+                         m_settings.bytes_per_second *
+                         std::chrono::duration<double>(m_settings.round).count();
+  std::size_t targets = std::min(kUrgentTargets, peers.size());
+  while (targets > 1 && Room(targets, reserve) == 0) --targets;
   for (std::size_t i = 0; i < targets; ++i) {
     GossipPush push;
-    if (AddNews(now, Room(targets - i), true, push) == 0) return;
+    if (AddNews(now, Room(targets - i, reserve), true, push) == 0) return;
     Emit(peers[(first + offset) % peers.size()], std::move(push), actions);
     const std::size_t spare = peers.size() - offset - (targets - i);
     offset += 1 + (spare == 0 ? 0 : m_random.Below(spare + 1));
@@ -102,28 +121,29 @@
 
 void Disseminator::SendBulk(core::Instant now, std::vector<Action>& actions) {
   const bool far = m_rounds % kFarRound == 0 && !m_roster.gossip_far().empty();
-  const auto& peers =
-      far || m_roster.gossip_near().empty() ? m_roster.gossip() : m_roster.gossip_near();
-  const std::size_t targets = m_roster.leaf() ? peers.size() : 1;
+  const auto& peers = far                              ? m_roster.gossip_far()
+                      : m_roster.gossip_near().empty() ? m_roster.gossip()
+                                                       : m_roster.gossip_near();
   const bool flat = m_settings.topology == Topology::kFlat;
-  for (std::size_t i = 0; i < targets; ++i) {
-    const std::size_t room = Room(targets - i);
-    if (room == 0) return;
-    GossipPush push;
-    std::size_t used = AddNews(now, room / 2, false, push);
-    used += AddLoads(now, (room - used) * 3 / 4, push);
-    const bool table_due = !m_roster.leaf() || (m_rounds + i) % kLeafTableRounds == 0;
-    if (table_due) AddTable(now, room - used, push);
-    const auto& from = flat ? m_roster.gossip() : peers;
-    const std::size_t target = m_roster.leaf() ? i : m_random.Below(from.size());
-    Emit(from[target], std::move(push), actions);
-  }
+  const std::size_t room = Room(1, 0);
+  if (room == 0) return;
+  GossipPush push;
+  std::size_t used = AddNews(now, room / 2, false, push);
+  used += AddLoads(now, (room - used) * 3 / 4, push);
+  const bool table_due = !m_roster.leaf() || m_rounds % kLeafTableRounds == 0;
+  if (table_due) AddTable(now, room - used, push);
+  if (push == GossipPush{}) return;
+  const auto& from = flat ? m_roster.gossip() : peers;
+  // A leaf reports to its homes in turn; each report reaches one of them.
+  const std::size_t target =
+      m_roster.leaf() ? ++m_reports % from.size() : m_random.Below(from.size());
+  Emit(from[target], std::move(push), actions);
 }
 
 bool Disseminator::Emit(const core::HostId& to, GossipPush push, std::vector<Action>& actions) {
   if (push == GossipPush{}) return false;
   Message message(std::move(push));
-  m_budget.Charge(EncodedSize(message) + kOverhead);
+  m_budget.Charge(EncodedSize(message) + Overhead());
   actions.emplace_back(Send{to, m_table.FindMember(to)->control, std::move(message)});
   return true;
 }
@@ -158,45 +178,57 @@
 }
 
 std::size_t Disseminator::AddLoads(core::Instant now, std::size_t room, GossipPush& push) {
+  const auto far_room = static_cast<std::size_t>(static_cast<double>(room) * kFarLoadShare);
+  const std::size_t near = AddLoadsOf(now, true, room - far_room, push);
+  return near + AddLoadsOf(now, false, room - near, push);
+}
+
+bool Disseminator::AddLoad(core::Instant now, const StoredRecord& stored, std::size_t room,
+                           std::size_t& used, GossipPush& push) const {
+  const bool full = m_settings.encoding == StatusEncoding::kFullRecords ||
+                    stored.record.version.sequence == stored.base_sequence;
+  if (m_settings.encoding == StatusEncoding::kPackedArray) {
+    used += EncodedSize(StatusSample{});
+    if (used <= room) push.samples.push_back(ExportSample(stored, now));
+  } else if (full) {
+    used += EncodedSize(stored.record);
+    if (used <= room) push.records.push_back(Export(stored, now));
+  } else {
+    StatusDelta delta = ExportDelta(stored, now);
+    used += EncodedSize(delta);
+    if (used <= room) push.deltas.push_back(std::move(delta));
+  }
+  return used <= room;
+}
+
+std::size_t Disseminator::AddLoadsOf(core::Instant now, bool near, std::size_t room,
+                                     GossipPush& push) {
   std::vector<std::pair<unsigned, const RecordKey*>> order;
-  order.reserve(m_loads.size());
-  for (const auto& [key, sent] : m_loads) order.emplace_back(sent, &key);
+  std::vector<RecordKey> done;
+  for (const auto& [key, sent] : m_loads) {
+    const StoredRecord* stored = m_table.Find(key);
+    if (stored == nullptr) {
+      done.push_back(key);
+      continue;
+    }
+    const auto& status = std::get<UpstreamStatus>(stored->record.payload);
+    if ((status.data_centre == m_settings.data_centre) == near) order.emplace_back(sent, &key);
+  }
   // The cut-off point of equally often sent updates moves with the random start, else keys that
   // sort late would starve.
   if (!order.empty()) {
-    std::rotate(order.begin(),
-                order.begin() + static_cast<std::ptrdiff_t>(m_random.Below(order.size())),
-                order.end());
+    const auto start = static_cast<std::ptrdiff_t>(m_random.Below(order.size()));
+    std::rotate(order.begin(), order.begin() + start, order.end());
   }
   std::stable_sort(order.begin(), order.end(),
                    [](const auto& a, const auto& b) { return a.first < b.first; });
-  const auto limit = m_roster.leaf()
-                         ? 2U
-                         : static_cast<unsigned>(std::bit_width(m_roster.gossip_near().size())) + 1;
+  const auto spread = static_cast<unsigned>(std::bit_width(m_roster.gossip_near().size())) + 1;
+  const unsigned limit = m_roster.leaf() ? 1 : spread;
   std::size_t used = 0;
-  std::vector<RecordKey> done;
   for (const auto& [sent, key] : order) {
-    const StoredRecord* stored = m_table.Find(*key);
-    if (stored == nullptr) {
-      done.push_back(*key);
-      continue;
-    }
-    std::size_t size = EncodedSize(StatusSample{});
-    if (m_settings.encoding == StatusEncoding::kPackedArray) {
-      if (used + size > room) break;
-      push.samples.push_back(ExportSample(*stored, now));
-    } else if (m_settings.encoding == StatusEncoding::kFullRecords ||
-               stored->record.version.sequence == stored->base_sequence) {
-      size = EncodedSize(stored->record);
-      if (used + size > room) break;
-      push.records.push_back(Export(*stored, now));
-    } else {
-      StatusDelta delta = ExportDelta(*stored, now);
-      size = EncodedSize(delta);
-      if (used + size > room) break;
-      push.deltas.push_back(std::move(delta));
-    }
-    used += size;
+    std::size_t after = used;
+    if (!AddLoad(now, *m_table.Find(*key), room, after, push)) break;
+    used = after;
     if (++m_loads.at(*key) >= limit) done.push_back(*key);
   }
   for (const RecordKey& key : done) m_loads.erase(key);
--- a/packages/gossip/src/gossip_node.cc
+++ b/packages/gossip/src/gossip_node.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cstdlib>
 #include <utility>
 
 #include "cornelrelay/core/overloaded.h"
@@ -15,10 +16,14 @@
 constexpr core::Duration kExpiryInterval = std::chrono::seconds(1);
 constexpr core::Duration kStatusRepeat = std::chrono::seconds(5);
 constexpr core::Duration kReconnectInterval = std::chrono::seconds(5);
+constexpr core::Duration kSeedInterval = std::chrono::seconds(60);
 constexpr core::Duration kLonelyInterval = std::chrono::seconds(1);
 constexpr core::Duration kTellInterval = std::chrono::seconds(1);
 constexpr std::size_t kPiggybackRoom = 160;
-constexpr std::size_t kDirectOverhead = kEnvelopeBytes + kNetworkBytes;
+// One entry process a probe: a leaf needs to know a few only.
+constexpr std::size_t kLeafPiggybackRoom = 80;
+// Changes of a load of up to two codes (9% of a count, 1% of cache use) are not worth a report.
+constexpr int kLoadNoise = 2;
 constexpr std::uint64_t kSeedOffset = 0x6e6f6465ULL;
 
 GossipPush& PushOf(Message& message) {
@@ -34,6 +39,17 @@
       message);
 }
 
+bool Differs(const UpstreamStatus& a, const UpstreamStatus& b) {
+  const auto far = [](std::uint8_t x, std::uint8_t y) { return std::abs(x - y) > kLoadNoise; };
+  if (far(a.load.running, b.load.running) || far(a.load.waiting, b.load.waiting) ||
+      far(a.load.cache_use, b.load.cache_use) || far(a.load.step_time, b.load.step_time)) {
+    return true;
+  }
+  UpstreamStatus same_load = a;
+  same_load.load = b.load;
+  return same_load != b;
+}
+
 }  // namespace
 
 GossipNode::GossipNode(NodeSettings settings)
@@ -128,7 +144,7 @@
   const StoredRecord* stored = m_table.Find(key);
   const bool repeat = stored != nullptr && stored->record.origin == m_settings.self &&
                       stored->record.version.incarnation == m_incarnation &&
-                      stored->record.payload == Payload(report.status) &&
+                      !Differs(std::get<UpstreamStatus>(stored->record.payload), report.status) &&
                       now - stored->issued < kStatusRepeat;
   if (!repeat) PublishOwn(now, key, report.status, kStatusLife);
 }
@@ -200,7 +216,7 @@
   const MemberState* receiver = m_table.FindMember(send.to);
   const bool to_leaf = m_settings.topology == Topology::kLeafAgents && receiver != nullptr &&
                        receiver->role == Role::kAgent;
-  push = m_disseminator.Piggyback(now, kPiggybackRoom, to_leaf);
+  push = m_disseminator.Piggyback(now, to_leaf ? kLeafPiggybackRoom : kPiggybackRoom, to_leaf);
   push.records.push_back(OwnMember(now));
   if (!send.to.empty()) {
     const StoredRecord* target = m_table.Find({RecordKind::kMember, send.to.value()});
@@ -208,7 +224,8 @@
                          std::get<MemberState>(target->record.payload).life != Life::kAlive;
     if (doubted) push.records.push_back(Export(*target, now));
   }
-  m_disseminator.Step(now, BytesSent{EncodedSize(send.message) + kDirectOverhead});
+  m_disseminator.Step(
+      now, BytesSent{EncodedSize(send.message) + EnvelopeBytes(m_settings.self) + kNetworkBytes});
   m_out.emplace_back(std::move(send));
 }
 
@@ -228,15 +245,22 @@
   const bool lonely = m_roster.gossip().empty();
   m_next_reconnect = now + (lonely ? kLonelyInterval : kReconnectInterval);
   const auto& dead = m_roster.dead();
-  const std::size_t choices = dead.size() + m_settings.seeds.size();
-  if (choices == 0) return;
-  const std::size_t choice = m_random.Below(choices);
-  if (choice < dead.size()) {
-    SendDirect(now, {dead[choice], m_table.FindMember(dead[choice])->control, GossipPush{}});
-    return;
+  if (!dead.empty()) {
+    const core::HostId& host = dead[m_random.Below(dead.size())];
+    SendDirect(now, {host, m_table.FindMember(host)->control, GossipPush{}});
+  }
+  // A lonely process asks all seeds: processes that know different seeds only could stay apart.
+  // Later one is asked rarely, as all processes share them.
+  const auto& seeds = m_settings.seeds;
+  if (seeds.empty() || (!lonely && now < m_next_seed)) return;
+  m_next_seed = now + kSeedInterval;
+  const std::size_t first = lonely ? 0 : m_random.Below(seeds.size());
+  const std::size_t last = lonely ? seeds.size() : first + 1;
+  for (std::size_t i = first; i < last; ++i) {
+    if (seeds[i] != m_settings.control) {
+      SendDirect(now, {core::HostId(), seeds[i], GossipPush{}});
+    }
   }
-  const core::Endpoint& seed = m_settings.seeds[choice - dead.size()];
-  if (seed != m_settings.control) SendDirect(now, {core::HostId(), seed, GossipPush{}});
 }
 
 }  // namespace cornelrelay::gossip
--- a/packages/gossip/src/gossip_node_absorb.cc
+++ b/packages/gossip/src/gossip_node_absorb.cc
@@ -80,7 +80,12 @@
 std::vector<Record> GossipNode::Snapshot(core::Instant now) const {
   std::vector<Record> records;
   for (const auto& [key, stored] : m_table.records()) {
-    if (stored.record.version.incarnation > 0) records.push_back(Export(stored, now));
+    const auto* member = std::get_if<MemberState>(&stored.record.payload);
+    const bool far_agent = member != nullptr && member->role == Role::kAgent &&
+                           member->data_centre != m_settings.data_centre;
+    if (stored.record.version.incarnation > 0 && !far_agent) {
+      records.push_back(Export(stored, now));
+    }
   }
   return records;
 }
--- a/packages/gossip/src/membership_detector.cc
+++ b/packages/gossip/src/membership_detector.cc
@@ -12,6 +12,8 @@
 constexpr core::Duration kDirectTimeout = std::chrono::milliseconds(300);
 constexpr core::Duration kRelayLife = std::chrono::seconds(2);
 constexpr int kForeignFactor = 3;
+// A leaf probes only to keep its homes and to hear of revisions; entry processes probe it too.
+constexpr int kLeafFactor = 2;
 
 // Probes and indirect probes use random streams of their own, apart from the gossip's.
 constexpr std::uint64_t kSeedOffset = 0x70726f6265ULL;
@@ -54,7 +56,7 @@
     SendIndirect(actions);
   }
   if (now < m_next_probe) return;
-  m_next_probe = now + m_settings.probe_interval;
+  m_next_probe = now + m_settings.probe_interval * (m_roster.leaf() ? kLeafFactor : 1);
   FinishProbe(now, actions);
   m_roster.Refresh();
   const auto target = NextTarget(now);
--- a/packages/gossip/src/message_size.cc
+++ b/packages/gossip/src/message_size.cc
@@ -33,6 +33,11 @@
 
 }  // namespace
 
+std::size_t EnvelopeBytes(const core::HostId& sender) {
+  // Two marks, format, id with its length, incarnation, counter, authentication code.
+  return 4 + sender.value().size() + 8 + 8 + 16;
+}
+
 std::size_t EncodedSize(const Record& record) {
   // Kind, subject, origin, incarnation 8, sequence 4, time to live 2, age 2.
   return 1 + Text(record.key.subject) + Text(record.origin.value()) + 16 +
@@ -44,7 +49,7 @@
          static_cast<std::size_t>(std::popcount(static_cast<unsigned>(delta.changed & 0x0fU)));
 }
 
-std::size_t EncodedSize(const StatusSample&) { return 16; }
+std::size_t EncodedSize(const StatusSample&) { return 11; }
 
 std::size_t EncodedSize(const GossipPush& push) {
   std::size_t size = 3;
--- a/packages/gossip/src/record_table.cc
+++ b/packages/gossip/src/record_table.cc
@@ -34,8 +34,19 @@
 
 }  // namespace
 
-std::uint32_t SubjectHash(std::string_view subject) {
-  return static_cast<std::uint32_t>(core::Hash64(subject));
+std::uint32_t SubjectHash(std::string_view subject, std::uint64_t incarnation) {
+  return static_cast<std::uint32_t>(core::Hash64(subject, incarnation));
+}
+
+void RecordTable::AddHash(const Record& record) {
+  m_by_hash[SubjectHash(record.key.subject, record.version.incarnation)].push_back(record.key);
+}
+
+void RecordTable::RemoveHash(const Record& record) {
+  const auto bucket = m_by_hash.find(SubjectHash(record.key.subject, record.version.incarnation));
+  assert(bucket != m_by_hash.end());
+  std::erase(bucket->second, record.key);
+  if (bucket->second.empty()) m_by_hash.erase(bucket);
 }
 
 bool RecordTable::Replaces(const Record& a, const Record& b) const {
@@ -63,13 +74,13 @@
   if (record.key.kind == RecordKind::kMember && !(!inserted && SameMember(stored.record, record))) {
     ++m_member_generation;
   }
+  const bool rehash = first && record.key.kind == RecordKind::kUpstream;
+  if (rehash && !inserted) RemoveHash(stored.record);
   stored.record = record;
   stored.record.age = {};
   stored.issued = issued;
   NoteBase(stored, record, first);
-  if (inserted && record.key.kind == RecordKind::kUpstream) {
-    m_by_hash[SubjectHash(record.key.subject)].push_back(record.key);
-  }
+  if (rehash) AddHash(record);
   return MergeResult::kNewer;
 }
 
@@ -93,8 +104,11 @@
   const RecordKey* key = FindByHash(sample.subject_hash);
   if (key == nullptr) return MergeResult::kUnknownBase;
   StoredRecord& stored = m_records.at(*key);
-  if (TagOf(stored.record.version) != sample.incarnation_tag) return MergeResult::kUnknownBase;
-  return ApplyLoad(stored, sample.sequence, sample.load, sample.draining, sample.age, now);
+  const std::uint64_t known = stored.record.version.sequence;
+  const auto step = static_cast<std::int16_t>(sample.sequence - static_cast<std::uint16_t>(known));
+  if (step < 0) return MergeResult::kOlder;
+  return ApplyLoad(stored, known + static_cast<std::uint64_t>(step), sample.load, sample.draining,
+                   sample.age, now);
 }
 
 MergeResult RecordTable::Merge(const StatusDelta& delta, core::Instant now) {
@@ -125,12 +139,7 @@
       continue;
     }
     if (key.kind == RecordKind::kMember) ++m_member_generation;
-    if (key.kind == RecordKind::kUpstream) {
-      const auto bucket = m_by_hash.find(SubjectHash(key.subject));
-      assert(bucket != m_by_hash.end());
-      std::erase(bucket->second, key);
-      if (bucket->second.empty()) m_by_hash.erase(bucket);
-    }
+    if (key.kind == RecordKind::kUpstream) RemoveHash(stored.record);
     expired.push_back(key);
     it = m_records.erase(it);
   }
@@ -171,11 +180,9 @@
 
 StatusSample ExportSample(const StoredRecord& stored, core::Instant now) {
   const auto& status = std::get<UpstreamStatus>(stored.record.payload);
-  return {SubjectHash(stored.record.key.subject),
-          TagOf(stored.record.version),
-          static_cast<std::uint32_t>(stored.record.version.sequence),
-          status.load,
-          status.draining,
+  const Version& version = stored.record.version;
+  return {SubjectHash(stored.record.key.subject, version.incarnation),
+          static_cast<std::uint16_t>(version.sequence), status.load, status.draining,
           now - stored.issued};
 }
 
--- a/packages/gossip/src/roster.cc
+++ b/packages/gossip/src/roster.cc
@@ -11,6 +11,8 @@
 // With two homes, one can fail or lose a datagram and the report still arrives.
 constexpr std::size_t kHomes = 2;
 
+constexpr std::size_t kWatchers = 3;
+
 }  // namespace
 
 Roster::Roster(const NodeSettings& settings, const RecordTable& table)
@@ -43,6 +45,15 @@
   if (hosts.size() > kHomes) hosts.resize(kHomes);
 }
 
+// The next kWatchers entry processes, in order of host id, from a place that the agent's id gives.
+bool Roster::Watches(const core::HostId& agent) const {
+  const std::size_t count = m_gossip.size() + 1;
+  const auto own = static_cast<std::size_t>(
+      std::lower_bound(m_gossip.begin(), m_gossip.end(), m_settings.self) - m_gossip.begin());
+  const std::size_t place = core::Hash64(agent.value()) % count;
+  return (own + count - place) % count < kWatchers;
+}
+
 void Roster::Refresh() {
   if (m_generation == m_table.member_generation()) return;
   m_generation = m_table.member_generation();
@@ -71,11 +82,10 @@
     if (leaf_agent) continue;
     (member.life == Life::kAlive ? m_gossip : suspects).push_back(host);
   }
-  // Agents of a data centre without live entry processes are probed by all others.
+  // Agents of a data centre without live entry processes are probed by a few others each.
   for (const core::HostId& host : far_agents) {
-    if (!m_leaf && !served.contains(m_table.FindMember(host)->data_centre)) {
-      m_probed.push_back(host);
-    }
+    const bool orphan = !m_leaf && !served.contains(m_table.FindMember(host)->data_centre);
+    if (orphan && Watches(host)) m_probed.push_back(host);
   }
   std::sort(m_probed.begin(), m_probed.end());
   if (m_gossip.empty()) m_gossip = suspects;
--- a/packages/gossip/src/urgency.cc
+++ b/packages/gossip/src/urgency.cc
@@ -22,7 +22,9 @@
             if (member.revision > highest_revision) return Urgency::kRevision;
             const Life before =
                 previous == nullptr ? Life::kAlive : std::get<MemberState>(previous->payload).life;
-            if (member.life != before) return Urgency::kSuspicion;
+            // The loss of an agent takes no upstream out of use, so it can wait.
+            const bool agent = member.role == Role::kAgent && member.life != Life::kLeft;
+            if (member.life != before) return agent ? Urgency::kJoin : Urgency::kSuspicion;
             return restarted ? Urgency::kJoin : Urgency::kRoutine;
           }},
       record.payload);
--- a/packages/gossip/tests/disseminator_test.cc
+++ b/packages/gossip/tests/disseminator_test.cc
@@ -62,7 +62,7 @@
   std::size_t bytes = 0;
   for (int round = 0; round < 240; ++round) {
     for (const Send& send : fixture.Tick()) {
-      const std::size_t size = EncodedSize(send.message) + kEnvelopeBytes;
+      const std::size_t size = EncodedSize(send.message) + EnvelopeBytes(fixture.settings.self);
       CHECK(size <= kDatagramLimit);
       bytes += size + kNetworkBytes;
     }
--- a/packages/gossip/tests/record_table_test.cc
+++ b/packages/gossip/tests/record_table_test.cc
@@ -97,10 +97,10 @@
 // Guards against an update of an earlier life of the agent, or of an unknown base, being applied.
 TEST_CASE("updates without their base are ignored") {
   RecordTable table;
-  StatusSample sample{SubjectHash("u"), 7, 5, Load{1, 2, 3, 4}, false, {}};
+  StatusSample sample{SubjectHash("u", 7), 5, Load{1, 2, 3, 4}, false, {}};
   CHECK(table.Merge(sample, kNow) == MergeResult::kUnknownBase);
   table.Merge(Status(1, {}), kNow);
-  sample.incarnation_tag = 6;
+  sample.subject_hash = SubjectHash("u", 6);
   CHECK(table.Merge(sample, kNow) == MergeResult::kUnknownBase);
   CHECK(table.Merge(StatusDelta{core::UpstreamId("u"), 7, 16, 17, 1, Load{9, 0, 0, 0}, {}}, kNow) ==
         MergeResult::kUnknownBase);
--- a/packages/gossip/tests/sim_network.cc
+++ b/packages/gossip/tests/sim_network.cc
@@ -150,4 +150,10 @@
   return found && !found->leaving;
 }
 
+Load SimNetwork::LoadOf(int agent) const {
+  const StoredRecord* own =
+      node(agent).table().Find({RecordKind::kUpstream, Upstream(agent).value()});
+  return own == nullptr ? Load{} : std::get<UpstreamStatus>(own->record.payload).load;
+}
+
 }  // namespace cornelrelay::gossip::testing
--- a/packages/gossip/tests/sim_network.h
+++ b/packages/gossip/tests/sim_network.h
@@ -57,7 +57,8 @@
   core::HostId Id(int host) const;
   core::UpstreamId Upstream(int agent) const;
   core::DataCentreId DataCentre(int host) const;
-  Load LoadOf(int agent) const { return m_hosts[agent].load; }
+  /// \brief The load that the agent published last; changes within the noise are not published.
+  Load LoadOf(int agent) const;
 
  private:
   struct Host {
--- a/packages/wire/src/gossip_fields.h
+++ b/packages/wire/src/gossip_fields.h
@@ -10,7 +10,7 @@
 
 constexpr std::size_t kMaxElements = 255;
 constexpr std::size_t kRecordBytes = 19;
-constexpr std::size_t kSampleBytes = 16;
+constexpr std::size_t kSampleBytes = 11;
 constexpr std::size_t kDeltaBytes = 13;
 // Two bytes of 200 ms hold 3.6 h, more than the longest time to live.
 constexpr core::Duration kRecordAgeUnit = std::chrono::milliseconds(200);
@@ -91,10 +91,20 @@
 
 template <class Ar>
 void Code(Ar& ar, Ref<Ar, gossip::StatusSample> sample) {
-  ar.archive(sample.subject_hash, sample.incarnation_tag, sample.sequence);
+  ar.archive(sample.subject_hash, sample.sequence);
   Code(ar, sample.load);
-  Flag(ar, sample.draining);
-  DurationNear<std::uint8_t>(ar, sample.age, kLoadAgeUnit);
+  // Draining takes the top bit of the byte with the age, which then reaches 32 s.
+  std::uint8_t bits = 0;
+  if constexpr (!Ar::kReads) {
+    const auto units = (sample.age + kLoadAgeUnit / 2) / kLoadAgeUnit;
+    bits = static_cast<std::uint8_t>(std::clamp<std::int64_t>(units, 0, 127));
+    if (sample.draining) bits |= 128U;
+  }
+  ar.archive(bits);
+  if constexpr (Ar::kReads) {
+    sample.draining = bits >= 128;
+    sample.age = kLoadAgeUnit * (bits & 127U);
+  }
 }
 
 template <class Ar>
--- a/packages/wire/tests/message_generator.h
+++ b/packages/wire/tests/message_generator.h
@@ -79,8 +79,8 @@
     push.deltas.push_back(delta);
   }
   for (std::size_t i = Below(4); i > 0; --i) {
-    push.samples.push_back({Any<std::uint32_t>(), Any<std::uint16_t>(), Any<std::uint32_t>(),
-                            AnyLoad(), Any<bool>(), Any<std::uint8_t>() * core::Duration(250000)});
+    push.samples.push_back({Any<std::uint32_t>(), Any<std::uint16_t>(), AnyLoad(), Any<bool>(),
+                            static_cast<int>(Below(128)) * core::Duration(250000)});
   }
   return push;
 }
--- a/packages/wire/tests/sealed_datagram_test.cc
+++ b/packages/wire/tests/sealed_datagram_test.cc
@@ -26,7 +26,9 @@
     const SealedDatagram datagram{core::HostId(AnyText(kMaxSenderId)), Any<std::uint64_t>(),
                                   Any<std::uint64_t>(), AnyText(200)};
     const std::string bytes = Seal(datagram, kKey);
-    RC_ASSERT(bytes.size() <= datagram.payload.size() + gossip::kEnvelopeBytes);
+    // The last byte of the gossip package's figure is the mark at the start of a payload.
+    RC_ASSERT(bytes.size() + 1 == datagram.payload.size() + gossip::EnvelopeBytes(datagram.sender));
+    RC_ASSERT(gossip::EnvelopeBytes(datagram.sender) <= gossip::kEnvelopeBytes);
     RC_ASSERT(Open(bytes, kKey, 1200) == datagram);
     RC_ASSERT_THROWS_AS(Open(bytes, MacKey("another key 5678"), 1200), ForgedDatagram);
     std::string changed = bytes;
