Trust load reports for a tenth of a second

Cause: with a half-life of 2 s all entry processes acted on the same queue of a second ago and herded. Change: report_half_life 2 s -> 100 ms; the benchmark varies the number of entry processes. Reports a second old say little about queues that live for tenths of a second.

--- a/packages/policybench/include/cornelrelay/policybench/matters.h
+++ b/packages/policybench/include/cornelrelay/policybench/matters.h
@@ -9,7 +9,8 @@
 namespace cornelrelay::policybench {
 
 /// \brief The tables of one matter of the design page's decision goals.
-Table RoutingTable(std::uint64_t seed, const std::map<std::string, double>& router, bool ours_only);
+Table RoutingTable(std::uint64_t seed, std::size_t entry_processes,
+                   const std::map<std::string, double>& router, bool ours_only);
 Table FairnessTable(std::uint64_t seed);
 Table RetryTable(std::uint64_t seed);
 
--- a/packages/policybench/main/cornelrelay-policy-bench.cc
+++ b/packages/policybench/main/cornelrelay-policy-bench.cc
@@ -34,6 +34,8 @@
   app.add_option("--out", out, "directory for CSV and SVG files");
   std::vector<std::string> settings;
   bool ours_only = false;
+  std::size_t entries = 8;
+  app.add_option("--entry-processes", entries, "entry processes of the routing runs");
   app.add_option("--router", settings, "trial setting of the router, name=value; repeatable");
   app.add_flag("--ours-only", ours_only, "leave out the routing baselines");
   CLI11_PARSE(app, argc, argv);
@@ -55,7 +57,7 @@
   std::cout << "seed " << seed << "\n\n";
   const auto wanted = [&](const std::string& name) { return matter == "all" || matter == name; };
   if (wanted("routing")) {
-    Emit(cornelrelay::policybench::RoutingTable(seed, router, ours_only), out, 3, {0, 1});
+    Emit(cornelrelay::policybench::RoutingTable(seed, entries, router, ours_only), out, 3, {0, 1});
   }
   return 0;
 }
--- a/packages/policybench/src/routing_table.cc
+++ b/packages/policybench/src/routing_table.cc
@@ -6,8 +6,8 @@
 
 namespace cornelrelay::policybench {
 
-Table RoutingTable(std::uint64_t seed, const std::map<std::string, double>& router,
-                   bool ours_only) {
+Table RoutingTable(std::uint64_t seed, std::size_t entry_processes,
+                   const std::map<std::string, double>& router, bool ours_only) {
   Table table("routing", {"shape", "policy", "p50 ms", "p95 ms", "p99 ms", "gap p95 ms", "slow %",
                           "cache hit %", "detect mean", "detect max", "recover s", "requests"});
   for (const Shape& shape : Shapes()) {
@@ -19,6 +19,7 @@
       if (ours_only && policy != "ours") continue;
       routing_case.router = router;
       routing_case.seed = seed;
+      routing_case.entry_processes = entry_processes;
       runs.push_back(RunRouting(routing_case));
     }
     double ours = 0, best = 0;
--- a/packages/routing/include/cornelrelay/routing/router_config.h
+++ b/packages/routing/include/cornelrelay/routing/router_config.h
@@ -20,7 +20,9 @@
   double gain = 0.25;        ///< weight of one result in the running means
   double slow_factor = 2.0;  ///< a replica this much slower than the fleet's median is slow
   double recovered_factor = 1.4;
-  core::Duration report_half_life = std::chrono::seconds(2);
+  /// Queues before the first token live for tenths of a second. With a longer half-life all entry
+  /// processes act on the same outdated queue.
+  core::Duration report_half_life = std::chrono::milliseconds(100);
   core::Duration probe_interval = std::chrono::seconds(4);
 
   std::size_t failures_to_eject = 3;
