Judge the speed of a replica by its token rate

Cause: the running mean of first tokens differs between equal replicas by queueing and by wrong guesses about the cache, so scores avoided a conversation's replica and its cached prefix. Change: first tokens count against a replica above 2.5 times the median, or 6 times where token rates are known.

--- a/packages/routing/src/router_estimates.cc
+++ b/packages/routing/src/router_estimates.cc
@@ -15,6 +15,14 @@
 // differences come from the size of the batch.
 constexpr double kTokenTimeTolerance = 1.5;
 
+// First tokens wait in queues, so their running mean varies by this factor between equal replicas.
+// Scoring by smaller differences chases queues that are gone and loses cached prefixes.
+constexpr double kFirstTimeTolerance = 2.5;
+
+// Token rates depend on neither queues nor the cache. Where they are known, first tokens count only
+// in the extreme.
+constexpr double kFirstTimeToleranceWithRates = 6;
+
 double Micros(core::Duration duration) { return static_cast<double>(duration.count()); }
 
 // The load of other processes drifts back to the fleet's mean after it was measured.
@@ -63,11 +71,13 @@
 }
 
 double ReplicaRouter::Slowness(const Record& record, const FleetView& fleet) const {
+  const bool rates = record.token_time > 0 && fleet.token_time > 0;
   double slowness = 1;
   if (record.first_work > 0 && fleet.unit_time > 0) {
-    slowness = record.first_time / record.first_work / fleet.unit_time;
+    const double ratio = record.first_time / record.first_work / fleet.unit_time;
+    if (ratio > (rates ? kFirstTimeToleranceWithRates : kFirstTimeTolerance)) slowness = ratio;
   }
-  if (record.token_time > 0 && fleet.token_time > 0) {
+  if (rates) {
     const double ratio = record.token_time / fleet.token_time;
     if (ratio > kTokenTimeTolerance) slowness = std::max(slowness, ratio);
   }
--- a/packages/routing/src/router_results.cc
+++ b/packages/routing/src/router_results.cc
@@ -17,10 +17,6 @@
 constexpr core::Duration kOwnLoadSpan = std::chrono::seconds(10);
 constexpr std::size_t kOwnLoadEntries = 512;
 
-// Waiting in a queue makes first tokens vary far more than token rates, so they need a larger
-// factor to prove slowness.
-constexpr double kFirstTokenTolerance = 1.5;
-
 double Micros(core::Duration duration) { return static_cast<double>(duration.count()); }
 
 void Blend(double& mean, double sample, double gain) { mean += gain * (sample - mean); }
@@ -157,13 +153,7 @@
     SetPhase(now, record, ReplicaPhase::kSteady, out);
   }
   const FleetView fleet = View(now);
-  double ratio = 0;
-  if (record.first_work > 0) {
-    ratio = record.first_time / record.first_work / fleet.unit_time / kFirstTokenTolerance;
-  }
-  if (record.token_time > 0 && fleet.token_time > 0) {
-    ratio = std::max(ratio, record.token_time / fleet.token_time);
-  }
+  const double ratio = Slowness(record, fleet);
   if (record.phase == ReplicaPhase::kSlow) {
     if (ratio < m_config.recovered_factor) SetPhase(now, record, ReplicaPhase::kRamping, out);
   } else if (record.phase != ReplicaPhase::kEjected && ratio > m_config.slow_factor &&
