Answer load reports in proportion to the own part of the load

Cause: 64 entry processes that each gave a reported difference the weight 0.1 herded. Change: the weight is the own part of the fleet's load.

--- a/packages/policybench/src/router_options.cc
+++ b/packages/policybench/src/router_options.cc
@@ -19,7 +19,6 @@
       {"gain", [&] { config.gain = value; }},
       {"slow_factor", [&] { config.slow_factor = value; }},
       {"report_half_life_ms", [&] { config.report_half_life = Millis(value); }},
-      {"report_weight", [&] { config.report_weight = value; }},
       {"probe_interval_ms", [&] { config.probe_interval = Millis(value); }},
       {"affinity_bound", [&] { config.affinity_bound = value; }},
       {"home_hit_prior", [&] { config.home_hit_prior = value; }},
--- a/packages/routing/include/cornelrelay/routing/router_config.h
+++ b/packages/routing/include/cornelrelay/routing/router_config.h
@@ -23,10 +23,6 @@
   /// Queues before the first token live for tenths of a second. With a longer half-life all entry
   /// processes act on the same outdated queue.
   core::Duration report_half_life = std::chrono::milliseconds(100);
-  /// Part of a reported difference in outstanding requests that a score believes. All entry
-  /// processes see the same report; with the full weight they fill the replica that was least
-  /// loaded a second ago.
-  double report_weight = 0.1;
   core::Duration probe_interval = std::chrono::seconds(4);
 
   std::size_t failures_to_eject = 3;
--- a/packages/routing/src/router_estimates.cc
+++ b/packages/routing/src/router_estimates.cc
@@ -107,7 +107,10 @@
   if (!record.reported_at) return 0;
   const double age = Micros(now - *record.reported_at);
   const double hold = fleet.hold_time > 0 ? fleet.hold_time : Micros(m_config.report_half_life);
-  return m_config.report_weight * std::exp(-age / hold);
+  // All entry processes see the same report. If each answered it in full, they would together fill
+  // the replica that was least loaded a second ago, so each answers for its own part of the load.
+  const double all = fleet.own_outstanding + fleet.others_outstanding;
+  return all > 0 ? fleet.own_outstanding / all * std::exp(-age / hold) : 0;
 }
 
 core::Duration ReplicaRouter::SlotWait(core::Instant now, const Record& record,
