--- a/packages/profile/tests/simulation.h
+++ b/packages/profile/tests/simulation.h
@@ -19,14 +19,14 @@
 #include "cornelrelay/profile/catalogue_editor.h"
 #include "cornelrelay/profile/catalogue_replica.h"
 #include "cornelrelay/profile/change_rejected.h"
+#include "oracle.h"
 #include "store_adapter.h"
 
 namespace cornelrelay::profile::testing {
 
 /// \brief Some processes, a store and faulty networks between them, in simulated time.
 ///
-/// The oracle checks at each write to the store and at each applied catalogue; CheckOutcomes()
-/// compares what operators were told with what was written. Violations are thrown as strings.
+/// The oracle throws at the first violation.
 class Simulation {
  public:
   struct Faults {
@@ -36,7 +36,6 @@
 
   Simulation(std::size_t processes, std::uint64_t seed, Faults faults)
       : m_faults(faults), m_random(seed) {
-    m_catalogues.push_back(Catalogue::Initial());
     for (std::size_t i = 0; i < processes; ++i) {
       m_processes.emplace_back();
       Restart(i);
@@ -50,10 +49,13 @@
   void Cut(std::size_t a, std::size_t b) { m_cut.insert(std::minmax(a, b)); }
   void HealLinks() { m_cut.clear(); }
   std::uint64_t StoreCalls() const { return m_store.Calls(); }
+  void CheckOutcomes() const { m_oracle.CheckOutcomes(); }
   std::size_t size() const { return m_processes.size(); }
   core::Instant now() const { return m_now; }
-  CatalogueRevision Newest() const { return m_catalogues.back().revision(); }
-  const std::vector<std::pair<ChangeRequest, EditOutcome>>& Outcomes() const { return m_outcomes; }
+  CatalogueRevision Newest() const { return m_oracle.Newest(); }
+  const std::vector<std::pair<ChangeRequest, EditOutcome>>& Outcomes() const {
+    return m_oracle.Outcomes();
+  }
 
   std::optional<CatalogueRevision> RevisionAt(std::size_t i) const {
     return m_processes[i].replica->revision();
@@ -79,7 +81,7 @@
   void SetWatching(std::size_t i, bool watching) { RunReplica(i, WatcherChosen{watching}); }
 
   void StartEdit(std::size_t i, const ChangeRequest& request) {
-    m_requests[request.id] = request;
+    m_oracle.AddRequest(request);
     m_processes[i].editors.emplace_back(request, EditorOptions{}, m_faults.editor);
     RunEditor(i, m_processes[i].editors.size() - 1, EditorTick{});
   }
@@ -102,25 +104,6 @@
     }
   }
 
-  /// \brief What operators were told must agree with what the store holds now.
-  void CheckOutcomes() const {
-    for (const auto& [request, outcome] : m_outcomes) {
-      const auto written = m_written.find(request.id);
-      if (const auto* applied = std::get_if<EditApplied>(&outcome)) {
-        Require(written != m_written.end(), "an accepted change is not in the store");
-        Require(written->second == applied->revision, "an accepted change has another revision");
-        Require(!request.seen || *request.seen + 1 == applied->revision,
-                "a change was accepted over one that its operator had not seen");
-      } else if (!std::holds_alternative<OutcomeUnknown>(outcome)) {
-        Require(written == m_written.end(), "a change reported as not made is in the store");
-      }
-      if (const auto* conflict = std::get_if<CatalogueConflict>(&outcome)) {
-        Require(conflict->mine() == request, "a conflict shows another change as the own one");
-        Require(!conflict->winners().empty(), "a conflict shows no winner");
-      }
-    }
-  }
-
  private:
   struct Process {
     int incarnation = 0;
@@ -133,10 +116,6 @@
     std::optional<CatalogueRevision> revision;
   };
 
-  static void Require(bool condition, const char* violation) {
-    if (!condition) throw std::string(violation);
-  }
-
   void After(core::Duration delay, std::function<void()> action) {
     m_messages.emplace(m_now + delay, std::move(action));
   }
@@ -178,7 +157,7 @@
     m_transmissions[key] = {i, incarnation, action.transmission};
     After(Delay(m_store_delay), [this, key, request = action.request] {
       const auto reply = m_store.Handle(m_now, key, request);
-      CheckWrites();
+      m_oracle.CheckWrites(m_store.Writes());
       if (reply) AnswerWatch(key, *reply);
     });
   }
@@ -209,8 +188,8 @@
   void RunEditor(std::size_t i, std::size_t editor, const EditorEvent& event) {
     for (const auto& action : m_processes[i].editors[editor].Step(m_now, event)) {
       std::visit(core::Overloaded{[&](const EditFinished& a) {
-                                    m_outcomes.emplace_back(
-                                        m_processes[i].editors[editor].request(), a.outcome);
+                                    m_oracle.AddOutcome(m_processes[i].editors[editor].request(),
+                                                        a.outcome);
                                   },
                                   [&](const auto& a) { Submit(i, editor + 1, a); }},
                  action);
@@ -223,7 +202,9 @@
                                   [&](const WatchCatalogueKey& a) { Submit(i, 0, a); },
                                   [&](const CancelStoreCall& a) { CancelCall(i, a); },
                                   [&](const FetchFromPeer& a) { Fetch(i, a); },
-                                  [&](const ApplyCatalogue& a) { CheckApplied(i, *a.catalogue); },
+                                  [&](const ApplyCatalogue& a) {
+                                    m_oracle.CheckApplied(m_processes[i].revision, *a.catalogue);
+                                  },
                                   [&](const ConfirmRevision& a) { Confirm(i, a); },
                                   [](const ReportMalformed& a) { throw a.reason; }},
                  action);
@@ -274,33 +255,6 @@
     }
   }
 
-  void CheckApplied(std::size_t i, const Catalogue& catalogue) {
-    Process& p = m_processes[i];
-    Require(!p.revision || catalogue.revision() > *p.revision, "a revision decreased");
-    p.revision = catalogue.revision();
-    Require(catalogue.revision() < m_catalogues.size() &&
-                m_catalogues[catalogue.revision()] == catalogue,
-            "an applied catalogue was never in the store");
-  }
-
-  void CheckWrites() {
-    for (; m_checked_writes < m_store.Writes().size(); ++m_checked_writes) {
-      const Catalogue next = DecodeCatalogue(*m_store.Writes()[m_checked_writes].value);
-      const ChangeId id = next.content().change_ids.back();
-      Require(m_written.emplace(id, next.revision()).second, "a change was applied twice");
-      Require(Follows(next, m_requests.at(id)), "a write lost an accepted change");
-      m_catalogues.push_back(next);
-    }
-  }
-
-  bool Follows(const Catalogue& next, const ChangeRequest& request) const {
-    try {
-      return next == ApplyChange(m_catalogues.back(), request);
-    } catch (const ChangeRejected&) {
-      return false;  // the edit cannot be made on the catalogue that it replaced
-    }
-  }
-
   struct Transmission {
     std::size_t process = 0;
     int incarnation = 0;
@@ -318,11 +272,7 @@
   std::multimap<core::Instant, std::function<void()>> m_messages;
   std::map<std::uint64_t, Transmission> m_transmissions;
   std::uint64_t m_last_transmission = 0;
-  std::map<ChangeId, ChangeRequest> m_requests;
-  std::map<ChangeId, CatalogueRevision> m_written;
-  std::vector<Catalogue> m_catalogues;  ///< by revision
-  std::size_t m_checked_writes = 0;
-  std::vector<std::pair<ChangeRequest, EditOutcome>> m_outcomes;
+  Oracle m_oracle;
 };
 
 }  // namespace cornelrelay::profile::testing
