Connect the crash ledger to the request path

Cause: a request that crashes its upstream was sent on to the next one, and a refused connection used up the retry budget, so that with little traffic an idempotent call failed on the first dead replica. Change: each run is asked of the crash ledger; a broken attempt is held back while its upstream is examined, and its records spread as gossip notes; a refused connection retries without a token of the budget. Ruled out: the engine's exit itself; its socket accepts for a moment after the connection broke, so one look was too early and the crash went unnoticed.

--- a/packages/agent/src/agent_process.cc
+++ b/packages/agent/src/agent_process.cc
@@ -115,7 +115,9 @@
   const auto limit = m_clock.Now() + m_settings.common.shutdown_limit;
   co_await Pause(kNoticeTime);
   // An upstream that does not answer any more has no work to wait for.
-  while (m_load && !m_load->Idle() && m_clock.Now() < limit) co_await Pause(kDrainPoll);
+  while (m_load && !m_load->Idle() && m_clock.Now() < limit) {
+    co_await Pause(kDrainPoll);
+  }
   m_control.Step(gossip::Leave{});
   co_await Pause(kLeaveTime);
   m_log.Info("shutdown_finished", {{"upstream", m_settings.upstream}});
--- a/packages/entry/include/cornelrelay/entry/attempt_runner.h
+++ b/packages/entry/include/cornelrelay/entry/attempt_runner.h
@@ -31,7 +31,7 @@
   bool reuse_connection = false;
   request::StreamPosition resume_after;
   std::size_t max_event_bytes = 65536;
-  std::size_t max_answer_bytes = 16 * 1024 * 1024;
+  std::size_t max_answer_bytes = 16'777'216;
   std::chrono::milliseconds silence_limit{30000};  ///< longest wait for the next bytes
 };
 
--- a/packages/entry/include/cornelrelay/entry/request_task.h
+++ b/packages/entry/include/cornelrelay/entry/request_task.h
@@ -3,6 +3,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -13,7 +14,9 @@
 #include "cornelrelay/entry/typed_error.h"
 #include "cornelrelay/net/response_stream.h"
 #include "cornelrelay/profile/profile.h"
+#include "cornelrelay/quarantine/fingerprint.h"
 #include "cornelrelay/request/request_machine.h"
+#include "cornelrelay/runtime/wake_timer.h"
 
 namespace cornelrelay::entry {
 
@@ -28,6 +31,10 @@
   RequestTask(RequestServices& services, ServiceRuntime& service, const profile::Profile& profile,
               CallerRequest request, core::RequestId internal_id, net::ResponseStream& response);
 
+  ~RequestTask();
+  RequestTask(const RequestTask&) = delete;
+  RequestTask& operator=(const RequestTask&) = delete;
+
   boost::asio::awaitable<void> Run();
 
   /// \brief The limit of a graceful shutdown has passed.
@@ -51,6 +58,12 @@
   void Perform(const request::RecordAttempt& action);
   void Perform(const request::RecordOutcome& action);
 
+  void RequestRun();
+  void ChooseWithin(const quarantine::AllowRun& allowed);
+  void OnRunRefused(const quarantine::RefuseRun& refusal);
+  bool HeldBack(const request::RequestEvent& event);
+  routing::RouteQuery Query() const;
+  std::vector<core::UpstreamId> Candidates();
   void NoteCandidates(const routing::RoutingDecision& decision);
   void CountOutcome(const request::RecordOutcome& action);
   boost::asio::awaitable<void> Flush();
@@ -69,7 +82,15 @@
   std::shared_ptr<RequestMailbox> m_mailbox;
   request::RequestMachine m_machine;
   core::Instant m_deadline;
-  std::string m_fingerprint;
+  quarantine::Fingerprint m_fingerprint;
+  std::set<core::UpstreamId> m_tried;
+  core::AttemptId m_run;  ///< the current wish to send, as the crash ledger knows it
+  int m_runs = 0;
+  bool m_run_open = false;
+  core::AttemptId m_examined;  ///< attempt whose broken connection has been looked into
+  core::UpstreamId m_upstream;
+  request::AttemptResult m_last_result = request::AttemptResult::kCancelled;
+  runtime::WakeTimer m_run_retry;
   std::shared_ptr<AttemptRunner> m_attempt;
   core::AttemptId m_attempt_id;
   std::string m_output;    ///< answer bytes that the caller has not been sent yet
--- a/packages/entry/src/entry_process.cc
+++ b/packages/entry/src/entry_process.cc
@@ -94,7 +94,8 @@
                   }),
       m_claims(context, m_clock, *m_store, m_control, m_settings.common.host, m_incarnation,
                seed + 3),
-      m_crashes(m_clock, m_control, log),
+      m_crashes(context, m_clock, m_upstream_client, m_control, log, m_settings.common.host,
+                m_incarnation),
       m_services(MakeServices(seed + 4)),
       m_gateway(
           RequestServices{context, m_clock, m_upstream_client, m_admission, m_claims, m_crashes,
@@ -166,7 +167,7 @@
     m_admission.Receive(limits::SettledReceived{record.origin, standing->view,
                                                 static_cast<limits::Standing>(standing->standing),
                                                 StatementOrder(record.version)});
-  } else if (const auto* crash = std::get_if<gossip::CrashRecord>(&record.payload)) {
+  } else if (const auto* crash = std::get_if<gossip::CrashNote>(&record.payload)) {
     m_crashes.Receive(*crash);
   } else {
     UpdateReplicas();
@@ -288,7 +289,9 @@
     m_gateway.EndAll();
     co_await Pause(std::chrono::milliseconds(200));
   }
-  while (m_claims.HasUnfinished() && m_clock.Now() < limit) co_await Pause(kDrainPoll);
+  while (m_claims.HasUnfinished() && m_clock.Now() < limit) {
+    co_await Pause(kDrainPoll);
+  }
   m_log.Info("shutdown_finished");
   m_context.stop();
 }
--- a/packages/entry/src/request_task.cc
+++ b/packages/entry/src/request_task.cc
@@ -15,7 +15,7 @@
 
 constexpr std::chrono::milliseconds kClaimTimeout{1500};
 constexpr std::size_t kMaxRecordedBytes = 512;
-constexpr std::size_t kFlushBytes = 16 * 1024;
+constexpr std::size_t kFlushBytes = 16'384;
 constexpr int kStatusOk = 200;
 
 core::Duration DeadlineOf(const CallerRequest& request, const profile::Profile& profile) {
@@ -42,10 +42,9 @@
   return facts;
 }
 
-std::string FingerprintOf(const CallerRequest& request) {
-  const std::string place =
-      request.account.value() + '\n' + request.service.value() + '\n' + request.upstream.target;
-  return std::to_string(core::Hash64(request.upstream.body, core::Hash64(place)));
+quarantine::Fingerprint FingerprintOf(const CallerRequest& request) {
+  return quarantine::Fingerprint::Of(request.account, request.service,
+                                     request.upstream.target + '\n' + request.upstream.body);
 }
 
 std::uint8_t PriorityOf(const profile::Profile& profile) {
@@ -67,7 +66,8 @@
       m_machine(PolicyOf(m_request, m_profile), FactsOf(m_request, m_internal_id),
                 services.clock.Now()),
       m_deadline(services.clock.Now() + DeadlineOf(m_request, m_profile)),
-      m_fingerprint(FingerprintOf(m_request)) {
+      m_fingerprint(FingerprintOf(m_request)),
+      m_run_retry(services.context, services.clock, [this] { RequestRun(); }) {
   m_record.time = std::chrono::sys_time<std::chrono::milliseconds>(
       std::chrono::duration_cast<std::chrono::milliseconds>(
           services.clock.Now().time_since_epoch()));
@@ -76,6 +76,11 @@
   m_record.service = m_request.service;
 }
 
+RequestTask::~RequestTask() {
+  m_mailbox->Close();
+  if (m_run_open) m_services.crashes.Ended(m_run, false);
+}
+
 boost::asio::awaitable<void> RequestTask::Run() {
   m_response.NotifyGone([mailbox = m_mailbox] { mailbox->Push(request::CallerGone{}); });
   m_service.retry_budget().OnRequest();
@@ -86,7 +91,7 @@
     while (m_output.size() < kFlushBytes) {
       std::optional<request::RequestEvent> event = m_mailbox->Pop();
       if (!event) break;
-      Step(*event);
+      if (!HeldBack(*event)) Step(*event);
     }
     Step(request::TimePassed{});
     co_await Flush();
@@ -116,10 +121,6 @@
   arrival.priority = PriorityOf(m_profile);
   arrival.deadline = m_deadline;
   arrival.work = m_request.size.prompt + m_request.size.output;
-  if (!m_services.crashes.MayRun(m_fingerprint)) {
-    m_mailbox->Push(request::Refused{request::RequestError::kRequestQuarantined, std::nullopt});
-    return;
-  }
   m_services.admission.Arrive(
       arrival, [mailbox = m_mailbox](const request::RequestEvent& event) { mailbox->Push(event); });
 }
@@ -139,13 +140,63 @@
 }
 
 void RequestTask::Perform(const request::ChooseReplica& action) {
+  m_tried = action.excluded;
+  RequestRun();
+}
+
+routing::RouteQuery RequestTask::Query() const {
   routing::RouteQuery query;
   query.request = m_request.id;
   query.size = m_request.size;
   if (m_profile.routing.prefix_affinity) query.prefix_key = m_request.prefix;
   query.priority = PriorityOf(m_profile);
-  query.excluded = action.excluded;
-  const auto decision = m_service.router().Choose(m_services.clock.Now(), query);
+  query.excluded = m_tried;
+  return query;
+}
+
+// Only a suspect needs the list; it then runs on the first upstream that has no other suspect.
+std::vector<core::UpstreamId> RequestTask::Candidates() {
+  std::vector<core::UpstreamId> candidates;
+  routing::RouteQuery query = Query();
+  while (candidates.size() < m_service.settings().upstreams.size()) {
+    const auto decision = m_service.router().Choose(m_services.clock.Now(), query);
+    if (!decision.chosen) break;
+    candidates.push_back(*decision.chosen);
+    query.excluded.insert(*decision.chosen);
+  }
+  return candidates;
+}
+
+void RequestTask::RequestRun() {
+  RunOrder order;
+  order.run = core::AttemptId(m_internal_id.value() + "/run-" + std::to_string(++m_runs));
+  order.fingerprint = m_fingerprint;
+  if (m_services.crashes.IsSuspect(m_fingerprint)) order.candidates = Candidates();
+  m_run = order.run;
+  m_run_open = true;
+  m_services.crashes.Request(
+      order,
+      [this, mailbox = m_mailbox](const quarantine::AllowRun& allowed) {
+        if (!mailbox->closed()) ChooseWithin(allowed);
+      },
+      [this, mailbox = m_mailbox](const quarantine::RefuseRun& refusal) {
+        if (!mailbox->closed()) OnRunRefused(refusal);
+      });
+}
+
+void RequestTask::ChooseWithin(const quarantine::AllowRun& allowed) {
+  if (!allowed.only.empty()) {
+    m_mailbox->Push(request::ReplicaChosen{allowed.only});
+    return;
+  }
+  routing::RouteQuery query = Query();
+  query.excluded.insert(allowed.excluded.begin(), allowed.excluded.end());
+  routing::RouteQuery preferred = query;
+  preferred.excluded.insert(allowed.avoid.begin(), allowed.avoid.end());
+  auto decision = m_service.router().Choose(m_services.clock.Now(), preferred);
+  if (!decision.chosen && !allowed.avoid.empty()) {
+    decision = m_service.router().Choose(m_services.clock.Now(), query);
+  }
   NoteCandidates(decision);
   if (decision.chosen) {
     m_mailbox->Push(request::ReplicaChosen{*decision.chosen});
@@ -154,6 +205,30 @@
   }
 }
 
+void RequestTask::OnRunRefused(const quarantine::RefuseRun& refusal) {
+  m_run_open = false;
+  const auto again = m_services.clock.Now() + refusal.retry_after;
+  if (refusal.reason == quarantine::RefuseReason::kProbedElsewhere && again < m_deadline) {
+    m_run_retry.SetAt(again);
+    return;
+  }
+  m_mailbox->Push(
+      request::Refused{request::RequestError::kRequestQuarantined, refusal.retry_after});
+}
+
+// A broken attempt is first looked into: if its upstream has died, the request may be the cause,
+// and neither its caller nor a retry may carry it to another upstream before the others know.
+bool RequestTask::HeldBack(const request::RequestEvent& event) {
+  const auto* closed = std::get_if<request::UpstreamClosed>(&event);
+  if (closed == nullptr || closed->attempt != m_attempt_id || m_examined == m_attempt_id) {
+    return false;
+  }
+  m_examined = m_attempt_id;
+  m_services.crashes.Broken(m_run, m_upstream, m_service.EndpointOf(m_upstream),
+                            [mailbox = m_mailbox, again = *closed] { mailbox->Push(again); });
+  return true;
+}
+
 void RequestTask::NoteCandidates(const routing::RoutingDecision& decision) {
   m_record.candidates.clear();
   for (const auto& candidate : decision.candidates) {
@@ -167,7 +242,9 @@
 }
 
 void RequestTask::Perform(const request::AskRetryToken&) {
-  if (m_service.retry_budget().TryRetry()) {
+  // A refused connection cost no upstream any work, so only sent attempts use up the budget.
+  const bool free = m_last_result == request::AttemptResult::kConnectFailed;
+  if (free || m_service.retry_budget().TryRetry()) {
     m_mailbox->Push(request::RetryGranted{});
   } else {
     m_mailbox->Push(request::RetryDenied{});
@@ -182,7 +259,8 @@
   started.size = m_request.size;
   if (m_profile.routing.prefix_affinity) started.prefix_key = m_request.prefix;
   m_service.router().Step(now, started);
-  m_services.crashes.Started(m_fingerprint, action.attempt, action.upstream);
+  m_upstream = action.upstream;
+  m_services.crashes.Started(m_run, action.upstream);
 
   AttemptOrder order;
   order.attempt = action.attempt;
@@ -246,26 +324,23 @@
 void RequestTask::Perform(const request::RecordAttempt& action) {
   const auto now = m_services.clock.Now();
   using request::AttemptResult;
+  m_last_result = action.result;
   switch (action.result) {
     case AttemptResult::kCompleted:
       m_service.router().Step(now, routing::AttemptFinished{action.attempt, m_output_events});
-      m_services.crashes.Completed(action.attempt);
       break;
     case AttemptResult::kCancelled:
       m_service.router().Step(now, routing::AttemptCancelled{action.attempt});
-      m_services.crashes.Ended(action.attempt);
       break;
     case AttemptResult::kBroken:
-      m_service.router().Step(now, routing::AttemptFailed{action.attempt});
-      m_services.crashes.Broken(action.attempt);
-      break;
     case AttemptResult::kConnectFailed:
     case AttemptResult::kFailed:
     case AttemptResult::kForeign:
       m_service.router().Step(now, routing::AttemptFailed{action.attempt});
-      m_services.crashes.Ended(action.attempt);
       break;
   }
+  m_run_open = false;
+  m_services.crashes.Ended(m_run, action.result == AttemptResult::kCompleted);
   telemetry::AttemptRecord record;
   record.attempt = action.attempt;
   record.upstream = action.upstream;
--- a/packages/gossip/include/cornelrelay/gossip/node_event.h
+++ b/packages/gossip/include/cornelrelay/gossip/node_event.h
@@ -36,8 +36,10 @@
 /// notice.
 struct Leave {};
 
+/// \brief Spreads a note; a later one of this process about the same subject replaces it.
 struct ReportCrash {
-  CrashRecord crash;
+  std::string subject;
+  CrashNote note;
 };
 
 /// \brief This process applied a catalogue revision.
--- a/packages/gossip/include/cornelrelay/gossip/record.h
+++ b/packages/gossip/include/cornelrelay/gossip/record.h
@@ -4,7 +4,7 @@
 
 #include "cornelrelay/core/ids.h"
 #include "cornelrelay/core/time.h"
-#include "cornelrelay/gossip/crash_record.h"
+#include "cornelrelay/gossip/crash_note.h"
 #include "cornelrelay/gossip/leaving_notice.h"
 #include "cornelrelay/gossip/limit_standing.h"
 #include "cornelrelay/gossip/member_state.h"
@@ -14,8 +14,7 @@
 
 namespace cornelrelay::gossip {
 
-using Payload =
-    std::variant<MemberState, UpstreamStatus, LeavingNotice, CrashRecord, LimitStanding>;
+using Payload = std::variant<MemberState, UpstreamStatus, LeavingNotice, CrashNote, LimitStanding>;
 
 /// \brief One versioned fact, passed between processes.
 ///
--- a/packages/gossip/src/gossip_node.cc
+++ b/packages/gossip/src/gossip_node.cc
@@ -83,12 +83,10 @@
                  },
                  [&](const Leave&) { OnLeave(now); },
                  [&](const ReportCrash& report) {
-                   const auto& bytes = report.crash.fingerprint;
                    // One record per reporter: two observers of a crash must not overwrite
                    // each other.
-                   std::string subject(bytes.begin(), bytes.end());
-                   PublishOwn(now, {RecordKind::kCrash, subject + m_settings.self.value()},
-                              report.crash, kCrashLife);
+                   const std::string subject = report.subject + '/' + m_settings.self.value();
+                   PublishOwn(now, {RecordKind::kCrash, subject}, report.note, kCrashLife);
                  },
                  [&](const SetRevision& set) {
                    if (set.revision <= m_revision) return;
--- a/packages/gossip/src/message_size.cc
+++ b/packages/gossip/src/message_size.cc
@@ -22,13 +22,7 @@
                                      },
                                      [](const LeavingNotice&) { return std::size_t{1}; },
                                      [](const LimitStanding&) { return std::size_t{9}; },
-                                     [](const CrashRecord& c) {
-                                       std::size_t size = c.fingerprint.size() + 1 + 8;
-                                       for (const auto& upstream : c.upstreams) {
-                                         size += Text(upstream.value());
-                                       }
-                                       return size;
-                                     }},
+                                     [](const CrashNote& c) { return 2 + c.bytes.size(); }},
                     payload);
 }
 
--- a/packages/gossip/src/state_dump.cc
+++ b/packages/gossip/src/state_dump.cc
@@ -13,16 +13,6 @@
 
 using nlohmann::json;
 
-std::string Hex(const Fingerprint& fingerprint) {
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  std::string text;
-  for (const std::uint8_t byte : fingerprint) {
-    text += kDigits[byte >> 4U];
-    text += kDigits[byte & 15U];
-  }
-  return text;
-}
-
 std::string_view Name(Life life) {
   constexpr std::string_view kNames[] = {"alive", "suspect", "dead", "left"};
   return kNames[static_cast<std::size_t>(life)];
@@ -51,14 +41,8 @@
                                      [](const LimitStanding& l) {
                                        return json{{"view", l.view}, {"standing", l.standing}};
                                      },
-                                     [](const CrashRecord& c) {
-                                       json upstreams = json::array();
-                                       for (const auto& upstream : c.upstreams) {
-                                         upstreams.push_back(upstream.value());
-                                       }
-                                       return json{{"fingerprint", Hex(c.fingerprint)},
-                                                   {"upstreams", upstreams},
-                                                   {"unix_milliseconds", c.unix_milliseconds}};
+                                     [](const CrashNote& c) {
+                                       return json{{"bytes", c.bytes.size()}};
                                      }},
                     payload);
 }
@@ -77,11 +61,7 @@
     entry["sequence"] = record.version.sequence;
     entry["age_ms"] =
         std::chrono::duration_cast<std::chrono::milliseconds>(now - stored.issued).count();
-    std::string subject = key.subject;
-    if (const auto* crash = std::get_if<CrashRecord>(&record.payload)) {
-      subject = Hex(crash->fingerprint) + '/' + record.origin.value();
-    }
-    dump[std::string(kKinds[static_cast<std::size_t>(key.kind)])][subject] = std::move(entry);
+    dump[std::string(kKinds[static_cast<std::size_t>(key.kind)])][key.subject] = std::move(entry);
   }
   return dump;
 }
--- a/packages/gossip/src/urgency.cc
+++ b/packages/gossip/src/urgency.cc
@@ -12,7 +12,7 @@
           [](const LeavingNotice&) { return Urgency::kLeaving; },
           // Shares stay small until every member has heard every statement.
           [](const LimitStanding&) { return Urgency::kRevision; },
-          [](const CrashRecord&) { return Urgency::kCrash; },
+          [](const CrashNote&) { return Urgency::kCrash; },
           [&](const UpstreamStatus& status) {
             if (status.draining &&
                 !(previous != nullptr && std::get<UpstreamStatus>(previous->payload).draining)) {
--- a/packages/gossip/tests/record_generator.h
+++ b/packages/gossip/tests/record_generator.h
@@ -33,8 +33,7 @@
                            Load{static_cast<std::uint8_t>(small(3)), 1, 2, 3}, small(2) == 1};
         break;
       case RecordKind::kCrash:
-        record.payload =
-            CrashRecord{{}, {core::UpstreamId("u")}, static_cast<std::uint64_t>(small(3))};
+        record.payload = CrashNote{std::string(static_cast<std::size_t>(small(3)), 'c')};
         break;
       default:
         record.payload = LeavingNotice{static_cast<LeavingScope>(small(2))};
--- a/packages/net/include/cornelrelay/net/http_client.h
+++ b/packages/net/include/cornelrelay/net/http_client.h
@@ -15,8 +15,8 @@
 struct HttpClientLimits {
   std::chrono::milliseconds connect_timeout{1000};
   std::size_t idle_connections_per_peer = 64;
-  std::uint32_t head_bytes = 16 * 1024;
-  std::size_t piece_bytes = 16 * 1024;
+  std::uint32_t head_bytes = 16'384;
+  std::size_t piece_bytes = 16'384;
 };
 
 /// \brief HTTP/1.1 client with a pool of idle connections per peer.
@@ -49,7 +49,7 @@
   /// \throws ConnectFailed, ExchangeBroken
   boost::asio::awaitable<HttpResponse> Fetch(core::Endpoint peer, HttpRequest request,
                                              std::chrono::milliseconds timeout,
-                                             std::size_t max_body = 4 * 1024 * 1024);
+                                             std::size_t max_body = 4'194'304);
 
  private:
   class Impl;
--- a/packages/net/include/cornelrelay/net/http_server.h
+++ b/packages/net/include/cornelrelay/net/http_server.h
@@ -18,8 +18,8 @@
 
 /// \brief Bounds on what one connection may send.
 struct HttpServerLimits {
-  std::uint32_t head_bytes = 16 * 1024;
-  std::uint64_t body_bytes = 4 * 1024 * 1024;
+  std::uint32_t head_bytes = 16'384;
+  std::uint64_t body_bytes = 4'194'304;
   std::size_t connections = 4096;
   std::chrono::seconds idle_timeout{75};
   std::chrono::seconds write_timeout{60};
--- a/packages/request/include/cornelrelay/request/request_event.h
+++ b/packages/request/include/cornelrelay/request/request_event.h
@@ -15,6 +15,7 @@
 struct Started {};
 
 struct Admitted {};
+/// \brief Refused by admission, or later because the request is not sent to any upstream again.
 struct Refused {
   RequestError error = RequestError::kOverloaded;
   std::optional<core::Duration> retry_after;
--- a/packages/request/src/request_table.h
+++ b/packages/request/src/request_table.h
@@ -81,6 +81,7 @@
       Row<Claim,      ClaimTimedOut, Failed,     Do<&C::OnClaimTimedOut>,   None>,
       Row<Claim,      Stopped,       Failed,     Stop,                      None>,
       Row<Replica,    ReplicaChosen, Connecting, Do<&C::OnReplicaChosen>,   None>,
+      Row<Replica,    Refused,       Failed,     Do<&C::OnRefused>,         None>,
       Row<Replica,    NoReplica,     Failed,     Do<&C::OnNoReplica>,       None>,
       Row<Replica,    Stopped,       Failed,     Stop,                      None>,
       Row<Token,      RetryGranted,  Replica,    Do<&C::OnRetryGranted>,    None>,
--- a/packages/runtime/include/cornelrelay/runtime/control_plane.h
+++ b/packages/runtime/include/cornelrelay/runtime/control_plane.h
@@ -39,8 +39,8 @@
   using RecordHandler = std::function<void(const gossip::Record&)>;
 
   ControlPlane(boost::asio::io_context& context, const ProcessClock& clock,
-               gossip::NodeSettings settings, wire::MacKey key, MessageHandler on_message,
-               RecordHandler on_record);
+               const gossip::NodeSettings& settings, const wire::MacKey& key,
+               MessageHandler on_message, RecordHandler on_record);
 
   void Start();
   void Step(const gossip::NodeEvent& event);
--- a/packages/runtime/src/control_plane.cc
+++ b/packages/runtime/src/control_plane.cc
@@ -18,17 +18,18 @@
 }  // namespace
 
 ControlPlane::ControlPlane(boost::asio::io_context& context, const ProcessClock& clock,
-                           gossip::NodeSettings settings, wire::MacKey key,
+                           const gossip::NodeSettings& settings, const wire::MacKey& key,
                            MessageHandler on_message, RecordHandler on_record)
     : m_clock(clock),
       m_self(settings.self),
       m_incarnation(settings.incarnation),
-      m_key(std::move(key)),
+      m_key(key),
       m_on_message(std::move(on_message)),
       m_on_record(std::move(on_record)),
       m_node(settings),
-      m_channel(context, settings.control,
-                [this](const core::Endpoint& from, std::string bytes) { Receive(from, bytes); }),
+      m_channel(
+          context, settings.control,
+          [this](const core::Endpoint& from, const std::string& bytes) { Receive(from, bytes); }),
       m_timer(context, clock, [this] { Tick(); }) {}
 
 void ControlPlane::Start() {
--- a/packages/runtime/src/store_link.cc
+++ b/packages/runtime/src/store_link.cc
@@ -15,7 +15,7 @@
 namespace asio = boost::asio;
 using platform::StoreReply;
 
-constexpr std::size_t kMaxAnswerBytes = 2 * 1024 * 1024;
+constexpr std::size_t kMaxAnswerBytes = 2'097'152;
 
 std::chrono::milliseconds ToMilliseconds(core::Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
@@ -89,7 +89,10 @@
   http.body = std::move(message.body);
   co_await exchange->SendRequest(std::move(http));
   const net::HttpResponseHead head = co_await exchange->ReadHead();
-  if (watch && head.status == 200) co_return co_await ReadWatch(*watch, *exchange);
+  if (watch && head.status == 200) {
+    StoreReply event = co_await ReadWatch(*watch, *exchange);
+    co_return event;
+  }
   std::string body;
   while (true) {
     std::optional<std::string> piece = co_await exchange->ReadPiece();
--- a/packages/wire/src/gossip_fields.h
+++ b/packages/wire/src/gossip_fields.h
@@ -52,11 +52,8 @@
 }
 
 template <class Ar>
-void Code(Ar& ar, Ref<Ar, gossip::CrashRecord> crash) {
-  ar.archive(cereal::binary_data(crash.fingerprint.data(), crash.fingerprint.size()));
-  List<std::uint8_t>(ar, crash.upstreams, gossip::CrashRecord::kMaxUpstreams, 1,
-                     [&](auto& upstream) { Identifier(ar, upstream); });
-  ar.archive(crash.unix_milliseconds);
+void Code(Ar& ar, Ref<Ar, gossip::CrashNote> note) {
+  Bytes<std::uint16_t>(ar, note.bytes, gossip::CrashNote::kMaxBytes);
 }
 
 template <class Ar>
@@ -71,7 +68,7 @@
     case gossip::RecordKind::kUpstream:
       return gossip::UpstreamStatus{};
     case gossip::RecordKind::kCrash:
-      return gossip::CrashRecord{};
+      return gossip::CrashNote{};
     case gossip::RecordKind::kLimitStanding:
       return gossip::LimitStanding{};
     case gossip::RecordKind::kHostLeaving:
--- a/packages/wire/tests/message_generator.h
+++ b/packages/wire/tests/message_generator.h
@@ -4,6 +4,7 @@
 
 #include <string>
 
+#include "cornelrelay/claims/claim.h"
 #include "cornelrelay/wire/control_message.h"
 
 namespace cornelrelay::wire::testing {
@@ -48,14 +49,9 @@
     case gossip::RecordKind::kLimitStanding:
       record.payload = gossip::LimitStanding{Any<std::uint64_t>(), Any<std::uint8_t>()};
       break;
-    case gossip::RecordKind::kCrash: {
-      gossip::CrashRecord crash;
-      crash.fingerprint = Any<gossip::Fingerprint>();
-      for (std::size_t i = Below(5); i > 0; --i) crash.upstreams.emplace_back(AnyText());
-      crash.unix_milliseconds = Any<std::uint64_t>();
-      record.payload = crash;
+    case gossip::RecordKind::kCrash:
+      record.payload = gossip::CrashNote{AnyText(200)};
       break;
-    }
     default:
       record.payload = gossip::LeavingNotice{static_cast<gossip::LeavingScope>(Below(2))};
   }
