--- a/packages/bench/src/gossip_cost/cost_network.cc
+++ b/packages/bench/src/gossip_cost/cost_network.cc
@@ -15,6 +15,7 @@
 constexpr core::Duration kFarDelay = std::chrono::milliseconds(3);
 // Time to fetch a table or a catalogue from a peer by TCP.
 constexpr core::Duration kTransferDelay = std::chrono::milliseconds(50);
+constexpr core::Duration kFarSpread = std::chrono::minutes(2);
 constexpr std::uint64_t kTcpOverhead = 200;
 
 double CpuSeconds() {
@@ -89,7 +90,8 @@
   for (int host = 0; host < size(); ++host) {
     if (!IsEntry(host)) Report(host);
     Send(host, gossip::Tick{});
-    for (const gossip::Record& record : node(host).Snapshot(m_now)) records.push_back(record);
+    const auto own = node(host).Snapshot(m_now, gossip::SnapshotPart::kNear);
+    records.insert(records.end(), own.begin(), own.end());
   }
   for (int host = 0; host < size(); ++host) Send(host, gossip::SnapshotReceived{records});
   ResetTallies();
@@ -125,8 +127,11 @@
     case Kind::kDatagram:
       Deliver(event.host, *event.bytes);
       break;
-    case Kind::kSnapshot:
-      FetchSnapshot(event.host);
+    case Kind::kNearSnapshot:
+      FetchSnapshot(event.host, gossip::SnapshotPart::kNear);
+      break;
+    case Kind::kFarSnapshot:
+      FetchSnapshot(event.host, gossip::SnapshotPart::kFar);
       break;
     case Kind::kRevision:
       state.revision = state.node->highest_revision();
@@ -177,7 +182,7 @@
   state.guard->Accept(datagram.sender, datagram.incarnation, datagram.counter);
   const int from = std::stoi(datagram.sender.value().substr(6));
   std::visit(
-      [&](auto&& message) {
+      [&](auto message) {
         using Message = std::decay_t<decltype(message)>;
         if constexpr (std::is_constructible_v<gossip::Message, Message>) {
           Send(host, gossip::Received{datagram.sender, Address(from), std::move(message)});
@@ -186,18 +191,18 @@
       wire::Decode(datagram.payload));
 }
 
-void CostNetwork::FetchSnapshot(int host) {
+void CostNetwork::FetchSnapshot(int host, gossip::SnapshotPart part) {
   std::vector<int> peers;
   for (int peer = 0; peer < m_options.entries; ++peer) {
-    if (peer != host && Running(peer) && DataCentre(peer) == DataCentre(host))
-      peers.push_back(peer);
+    const bool serves = peer != host && Running(peer) && DataCentre(peer) == DataCentre(host);
+    if (serves) peers.push_back(peer);
   }
   if (peers.empty()) return;
   Host& server = m_hosts[peers[m_random.Below(peers.size())]];
   std::string bytes;
   {
     CpuTimer timer(server.tally);
-    bytes = wire::Encode(wire::TableTransfer{server.node->Snapshot(m_now)});
+    bytes = wire::Encode(wire::TableTransfer{server.node->Snapshot(m_now, part)});
   }
   server.tally.bytes_sent += bytes.size() + kTcpOverhead;
   m_hosts[host].tally.bytes_received += bytes.size() + kTcpOverhead;
@@ -209,7 +214,7 @@
   if (Running(host)) Perform(host, m_hosts[host].node->Step(m_now, event));
 }
 
-void CostNetwork::Perform(int host, std::vector<gossip::Action> actions) {
+void CostNetwork::Perform(int host, const std::vector<gossip::Action>& actions) {
   Host& state = m_hosts[host];
   for (const gossip::Action& action : actions) {
     if (const auto* send = std::get_if<gossip::Send>(&action)) Transmit(host, *send);
@@ -244,7 +249,10 @@
 void CostNetwork::Restart(int host) {
   m_hosts[host].issued.clear();
   Start(host);
-  if (IsEntry(host)) Schedule(kTransferDelay, Kind::kSnapshot, host);
+  if (!IsEntry(host)) return;
+  Schedule(kTransferDelay, Kind::kNearSnapshot, host);
+  Schedule(kTransferDelay + core::Duration(m_random.Below(kFarSpread.count())), Kind::kFarSnapshot,
+           host);
 }
 
 void CostNetwork::ResetTallies() {
--- a/packages/bench/src/gossip_cost/cost_network.h
+++ b/packages/bench/src/gossip_cost/cost_network.h
@@ -71,7 +71,7 @@
     std::vector<core::Instant> issued;  // by sequence of the status record
     Tally tally;
   };
-  enum class Kind { kTick, kDatagram, kSnapshot, kRevision };
+  enum class Kind { kTick, kDatagram, kNearSnapshot, kFarSnapshot, kRevision };
   struct Event {
     core::Instant time;
     std::uint64_t order = 0;
@@ -93,8 +93,8 @@
   void Tick(int host);
   void Report(int host);
   void Deliver(int host, const std::string& bytes);
-  void FetchSnapshot(int host);
-  void Perform(int host, std::vector<gossip::Action> actions);
+  void FetchSnapshot(int host, gossip::SnapshotPart part);
+  void Perform(int host, const std::vector<gossip::Action>& actions);
   void Transmit(int from, const gossip::Send& send);
   core::HostId Id(int host) const;
   core::Endpoint Address(int host) const;
--- a/packages/bench/src/gossip_cost/scenario.cc
+++ b/packages/bench/src/gossip_cost/scenario.cc
@@ -62,6 +62,7 @@
 void Restart(CostNetwork& net) {
   const int count = std::min(kRestarts, net.size() / 4);
   std::vector<int> hosts;
+  hosts.reserve(count);
   for (int i = 0; i < count; ++i) hosts.push_back(i * net.size() / count);
   for (const int host : hosts) net.Crash(host);
   net.Run(seconds(5));
--- a/packages/gossip/include/cornelrelay/gossip/gossip_node.h
+++ b/packages/gossip/include/cornelrelay/gossip/gossip_node.h
@@ -14,6 +14,7 @@
 #include "cornelrelay/gossip/node_settings.h"
 #include "cornelrelay/gossip/record_table.h"
 #include "cornelrelay/gossip/roster.h"
+#include "cornelrelay/gossip/snapshot_part.h"
 
 namespace cornelrelay::gossip {
 
@@ -33,8 +34,8 @@
   std::vector<Action> Step(core::Instant now, const NodeEvent& event);
 
   /// \brief Records for SnapshotReceived at a starting process of the same data centre. Agents of
-  /// other data centres are left out: they are a third of the table and can arrive by rounds.
-  std::vector<Record> Snapshot(core::Instant now) const;
+  /// other data centres are in neither part: they arrive by rounds.
+  std::vector<Record> Snapshot(core::Instant now, SnapshotPart part) const;
 
   const NodeSettings& settings() const { return m_settings; }
   const RecordTable& table() const { return m_table; }
--- a/packages/gossip/include/cornelrelay/gossip/node_event.h
+++ b/packages/gossip/include/cornelrelay/gossip/node_event.h
@@ -49,7 +49,7 @@
   std::vector<HostListEntry> hosts;
 };
 
-/// \brief The whole table of a peer, fetched by TCP when an entry process starts: learning it from
+/// \brief Part of a peer's table, fetched by TCP when an entry process starts: learning it from
 /// gossip rounds would take minutes. Its records are not passed on as news.
 struct SnapshotReceived {
   std::vector<Record> records;
--- a/packages/gossip/src/disseminator.cc
+++ b/packages/gossip/src/disseminator.cc
@@ -24,7 +24,9 @@
 constexpr double kBulkShareOfSuspicion = 1.0 / 2;
 // Part of the bytes for loads that is kept for other data centres', which count for spill-over
 // only.
-constexpr double kFarLoadShare = 0.3;
+constexpr double kFarLoadShare = 0.15;
+// Part of a bulk datagram for loads; the rest repeats the table.
+constexpr double kLoadShare = 0.85;
 constexpr std::size_t kMinimumRoom = 64;
 constexpr std::size_t kPushHeader = 4;
 
@@ -129,7 +131,8 @@
   if (room == 0) return;
   GossipPush push;
   std::size_t used = AddNews(now, room / 2, false, push);
-  used += AddLoads(now, (room - used) * 3 / 4, push);
+  used +=
+      AddLoads(now, static_cast<std::size_t>(static_cast<double>(room - used) * kLoadShare), push);
   const bool table_due = !m_roster.leaf() || m_rounds % kLeafTableRounds == 0;
   if (table_due) AddTable(now, room - used, push);
   if (push == GossipPush{}) return;
--- a/packages/gossip/src/gossip_node_absorb.cc
+++ b/packages/gossip/src/gossip_node_absorb.cc
@@ -77,15 +77,18 @@
   m_out.emplace_back(RecordChanged{record});
 }
 
-std::vector<Record> GossipNode::Snapshot(core::Instant now) const {
+std::vector<Record> GossipNode::Snapshot(core::Instant now, SnapshotPart part) const {
   std::vector<Record> records;
   for (const auto& [key, stored] : m_table.records()) {
-    const auto* member = std::get_if<MemberState>(&stored.record.payload);
+    const Record& record = stored.record;
+    if (record.version.incarnation == 0) continue;
+    const auto* member = std::get_if<MemberState>(&record.payload);
+    const auto* status = std::get_if<UpstreamStatus>(&record.payload);
     const bool far_agent = member != nullptr && member->role == Role::kAgent &&
                            member->data_centre != m_settings.data_centre;
-    if (stored.record.version.incarnation > 0 && !far_agent) {
-      records.push_back(Export(stored, now));
-    }
+    const bool far_status = status != nullptr && status->data_centre != m_settings.data_centre;
+    const bool included = part == SnapshotPart::kFar ? far_status : !far_status && !far_agent;
+    if (included) records.push_back(Export(stored, now));
   }
   return records;
 }
--- a/packages/wire/src/control_message.cc
+++ b/packages/wire/src/control_message.cc
@@ -25,7 +25,9 @@
 }
 
 template <class Ar>
-void Code(Ar&, Ref<Ar, TableFetch>) {}
+void Code(Ar& ar, Ref<Ar, TableFetch> fetch) {
+  Choice(ar, fetch.part, gossip::SnapshotPart::kFar);
+}
 
 template <class Ar>
 void Code(Ar& ar, Ref<Ar, TableTransfer> transfer) {
--- a/packages/wire/tests/message_generator.h
+++ b/packages/wire/tests/message_generator.h
@@ -141,7 +141,7 @@
     case 9:
       return OrderForward{core::GroupId(AnyText()), id, AnyText(2000)};
     case 10:
-      return TableFetch{};
+      return TableFetch{static_cast<gossip::SnapshotPart>(Below(2))};
     default:
       return TableTransfer{AnyPush().records};
   }
