Add the switch of a group's expert map

Cause: all ranks of a group must use the same expert map in each step, also when the coordinator, an agent or a rank dies, or a paused coordinator resumes after its lease has lapsed.

Change: package balance with ExpertMap, PlanRecord, MapSwitchCoordinator and RankGate. Proposal and decision are compare-and-swaps of one plan record per group; a new coordinator writes its fence into the record, after which a former one can write nothing. A gate confirms only if it can still hold at the switch step, and a restarted agent reads plan, fence and engine before it passes anything.

Figures: the fuzzer found a step with two maps (an allowed step counted as run although a restarted engine had lost the permission) and weights left by an aborted plan (a load ordered before an agent restart).

The state machines are plain Step functions: Boost.MSM gave no simplification for four to eight states with few transitions.

--- /dev/null
+++ b/packages/balance/include/cornelrelay/balance/coordinator_settings.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+#include "cornelrelay/balance/expert_map.h"
+#include "cornelrelay/balance/plan_record.h"
+#include "cornelrelay/core/time.h"
+
+namespace cornelrelay::balance {
+
+/// \brief Limits of a MapSwitchCoordinator.
+struct CoordinatorSettings {
+  RankIndex ranks = 1;
+  /// Loads are ordered one after another at this rate, so that the weight store's limit holds for
+  /// the whole group.
+  std::uint64_t weight_bytes_per_second = 1'000'000'000;
+  std::uint64_t expert_bytes = 100'000'000;
+  /// Steps between the proposal and the switch; a plan that is not loaded by then stalls the group
+  /// until it is decided.
+  StepIndex lead_steps = 1000;
+  /// A plan is aborted when it is not confirmed in time.
+  core::Duration prepare_timeout = std::chrono::minutes(5);
+  core::Duration poll_every = std::chrono::seconds(10);
+  core::Duration resend_after = std::chrono::seconds(1);
+};
+
+}  // namespace cornelrelay::balance
--- /dev/null
+++ b/packages/balance/include/cornelrelay/balance/gate_events.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <cstdint>
+#include <set>
+#include <variant>
+
+#include "cornelrelay/balance/coordinator_events.h"
+#include "cornelrelay/balance/plan_record.h"
+#include "cornelrelay/balance/plan_store.h"
+
+namespace cornelrelay::balance {
+
+/// \brief The highest fence of the group's lease, read from the store after a start of the agent.
+struct FenceRead {
+  Fence fence = 0;
+};
+
+/// \brief The engine's state, after QueryEngine and after each start of the engine.
+struct EngineReport {
+  std::uint64_t incarnation = 0;  ///< from 1, higher after each start of the engine
+  std::set<ExpertIndex> loaded;
+  StepIndex last_step = 0;  ///< last step that the engine has started, 0 for none
+};
+
+/// \brief The engine has ended all earlier steps and waits for permission to run this one. Steps
+/// count from 1.
+struct StepRequested {
+  StepIndex step = 0;
+};
+
+struct ExpertsLoaded {
+  std::uint64_t incarnation = 0;
+  std::set<ExpertIndex> experts;
+};
+
+struct DecisionReceived {
+  PlanRecord record;
+};
+
+/// \brief Also starts a gate; due at least every second.
+struct GateTick {};
+
+using GateEvent = std::variant<GateTick, FenceRead, EngineReport, StepRequested, ExpertsLoaded,
+                               PreparePlan, DecisionReceived, PlanRead, PlanCallLost>;
+
+/// \brief Read the fence from the store key `cornelrelay/groups/<group>`.
+struct ReadFence {};
+struct QueryEngine {};
+
+struct LoadExperts {
+  Fence fence = 0;
+  std::set<ExpertIndex> experts;
+};
+struct UnloadExperts {
+  Fence fence = 0;
+  std::set<ExpertIndex> experts;
+};
+
+struct AllowStep {
+  StepIndex step = 0;
+  std::uint64_t map_version = 0;
+};
+
+struct ConfirmPlan {
+  PlanConfirmed message;
+};
+
+/// \brief Actions. Orders to an engine that has restarted since its last EngineReport must be
+/// dropped.
+using GateAction = std::variant<ReadPlan, ReadFence, QueryEngine, LoadExperts, UnloadExperts,
+                                AllowStep, ConfirmPlan>;
+
+}  // namespace cornelrelay::balance
--- /dev/null
+++ b/packages/balance/include/cornelrelay/balance/plan_record.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "cornelrelay/balance/expert_map.h"
+
+namespace cornelrelay::balance {
+
+using Fence = std::uint64_t;
+using StepIndex = std::uint64_t;
+
+enum class PlanState : std::uint8_t { kProposed = 1, kCommitted = 2, kAborted = 3 };
+
+/// \brief The one stored value of a group: which map each step uses, and whether the last plan is
+/// decided.
+///
+/// Each transition is a compare-and-swap: a decided plan n to the proposed plan n+1, and a proposed
+/// plan to its decision. The record names all maps that a rank of the group may still need, so one
+/// read is enough after a restart: a plan is committed only after each rank has reached
+/// `base_from`.
+struct PlanRecord {
+  std::uint64_t number = 0;
+  Fence fence = 0;  ///< of the writer
+  PlanState state = PlanState::kAborted;
+  ExpertMap previous;  ///< steps below `base_from`
+  StepIndex base_from = 0;
+  ExpertMap base;  ///< steps from `base_from`
+  StepIndex switch_at = 0;
+  ExpertMap next;  ///< steps from `switch_at`, once committed
+
+  friend bool operator==(const PlanRecord&, const PlanRecord&) = default;
+
+  /// \brief The map of a step; empty while it depends on the decision.
+  std::optional<ExpertMap> MapAt(StepIndex step) const;
+
+  /// \brief The map after the plan's decision; the record must be decided.
+  const ExpertMap& Current() const;
+
+  /// \brief Experts that a rank needs from step `from` on, without those of an undecided plan.
+  std::set<ExpertIndex> Needed(RankIndex rank, StepIndex from) const;
+
+  /// \brief The proposal that follows this decided record.
+  PlanRecord Propose(Fence by, ExpertMap map, StepIndex at) const;
+
+  /// \brief The decision of this proposed record.
+  PlanRecord Decide(Fence by, bool commit) const;
+
+  /// \brief True if this record is a later state of the group than `other`.
+  bool NewerThan(const PlanRecord& other) const;
+};
+
+/// \brief The stored form, JSON text. DecodePlan throws CorruptPlan.
+std::string EncodePlan(const PlanRecord& record);
+PlanRecord DecodePlan(const std::string& bytes);
+
+}  // namespace cornelrelay::balance
--- /dev/null
+++ b/packages/balance/include/cornelrelay/balance/rank_gate.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "cornelrelay/balance/balance_faults.h"
+#include "cornelrelay/balance/gate_events.h"
+#include "cornelrelay/core/time.h"
+
+namespace cornelrelay::balance {
+
+/// \brief Gate of one rank, in its agent: loads and unloads experts, and allows each step only with
+/// the map that the whole group uses for it. At the switch step of an undecided plan it holds the
+/// rank.
+///
+/// The gate keeps nothing over a restart. It reads the plan record, the fence and the engine's
+/// state before it allows a step or passes an order. A confirmed plan therefore still holds a rank
+/// whose agent was restarted.
+///
+/// \code
+/// RankGate gate(rank);
+/// for (const GateAction& action : gate.Step(now, GateTick{})) Perform(action);
+/// \endcode
+class RankGate {
+ public:
+  explicit RankGate(RankIndex rank, BalanceFaults faults = {});
+
+  std::vector<GateAction> Step(core::Instant now, const GateEvent& event);
+
+  RankIndex rank() const { return m_rank; }
+  const std::optional<PlanRecord>& record() const { return m_record; }
+  const std::optional<Fence>& fence() const { return m_fence; }
+  const std::set<ExpertIndex>& loaded() const { return m_loaded; }
+  const std::set<ExpertIndex>& loading() const { return m_loading; }
+  StepIndex last_step() const { return m_last_step; }
+  const std::optional<StepIndex>& waiting_step() const { return m_waiting_step; }
+  /// \brief Incarnation of the engine that the orders are meant for; 0 while unknown.
+  std::uint64_t engine() const { return m_engine; }
+  bool ready() const { return m_record && m_fence && m_engine != 0; }
+
+ private:
+  using Actions = std::vector<GateAction>;
+
+  void On(core::Instant now, const GateTick& event, Actions& out);
+  void On(core::Instant now, const FenceRead& event, Actions& out);
+  void On(core::Instant now, const EngineReport& event, Actions& out);
+  void On(core::Instant now, const StepRequested& event, Actions& out);
+  void On(core::Instant now, const ExpertsLoaded& event, Actions& out);
+  void On(core::Instant now, const PreparePlan& event, Actions& out);
+  void On(core::Instant now, const DecisionReceived& event, Actions& out);
+  void On(core::Instant now, const PlanRead& event, Actions& out);
+  void On(core::Instant now, const PlanCallLost& event, Actions& out);
+
+  void Adopt(const PlanRecord& record);
+  bool Prepared() const;
+  void PlaceExperts(Actions& out);
+  void Confirm(Actions& out);
+  void AllowWaitingStep(Actions& out);
+
+  RankIndex m_rank;
+  BalanceFaults m_faults;
+  PlanCallId m_next_call = 1;
+  PlanCallId m_call = 0;
+  std::optional<PlanRecord> m_record;
+  std::optional<Fence> m_fence;
+  std::uint64_t m_engine = 0;
+  std::set<ExpertIndex> m_loaded;
+  std::set<ExpertIndex> m_loading;
+  StepIndex m_last_step = 0;  ///< allowed
+  StepIndex m_done = 0;       ///< run to its end
+  std::optional<StepIndex> m_waiting_step;
+  std::uint64_t m_prepared = 0;
+  bool m_confirm_due = false;
+};
+
+}  // namespace cornelrelay::balance
--- /dev/null
+++ b/packages/balance/include/cornelrelay/balance/state_dump.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "cornelrelay/balance/map_switch_coordinator.h"
+#include "cornelrelay/balance/rank_gate.h"
+
+namespace cornelrelay::balance {
+
+/// \brief State for the admin dump.
+nlohmann::json ToJson(const MapSwitchCoordinator& coordinator);
+nlohmann::json ToJson(const RankGate& gate);
+
+}  // namespace cornelrelay::balance
--- /dev/null
+++ b/packages/balance/tests/group_world.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cornelrelay/balance/map_switch_coordinator.h"
+#include "cornelrelay/balance/rank_gate.h"
+#include "cornelrelay/core/random.h"
+
+namespace cornelrelay::balance::testing {
+
+/// \brief A group of ranks with engines and gates, two coordinators and the store, and the oracle
+/// for R1.
+class GroupWorld {
+ public:
+  GroupWorld(std::uint64_t seed, BalanceFaults faults, bool engines_check_fences);
+
+  /// One random operation, faults included.
+  void FaultyStep();
+  /// Ends all faults and makes coordinator 0 the holder of the lease.
+  void EndFaults();
+  /// Delivers everything and lets the ranks run for a while.
+  void RunQuietly();
+  /// Kills a rank for good and tells the coordinators.
+  void KillRank(RankIndex rank);
+  void WantSwitch();
+
+  const std::vector<std::string>& violations() const { return m_violations; }
+  StepIndex steps() const;
+  const MapSwitchCoordinator& coordinator() const { return m_coordinators[0].machine; }
+  /// Ranks whose engine holds other experts than the current map gives them.
+  int RanksWithWrongWeights() const;
+  std::set<RankIndex> LiveRanks() const;
+  std::uint64_t committed() const { return m_committed; }
+
+ private:
+  struct Message {
+    std::function<void()> deliver;
+    std::function<void()> lose;  ///< tells the sender that the store's answer is lost
+    bool network = false;        ///< may be dropped or repeated
+    int paused_by = -1;          ///< not delivered while this coordinator is paused
+  };
+  struct Coordinator {
+    explicit Coordinator(MapSwitchCoordinator m) : machine(std::move(m)) {}
+    MapSwitchCoordinator machine;
+    int life = 0;
+    bool paused = false;
+  };
+  struct Rank {
+    bool alive = true;
+    std::uint64_t incarnation = 1;
+    std::set<ExpertIndex> loaded;
+    StepIndex last_step = 0;
+    Fence highest_fence = 0;  ///< that the gate has learned or the engine has seen
+    std::optional<RankGate> gate;
+    int life = 0;
+  };
+
+  void StepCoordinator(int c, const CoordinatorEvent& event);
+  void StepGate(RankIndex r, const GateEvent& event);
+  void Perform(RankIndex r, const GateAction& action);
+  void ToGate(RankIndex r, int life, const GateEvent& event, bool network);
+  void ToCoordinator(int c, const CoordinatorEvent& event);
+  void Report(RankIndex r);
+  void ReportEngine(RankIndex r, int life);
+  void RestartGate(RankIndex r);
+  void RestartEngine(RankIndex r);
+  void GrantLease(int c);
+  void RequestStep(RankIndex r);
+  void OrderEngine(RankIndex r, const GateAction& action);
+  void Allowed(RankIndex r, const AllowStep& allowed);
+  bool FenceAccepted(Rank& rank, Fence fence);
+  ExpertMap RandomMap();
+  int Pick(std::uint64_t bound) { return static_cast<int>(m_random.Below(bound)); }
+
+  core::Random m_random;
+  BalanceFaults m_faults;
+  bool m_engines_check_fences;
+  std::uint64_t m_calm = 1;
+  CoordinatorSettings m_settings;
+  core::Instant m_now;
+  std::vector<Coordinator> m_coordinators;
+  std::vector<Rank> m_ranks;
+  std::vector<Message> m_messages;
+  PlanRecord m_plan;
+  PlanRevision m_revision = 0;
+  Fence m_lease = 0;
+  std::uint64_t m_next_version = 1;
+  std::uint64_t m_committed = 0;
+  std::map<StepIndex, std::uint64_t> m_step_maps;
+  std::vector<std::string> m_violations;
+};
+
+}  // namespace cornelrelay::balance::testing
