Add fairness and retry benchmarks and lower the retry credit

Cause: with 8 processes, a saved credit of 100 retries each allows 800 retries above the earned part at the start of a brown-out (computed, not run). Change: the budget earns 0.08 retries per request and saves 3; policy-bench prints fairness and retry tables.

--- a/packages/limits/include/cornelrelay/limits/retry_budget.h
+++ b/packages/limits/include/cornelrelay/limits/retry_budget.h
@@ -9,12 +9,12 @@
 /// \brief Bounds retries and hedges to a part of the requests, so a brown-out is not amplified.
 ///
 /// Starts empty and earns `permille` thousandths of a retry with each request. Retries are
-/// therefore always at most that part of the requests: with the default of 90, total attempts stay
+/// therefore always at most that part of the requests: with the default of 80, total attempts stay
 /// under 1.1 times the requests. \code budget.OnRequest(); if (idempotent && budget.TryRetry())
 /// resend(); \endcode
 class RetryBudget {
  public:
-  explicit RetryBudget(std::uint64_t permille = 90, std::uint64_t most_saved = 100,
+  explicit RetryBudget(std::uint64_t permille = 80, std::uint64_t most_saved = 3,
                        AdmissionFault fault = AdmissionFault::kNone);
 
   void OnRequest();
--- a/packages/limits/tests/fair_queue_test.cc
+++ b/packages/limits/tests/fair_queue_test.cc
@@ -128,7 +128,7 @@
 // request.
 double BrownOut(std::uint64_t seed, AdmissionFault fault) {
   core::Random random(seed);
-  RetryBudget budget(90, 100, fault);
+  RetryBudget budget(80, 3, fault);
   double attempts = 0, requests = 0, worst = 0;
   for (int i = 0; i < 3000; ++i) {
     budget.OnRequest();
--- a/packages/policybench/main/cornelrelay-policy-bench.cc
+++ b/packages/policybench/main/cornelrelay-policy-bench.cc
@@ -59,5 +59,7 @@
   if (wanted("routing")) {
     Emit(cornelrelay::policybench::RoutingTable(seed, entries, router, ours_only), out, 3, {0, 1});
   }
+  if (wanted("fairness")) Emit(cornelrelay::policybench::FairnessTable(seed), out, 3, {0, 1});
+  if (wanted("retry")) Emit(cornelrelay::policybench::RetryTable(seed), out, 2, {0, 1});
   return 0;
 }
