Lower the price and the margin of a placement move

Cause: plans stopped at a fiftieth of the full plan's moves while the skew missed its aim. Change: the benchmark's profiles use 0.001 skew per move (was 0.004) and a margin of 0.005 (was 0.02).

--- a/packages/policybench/src/placement_table.cc
+++ b/packages/policybench/src/placement_table.cc
@@ -153,8 +153,8 @@
          [](std::size_t, const placement::Placement& current, const std::vector<double>&,
             const std::vector<double>&, const std::vector<double>&) { return current; }},
         {"greedy", Incremental({1, 0, 0, 64}, false)},
-        {"ours, skew weight 0.8", Incremental({0.8, 0.004, 0.02, 64}, true)},
-        {"ours, skew weight 0.3", Incremental({0.3, 0.004, 0.02, 64}, true)}};
+        {"ours, skew weight 0.8", Incremental({0.8, 0.001, 0.005, 64}, true)},
+        {"ours, skew weight 0.3", Incremental({0.3, 0.001, 0.005, 64}, true)}};
     double best = 1, full = 0;
     for (const auto& [planner, plan] : planners) {
       const Result result = RunDay(day, seed, plan);
