Follow drifting expert loads with the fast mean

Cause: the smoothed load lagged behind drift and shift by about ten windows. Change: the estimate moves to the fast mean where the two means differ by more than half a deviation.

--- a/packages/placement/src/load_estimator.cc
+++ b/packages/placement/src/load_estimator.cc
@@ -6,6 +6,12 @@
 
 namespace cornelrelay::placement {
 
+namespace {
+
+constexpr double kNoiseGap = 0.5;  // of the fast and the slow mean, in deviations of one window
+
+}  // namespace
+
 LoadEstimator::LoadEstimator(std::size_t experts, EstimatorConfig config)
     : m_config(config), m_experts(experts) {
   // Until its first count, an expert is believed to have an equal share, with a large uncertainty.
@@ -64,10 +70,20 @@
   expert.variance += m_config.slow_gain * (error * error - expert.variance);
 }
 
+double LoadEstimator::Blend(const Expert& expert) {
+  // A drift separates the two means by more than noise alone; then the fast one is nearer to the
+  // truth.
+  const double deviation = std::sqrt(expert.variance);
+  if (deviation <= 0) return expert.slow;
+  const double trust =
+      std::clamp(std::abs(expert.fast - expert.slow) / deviation - kNoiseGap, 0.0, 1.0);
+  return std::lerp(expert.slow, expert.fast, trust);
+}
+
 std::vector<double> LoadEstimator::Means() const {
   std::vector<double> means;
   means.reserve(m_experts.size());
-  for (const Expert& expert : m_experts) means.push_back(expert.slow);
+  for (const Expert& expert : m_experts) means.push_back(Blend(expert));
   const double sum = std::accumulate(means.begin(), means.end(), 0.0);
   for (double& mean : means) mean = sum > 0 ? mean / sum : 1.0 / static_cast<double>(means.size());
   return means;
