Smooth expert loads over half as many windows

Cause: the estimate still lagged behind drift. Change: slow gain 0.1 -> 0.2, gap to the fast mean 0.5 -> 0.2 deviations.

--- a/packages/placement/include/cornelrelay/placement/load_estimator.h
+++ b/packages/placement/include/cornelrelay/placement/load_estimator.h
@@ -8,7 +8,7 @@
 
 /// \brief Settings of a LoadEstimator; gains are per observation.
 struct EstimatorConfig {
-  double slow_gain = 0.1;
+  double slow_gain = 0.2;
   double fast_gain = 0.5;
   double shift_sigmas = 4;  ///< a departure by this much is a candidate for a shift
   std::size_t shift_windows =
--- a/packages/placement/src/load_estimator.cc
+++ b/packages/placement/src/load_estimator.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr double kNoiseGap = 0.5;  // of the fast and the slow mean, in deviations of one window
+constexpr double kNoiseGap = 0.2;  // of the fast and the slow mean, in deviations of one window
 
 }  // namespace
 
