Keep bursts out of the fast mean

Cause: the test 'one window is a burst, several are a shift' fails since the estimate follows the fast mean: a window that departs was added to it. Change: a departing window moves neither mean.

--- a/packages/placement/src/load_estimator.cc
+++ b/packages/placement/src/load_estimator.cc
@@ -53,7 +53,6 @@
   }
   const double error = share - expert.slow;
   const double deviation = std::sqrt(expert.variance);
-  expert.fast += m_config.fast_gain * (share - expert.fast);
   const bool departs = std::abs(error) > m_config.shift_sigmas * deviation;
   if (departs) {
     const bool above = error > 0;
@@ -63,9 +62,10 @@
       expert.slow = expert.fast = share;
       expert.departed = 0;
     }
-    return;  // a burst moves neither the mean nor the variance
+    return;  // a burst moves neither the means nor the variance
   }
   expert.departed = 0;
+  expert.fast += m_config.fast_gain * (share - expert.fast);
   expert.slow += m_config.slow_gain * error;
   expert.variance += m_config.slow_gain * (error * error - expert.variance);
 }
