--- a/packages/entry/src/admin_api.cc
+++ b/packages/entry/src/admin_api.cc
@@ -122,19 +122,27 @@
   const char* first = target.data() + kConfirmations.size();
   std::from_chars(first, target.data() + target.size(), revision);
   const core::HostId& self = m_services.control.node().settings().self;
-  nlohmann::json missing = nlohmann::json::array();
-  std::size_t members = 0;
+  nlohmann::json unconfirmed = nlohmann::json::array();
+  nlohmann::json confirmed = nlohmann::json::array();
+  nlohmann::json left = nlohmann::json::array();
   for (const auto& [key, stored] : m_services.control.node().table().records()) {
     const auto* member = std::get_if<gossip::MemberState>(&stored.record.payload);
     if (member == nullptr || member->role != gossip::Role::kEntry) continue;
-    if (member->life != gossip::Life::kAlive && member->life != gossip::Life::kSuspect) continue;
-    ++members;
     const bool own = key.subject == self.value();
     const auto applied =
         own ? m_services.catalogues.replica().revision().value_or(0) : member->revision;
-    if (applied < revision) missing.push_back(key.subject);
+    if (applied >= revision) {
+      confirmed.push_back(key.subject);
+    } else if (member->life == gossip::Life::kLeft) {
+      left.push_back(key.subject);
+    } else if (member->life != gossip::Life::kDead) {
+      unconfirmed.push_back(key.subject);
+    }
   }
-  return JsonAnswer(200, {{"revision", revision}, {"members", members}, {"unconfirmed", missing}});
+  return JsonAnswer(200, {{"revision", revision},
+                          {"confirmed", confirmed},
+                          {"left", left},
+                          {"unconfirmed", unconfirmed}});
 }
 
 net::HttpResponse AdminApi::SetLogLevel(const std::string& name) {
--- a/packages/entry/src/profile_commands.cc
+++ b/packages/entry/src/profile_commands.cc
@@ -4,6 +4,7 @@
 #include <iostream>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -42,15 +43,21 @@
 int WaitForConfirmation(const AdminAccess& access, std::uint64_t revision) {
   const auto limit = std::chrono::steady_clock::now() + kConfirmLimit;
   const std::string target = "/confirmations?revision=" + std::to_string(revision);
+  // A stopped process is removed from the members before the limit and may serve again with its old
+  // profiles, so a process counts until it has confirmed or has left by itself.
+  std::set<std::string> pending;
   while (true) {
     const auto answer = CallAdmin(access, "GET", target);
     if (answer.status != 200) return internal::PrintError(answer);
-    if (answer.body.at("unconfirmed").empty()) {
-      std::cout << "confirmed by " << answer.body.at("members") << " entry processes\n";
+    for (const json& name : answer.body.at("unconfirmed")) pending.insert(name.get<std::string>());
+    for (const json& name : answer.body.at("confirmed")) pending.erase(name.get<std::string>());
+    for (const json& name : answer.body.at("left")) pending.erase(name.get<std::string>());
+    if (pending.empty()) {
+      std::cout << "confirmed by " << answer.body.at("confirmed").size() << " entry processes\n";
       return 0;
     }
     if (std::chrono::steady_clock::now() >= limit) {
-      std::cerr << "not confirmed by " << answer.body.at("unconfirmed").dump() << '\n';
+      std::cerr << "not confirmed by " << json(pending).dump() << '\n';
       return kExitUnconfirmed;
     }
     std::this_thread::sleep_for(kConfirmPoll);
