Fetch the gossip table at start; apply affinity bound and retry budget of profiles

Cause: a starting process learned thousands of records by rounds alone, and two profile fields had no effect. Still without effect: retry.hedges, routing.spill_over_load and rebalancing.skew_weight.

--- a/packages/entry/include/cornelrelay/entry/entry_process.h
+++ b/packages/entry/include/cornelrelay/entry/entry_process.h
@@ -15,6 +15,7 @@
 #include "cornelrelay/entry/catalogue_service.h"
 #include "cornelrelay/entry/claim_hub.h"
 #include "cornelrelay/entry/crash_hub.h"
+#include "cornelrelay/entry/table_service.h"
 #include "cornelrelay/net/http_client.h"
 #include "cornelrelay/net/http_server.h"
 #include "cornelrelay/runtime/control_plane.h"
@@ -57,7 +58,6 @@
   void OnRecord(const gossip::Record& record);
   void OnMember(const gossip::Record& record, const gossip::MemberState& member);
   void OnCatalogue(const profile::Catalogue& catalogue);
-  void ApplyLimits(const profile::Catalogue& catalogue);
   void UpdateMembers();
   void UpdateReplicas();
   void RefreshReplicas();
@@ -74,6 +74,7 @@
   std::shared_ptr<runtime::StoreLink> m_store;
   runtime::ControlPlane m_control;
   CatalogueService m_catalogues;
+  TableService m_tables;
   AdmissionHub m_admission;
   ClaimHub m_claims;
   CrashHub m_crashes;
--- a/packages/entry/include/cornelrelay/entry/service_runtime.h
+++ b/packages/entry/include/cornelrelay/entry/service_runtime.h
@@ -31,6 +31,9 @@
   /// default.
   const profile::Profile& ProfileIn(const profile::Catalogue& catalogue) const;
 
+  /// \brief Takes over the fields of a profile that the router and the retry budget use.
+  void Apply(core::Instant now, const profile::Profile& profile);
+
   /// \throws std::out_of_range for an upstream that is not of this service
   const core::Endpoint& EndpointOf(const core::UpstreamId& upstream) const;
 
--- a/packages/entry/src/entry_process.cc
+++ b/packages/entry/src/entry_process.cc
@@ -22,6 +22,8 @@
 
 constexpr std::size_t kDecisions = 10'000;
 constexpr std::size_t kWatchersPerDataCentre = 2;
+/// One way between the data centres of one region; settings do not give it yet.
+constexpr std::chrono::microseconds kDataCentreDistance{1500};
 /// The health check fails this long before connections are refused, so that the balancer notices.
 constexpr std::chrono::milliseconds kAnnounceTime{2000};
 constexpr std::chrono::milliseconds kDrainPoll{20};
@@ -86,6 +88,7 @@
           [this](const gossip::Record& record) { OnRecord(record); }),
       m_catalogues(context, m_clock, *m_store, m_platform_client, m_control, log, seed + 2,
                    [this](const profile::Catalogue& catalogue) { OnCatalogue(catalogue); }),
+      m_tables(context, m_platform_client, m_control, seed + 7),
       m_admission(context, m_clock,
                   limits::AdmissionConfig{.ledger = {.self = m_settings.common.host}},
                   [this](const limits::PublishSettled& standing) {
@@ -128,6 +131,7 @@
   m_control.Start();
   m_control_tcp.Start();
   m_catalogues.Start();
+  m_tables.Start();
   m_host_list.Start();
   UpdateMembers();
   RefreshReplicas();
@@ -155,6 +159,11 @@
     routing::RouterConfig router;
     router.seed = core::Hash64(service.id.value(), seed);
     router.data_centre = m_settings.common.data_centre;
+    for (const auto& upstream : service.upstreams) {
+      if (upstream.data_centre != router.data_centre) {
+        router.distances[upstream.data_centre] = kDataCentreDistance;
+      }
+    }
     services.emplace(service.id, std::make_unique<ServiceRuntime>(service, std::move(router)));
   }
   return services;
@@ -246,10 +255,9 @@
   }
 }
 
-void EntryProcess::OnCatalogue(const profile::Catalogue& catalogue) { ApplyLimits(catalogue); }
-
-void EntryProcess::ApplyLimits(const profile::Catalogue& catalogue) {
+void EntryProcess::OnCatalogue(const profile::Catalogue& catalogue) {
   for (const auto& [id, service] : m_services) {
+    service->Apply(m_clock.Now(), service->ProfileIn(catalogue));
     m_admission.SetLimits(id, ToLimits(service->ProfileIn(catalogue), m_settings.accounts.size()));
   }
 }
@@ -257,8 +265,9 @@
 asio::awaitable<void> EntryProcess::ServeControl(net::HttpRequest request,
                                                  net::ResponseStream& response) {
   net::HttpResponse answer;
-  answer.body = m_catalogues.AnswerFetch(request.body);
-  if (request.target != "/catalogue" || answer.body.empty()) answer.status = 400;
+  if (request.target == "/catalogue") answer.body = m_catalogues.AnswerFetch(request.body);
+  if (request.target == "/table") answer.body = m_tables.AnswerFetch(request.body);
+  if (answer.body.empty()) answer.status = 400;
   co_await response.SendWhole(std::move(answer));
 }
 
--- a/packages/limits/include/cornelrelay/limits/retry_budget.h
+++ b/packages/limits/include/cornelrelay/limits/retry_budget.h
@@ -17,6 +17,9 @@
   explicit RetryBudget(std::uint64_t permille = 80, std::uint64_t most_saved = 3,
                        AdmissionFault fault = AdmissionFault::kNone);
 
+  /// \brief Changes what later requests earn; what is saved stays.
+  void SetPermille(std::uint64_t permille) { m_permille = permille; }
+
   void OnRequest();
   bool TryRetry();
 
--- a/packages/routing/include/cornelrelay/routing/replica_router.h
+++ b/packages/routing/include/cornelrelay/routing/replica_router.h
@@ -53,6 +53,7 @@
   void Apply(core::Instant now, const AttemptCancelled& event, Actions& out);
   void Apply(core::Instant now, const PrefixStored& event, Actions& out);
   void Apply(core::Instant now, const PrefixEvicted& event, Actions& out);
+  void Apply(core::Instant now, const AffinityBoundChanged& event, Actions& out);
 
   void ReviewLosses(core::Instant now, Actions& out);
   void SetPhase(core::Instant now, Record& record, ReplicaPhase phase, Actions& out);
--- a/packages/routing/include/cornelrelay/routing/router_event.h
+++ b/packages/routing/include/cornelrelay/routing/router_event.h
@@ -63,8 +63,14 @@
   PrefixKey prefix_key{};
 };
 
-using RouterEvent = std::variant<RouteQuery, ReplicaSetUpdated, LoadReported, AttemptStarted,
-                                 FirstTokenReceived, StreamProgressed, AttemptFinished,
-                                 AttemptFailed, AttemptCancelled, PrefixStored, PrefixEvicted>;
+/// \brief The profile's bound on the load of a prefix-affine replica.
+struct AffinityBoundChanged {
+  double bound = 1.5;
+};
+
+using RouterEvent =
+    std::variant<RouteQuery, ReplicaSetUpdated, LoadReported, AttemptStarted, FirstTokenReceived,
+                 StreamProgressed, AttemptFinished, AttemptFailed, AttemptCancelled, PrefixStored,
+                 PrefixEvicted, AffinityBoundChanged>;
 
 }  // namespace cornelrelay::routing
--- a/packages/routing/src/replica_router.cc
+++ b/packages/routing/src/replica_router.cc
@@ -105,6 +105,10 @@
   if (m_replicas.contains(event.replica)) m_prefixes.Sent(now, event.prefix_key, event.replica);
 }
 
+void ReplicaRouter::Apply(core::Instant, const AffinityBoundChanged& event, Actions&) {
+  m_config.affinity_bound = event.bound;
+}
+
 void ReplicaRouter::Apply(core::Instant, const PrefixEvicted& event, Actions&) {
   m_prefixes.Evicted(event.prefix_key, event.replica);
 }
--- a/packages/runtime/include/cornelrelay/runtime/control_plane.h
+++ b/packages/runtime/include/cornelrelay/runtime/control_plane.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "cornelrelay/core/ids.h"
 #include "cornelrelay/gossip/gossip_node.h"
@@ -51,6 +52,10 @@
   /// \brief The control endpoint of a member, from its record.
   std::optional<core::Endpoint> EndpointOf(const core::HostId& host) const;
 
+  std::vector<gossip::Record> Snapshot(gossip::SnapshotPart part) const {
+    return m_node.Snapshot(m_clock.Now(), part);
+  }
+
   /// \brief Seals a message for a TCP body.
   std::string SealMessage(const wire::ControlMessage& message);
 
