--- a/packages/bench/src/gossip_cost/cost_network.cc
+++ b/packages/bench/src/gossip_cost/cost_network.cc
@@ -256,6 +256,7 @@
 }
 
 void CostNetwork::ResetTallies() {
+  m_reset = m_now;
   for (Host& host : m_hosts) host.tally = {};
 }
 
--- a/packages/bench/src/gossip_cost/cost_network.h
+++ b/packages/bench/src/gossip_cost/cost_network.h
@@ -43,6 +43,7 @@
   void Send(int host, const gossip::NodeEvent& event);
 
   Tally TallyOf(gossip::Role role) const;
+  core::Duration SinceReset() const { return m_now - m_reset; }
   core::Instant now() const { return m_now; }
   int size() const { return static_cast<int>(m_hosts.size()); }
   bool IsEntry(int host) const { return host < m_options.entries; }
@@ -103,6 +104,7 @@
   core::Random m_random;
   wire::MacKey m_key;
   core::Instant m_now{};
+  core::Instant m_reset{};
   std::uint64_t m_order = 0;
   std::vector<Host> m_hosts;
   std::vector<int> m_sides;
--- a/packages/bench/src/gossip_cost/scenario.cc
+++ b/packages/bench/src/gossip_cost/scenario.cc
@@ -99,7 +99,7 @@
   }
 }
 
-void PrintTally(const CostNetwork& net, gossip::Role role, core::Duration window) {
+void PrintTally(const CostNetwork& net, gossip::Role role) {
   const Tally t = net.TallyOf(role);
   const double n = t.node_seconds;
   if (n == 0) return;
@@ -113,7 +113,7 @@
       "  CPU %6.3f ms/s  table %7zu B  [exact: %llu B, %llu messages]\n",
       role == gossip::Role::kEntry ? "entry" : "agent", static_cast<double>(t.bytes_sent) / n,
       static_cast<double>(t.bytes_received) / n,
-      static_cast<double>(t.worst_node_bytes) / Seconds(window),
+      static_cast<double>(t.worst_node_bytes) / Seconds(net.SinceReset()),
       static_cast<double>(t.messages_sent) / n, static_cast<double>(t.messages_received) / n,
       t.cpu_seconds / n * 1e3, memory, static_cast<unsigned long long>(t.bytes_sent),
       static_cast<unsigned long long>(t.messages_sent));
@@ -174,8 +174,8 @@
     times.push_back(LeavingTime(net, 10 + i));
   }
   net.Run(std::max(core::Duration{}, end - net.now()));
-  PrintTally(net, gossip::Role::kEntry, window);
-  PrintTally(net, gossip::Role::kAgent, window);
+  PrintTally(net, gossip::Role::kEntry);
+  PrintTally(net, gossip::Role::kAgent);
   std::printf("  leaving notice at all entry processes:");
   for (const double time : times) std::printf(" %.2f s", time);
   std::printf("\n");
