--- a/packages/placement/include/cornelrelay/placement/load_estimator.h
+++ b/packages/placement/include/cornelrelay/placement/load_estimator.h
@@ -41,7 +41,7 @@
     std::size_t missing = 0;
   };
 
-  static double Blend(const Expert& expert);
+  static double TrustInFast(const Expert& expert);
   void ObserveOne(Expert& expert, double share);
 
   EstimatorConfig m_config;
--- a/packages/placement/src/load_estimator.cc
+++ b/packages/placement/src/load_estimator.cc
@@ -70,20 +70,21 @@
   expert.variance += m_config.slow_gain * (error * error - expert.variance);
 }
 
-double LoadEstimator::Blend(const Expert& expert) {
+double LoadEstimator::TrustInFast(const Expert& expert) {
   // A drift separates the two means by more than noise alone; then the fast one is nearer to the
   // truth.
   const double deviation = std::sqrt(expert.variance);
-  if (deviation <= 0) return expert.slow;
-  const double trust =
-      std::clamp(std::abs(expert.fast - expert.slow) / deviation - kNoiseGap, 0.0, 1.0);
-  return std::lerp(expert.slow, expert.fast, trust);
+  if (deviation <= 0) {
+    return 0;
+  }
+  return std::clamp(std::abs(expert.fast - expert.slow) / deviation - kNoiseGap, 0.0, 1.0);
 }
 
 std::vector<double> LoadEstimator::Means() const {
   std::vector<double> means;
   means.reserve(m_experts.size());
-  for (const Expert& expert : m_experts) means.push_back(Blend(expert));
+  for (const Expert& expert : m_experts)
+    means.push_back(std::lerp(expert.slow, expert.fast, TrustInFast(expert)));
   const double sum = std::accumulate(means.begin(), means.end(), 0.0);
   for (double& mean : means) mean = sum > 0 ? mean / sum : 1.0 / static_cast<double>(means.size());
   return means;
@@ -93,8 +94,9 @@
   std::vector<double> deviations;
   deviations.reserve(m_experts.size());
   for (const Expert& expert : m_experts) {
-    // Of the smoothed mean, grown with each missing window.
-    const double smoothed = m_config.slow_gain / (2 - m_config.slow_gain);
+    // Of the mean in use, grown with each missing window.
+    const double gain = std::lerp(m_config.slow_gain, m_config.fast_gain, TrustInFast(expert));
+    const double smoothed = gain / (2 - gain);
     deviations.push_back(
         std::sqrt(expert.variance * smoothed * static_cast<double>(1 + expert.missing)));
   }
