--- a/tests/system/measure_idle.py
+++ b/tests/system/measure_idle.py
@@ -1,6 +1,6 @@
 """Measures an idle deployment of real processes: control bytes, datagrams, CPU, memory and store calls.
 
-Prints one row per role and writes bench-out/idle.csv. Timing is noisy on a shared machine.
+Prints one row per role and writes bench-out/idle-<processes>.csv. Timing is noisy on a shared machine.
 """
 
 import argparse
@@ -97,7 +97,8 @@
     out = pathlib.Path(arguments.out)
     out.mkdir(parents=True, exist_ok=True)
     fields = list(rows[0])
-    with open(out / "idle.csv", "w", newline="", encoding="utf-8") as file:
+    processes = sum(row["processes"] for row in rows)
+    with open(out / f"idle-{processes}.csv", "w", newline="", encoding="utf-8") as file:
         writer = csv.DictWriter(file, fields + ["store_calls"], restval="")
         writer.writeheader()
         for row in rows:
