--- a/tests/system/test_r3_resends.py
+++ b/tests/system/test_r3_resends.py
@@ -27,6 +27,10 @@
         for i, key in enumerate(keys):
             self.run_order(f"outage-{i}", key, "sorrel", i % 3)
         self.target.store_faults(outage=True)
+        # New orders make the owners of the partitions notice the outage before the resends come.
+        new = [self.pool.submit(self.place, f"new-{i}", deployment.uuid7(), "dock", i % 3) for i in range(48)]
+        for future in new:
+            self.assertEqual(future.result().kind, "not_run")
         for i, key in enumerate(keys):
             self.assert_told_executed(self.place(f"outage-{i}-again", key, "sorrel", (i + 1) % 3))
 
