Say not_run of a call with a key only under a granted claim

Cause: a resend of an order that ran was answered not_run when its key had expired or its claim could not be read, because the machine judged by the bytes of its own call alone. Change: without a granted claim every refusal of a non-idempotent call with a key says unknown.

--- a/packages/entry/src/request_task.cc
+++ b/packages/entry/src/request_task.cc
@@ -17,6 +17,7 @@
 constexpr std::size_t kMaxRecordedBytes = 512;
 constexpr std::size_t kFlushBytes = 16'384;
 constexpr int kStatusOk = 200;
+constexpr std::uint64_t kProgressEvents = 16;
 
 core::Duration DeadlineOf(const CallerRequest& request, const profile::Profile& profile) {
   return request.deadline ? std::min(*request.deadline, profile.request.deadline)
@@ -294,6 +295,11 @@
     m_service.router().Step(m_services.clock.Now(), routing::FirstTokenReceived{m_attempt_id});
   }
   ++m_output_events;
+  if (static_cast<std::uint64_t>(m_output_events) % kProgressEvents == 0) {
+    // Shows a slow replica before its first answers end.
+    m_service.router().Step(m_services.clock.Now(),
+                            routing::StreamProgressed{m_attempt_id, m_output_events});
+  }
   // A recorded answer has no attempt, and only completions carry their id in the body.
   const bool completion = m_request.kind == settings::ServiceKind::kModel && m_attempt &&
                           AnswerHead().status == kStatusOk;
--- a/packages/request/src/request_core.cc
+++ b/packages/request/src/request_core.cc
@@ -23,9 +23,9 @@
     case ClaimDenial::kBodyMismatch:
       return {RequestError::kKeyReused, core::Execution::kNotRun};
     case ClaimDenial::kKeyExpired:
-      return {RequestError::kKeyExpired, core::Execution::kNotRun};
+      return {RequestError::kKeyExpired, core::Execution::kUnknown};
     case ClaimDenial::kUnavailable:
-      return {RequestError::kClaimUnavailable, core::Execution::kNotRun};
+      return {RequestError::kClaimUnavailable, core::Execution::kUnknown};
   }
   assert(false);
   return {RequestError::kAlreadyClaimed, core::Execution::kUnknown};
@@ -177,7 +177,10 @@
 void RequestCore::Fail(RequestError error, std::optional<core::Duration> retry_after,
                        std::optional<core::Execution> execution) {
   m_error = error;
-  const bool not_run = !m_sent || m_fault == InjectedFault::kReportNotRunAfterSending;
+  // An earlier call under the same key may have run; only a granted claim proves that none has.
+  const bool unproved = NeedsClaim() && !m_claim_held;
+  const bool not_run =
+      (!m_sent && !unproved) || m_fault == InjectedFault::kReportNotRunAfterSending;
   const core::Execution known =
       execution.value_or(not_run ? core::Execution::kNotRun : core::Execution::kUnknown);
   if (error != RequestError::kCallerGone) {
--- a/packages/request/tests/request_machine_test.cc
+++ b/packages/request/tests/request_machine_test.cc
@@ -42,6 +42,34 @@
   CHECK(Find<SendError>(actions)->execution == core::Execution::kUnknown);
 }
 
+// Guards against not_run for a resend of an order that ran: only a granted claim proves that no
+// earlier call under the same key has run.
+TEST_CASE("not_run of a call with a key needs a granted claim") {
+  const RequestPolicy policy{false, false, 1, milliseconds(500), milliseconds(100)};
+  const RequestFacts facts{core::RequestId("r"), "e1", true, false};
+  RequestMachine refused(policy, facts, kStart);
+  refused.Step(kStart, Started{});
+  const auto early = refused.Step(kStart, Refused{RequestError::kOverloaded, {}});
+  CHECK(Find<SendError>(early)->execution == core::Execution::kUnknown);
+
+  for (const ClaimDenial denial : {ClaimDenial::kKeyExpired, ClaimDenial::kUnavailable}) {
+    RequestMachine denied(policy, facts, kStart);
+    denied.Step(kStart, Started{});
+    denied.Step(kStart, Admitted{});
+    const auto actions = denied.Step(kStart, ClaimDenied{denial, {}});
+    CHECK(Find<SendError>(actions)->execution == core::Execution::kUnknown);
+  }
+
+  RequestMachine granted(policy, facts, kStart);
+  granted.Step(kStart, Started{});
+  granted.Step(kStart, Admitted{});
+  granted.Step(kStart, ClaimGranted{});
+  granted.Step(kStart, ReplicaChosen{core::UpstreamId("u1")});
+  const auto broken = granted.Step(kStart, ConnectFailed{kFirst});
+  CHECK(Find<SendError>(broken)->execution == core::Execution::kNotRun);
+  CHECK(Find<FinishClaim>(broken)->outcome == ClaimOutcome::kReleased);
+}
+
 // Guards against an idempotent call that ends with an error which another replica could have
 // avoided, and against hiding such an answer of a non-idempotent call from its caller.
 TEST_CASE("a server error is retried only for idempotent calls") {
