Resume reading a stream after a piece without a whole event

Cause: after each piece from the upstream the attempt waited until the request task had taken its events, even when the piece ended within an event and had pushed none. Nothing woke it then, and the stream stood still until its deadline. Change: Mailbox::UntilTaken returns at once when nothing pushed is unhandled. The fake engine can send an event in two pieces (split_at), and a test of R2 uses it. Conclusion: streams no longer depend on how reads fall on event borders.

--- a/packages/fakes/include/cornelrelay/fakes/engine_faults.h
+++ b/packages/fakes/include/cornelrelay/fakes/engine_faults.h
@@ -11,6 +11,7 @@
   int foreign_id_at = 0;     ///< sends this event with another request's id; 0 = off
   int duplicate_at = 0;      ///< sends this event twice; 0 = off
   int skip_at = 0;           ///< leaves this event out; 0 = off
+  int split_at = 0;          ///< sends this event in two pieces, one step apart; 0 = off
   bool stalled = false;      ///< accepts requests but sends nothing
 };
 
--- a/packages/fakes/src/engine_faults.cc
+++ b/packages/fakes/src/engine_faults.cc
@@ -11,6 +11,7 @@
   faults.foreign_id_at = json.value("foreign_id_at", 0);
   faults.duplicate_at = json.value("duplicate_at", 0);
   faults.skip_at = json.value("skip_at", 0);
+  faults.split_at = json.value("split_at", 0);
   faults.stalled = json.value("stalled", false);
   return faults;
 }
--- a/packages/fakes/src/fake_engine.cc
+++ b/packages/fakes/src/fake_engine.cc
@@ -161,7 +161,12 @@
       co_await Sleep(m_options.step_time);
       if (i == m_faults.skip_at) continue;
       const std::string event = Event(completion, i);
-      co_await response.SendPiece(event);
+      const std::size_t first = i == m_faults.split_at ? event.size() / 2 : event.size();
+      co_await response.SendPiece(std::string_view(event).substr(0, first));
+      if (first < event.size()) {
+        co_await Sleep(m_options.step_time);
+        co_await response.SendPiece(std::string_view(event).substr(first));
+      }
       if (i == m_faults.duplicate_at) co_await response.SendPiece(event);
     }
     co_await response.SendPiece("data: [DONE]\n\n");
--- a/packages/runtime/include/cornelrelay/runtime/mailbox.h
+++ b/packages/runtime/include/cornelrelay/runtime/mailbox.h
@@ -30,6 +30,7 @@
   void Push(Event event) {
     if (m_closed) return;
     m_events.push_back(std::move(event));
+    m_untaken = true;
     m_arrived.cancel();
   }
 
@@ -42,7 +43,9 @@
 
   /// \brief Tells waiting producers that everything pushed so far has been handled.
   void MarkTaken() {
-    if (m_events.empty()) m_taken.cancel();
+    if (!m_events.empty()) return;
+    m_untaken = false;
+    m_taken.cancel();
   }
 
   /// \brief Returns when there is an event or the time has come.
@@ -53,8 +56,12 @@
     co_await m_arrived.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ec));
   }
 
+  /// \brief Returns when the task has handled everything pushed so far.
+  ///
+  /// A producer may have pushed nothing since, for example after reading a part of an event; then
+  /// no MarkTaken() would come to wake it.
   boost::asio::awaitable<void> UntilTaken() {
-    if (m_closed) co_return;
+    if (m_closed || !m_untaken) co_return;
     m_taken.expires_at(TimePoint::max());
     boost::system::error_code ec;
     co_await m_taken.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ec));
@@ -73,6 +80,7 @@
   boost::asio::steady_timer m_arrived;
   boost::asio::steady_timer m_taken;
   std::deque<Event> m_events;
+  bool m_untaken = false;  ///< pushed events whose handling MarkTaken() has not yet told
   bool m_closed = false;
 };
 
--- a/tests/system/test_r2_answers.py
+++ b/tests/system/test_r2_answers.py
@@ -51,6 +51,15 @@
     def test_engine_sends_a_foreign_id(self):
         self.check_fault(foreign_id_at=5)
 
+    # Guards against a stream that stands still when a read from the engine ends within an event.
+    def test_event_arrives_in_two_pieces(self):
+        reference = self.chat("split-reference", "split", 20).detail
+        for engine in self.target.engines:
+            self.target.engine_faults(engine, split_at=5)
+        outcomes = [self.chat(f"split-{i}", "split", 20, i % 2) for i in range(2)]
+        for outcome in outcomes:
+            self.assertEqual((outcome.kind, outcome.error_type, outcome.detail), ("answered", None, reference))
+
     # Guards against [DONE] or a clean end of the HTTP body when no engine can finish the answer.
     def test_every_engine_truncates(self):
         for engine in self.target.engines:
