Satisfy the linter in the I/O packages

Change: braces round statements with co_await, moves that had no effect, a literal in place of a product, and the library's namespace name marked. Conclusion: no change of behaviour intended.

--- a/packages/entry/include/cornelrelay/entry/commands.h
+++ b/packages/entry/include/cornelrelay/entry/commands.h
@@ -1,6 +1,6 @@
 #pragma once
 
-namespace CLI {
+namespace CLI {  // NOLINT(readability-identifier-naming): the name of the library
 class App;
 }
 
--- a/packages/entry/src/admin_api.cc
+++ b/packages/entry/src/admin_api.cc
@@ -147,8 +147,9 @@
 
 net::HttpResponse AdminApi::SetLogLevel(const std::string& name) {
   const auto level = telemetry::ParseLogLevel(name);
-  if (!level)
+  if (!level) {
     return ErrorAnswer(400, "unknown_level", "levels: trace, debug, info, warning, error");
+  }
   m_services.log.SetLevel(*level);
   return JsonAnswer(200, {{"level", name}});
 }
--- a/packages/entry/src/admin_client.cc
+++ b/packages/entry/src/admin_client.cc
@@ -35,7 +35,7 @@
 }  // namespace
 
 std::shared_ptr<AdminAccess> AddAccessOptions(CLI::App& command) {
-  const auto access = std::make_shared<AdminAccess>();
+  auto access = std::make_shared<AdminAccess>();
   command.add_option("--admin", access->admin, "address:port of an entry process's admin port");
   command.add_option("--credential-file", access->credential_file,
                      "file with the operator credential; else CORNELRELAY_CREDENTIAL");
--- a/packages/entry/src/admin_client.h
+++ b/packages/entry/src/admin_client.h
@@ -7,7 +7,7 @@
 
 #include "cornelrelay/core/endpoint.h"
 
-namespace CLI {
+namespace CLI {  // NOLINT(readability-identifier-naming): the name of the library
 class App;
 }
 
--- a/packages/entry/src/caller_gateway.cc
+++ b/packages/entry/src/caller_gateway.cc
@@ -36,7 +36,7 @@
 CallerGateway::CallerGateway(RequestServices services, CallerRequestParser parser,
                              ServiceMap& runtimes, CurrentCatalogue catalogue,
                              const core::HostId& self, std::uint64_t incarnation)
-    : m_services(std::move(services)),
+    : m_services(services),
       m_parser(std::move(parser)),
       m_runtimes(runtimes),
       m_catalogue(std::move(catalogue)),
--- a/packages/entry/src/caller_request_parser.cc
+++ b/packages/entry/src/caller_request_parser.cc
@@ -32,7 +32,7 @@
   std::int64_t value = 0;
   const char* end = text->data() + text->size();
   const auto [rest, status] = std::from_chars(text->data(), end, value);
-  constexpr std::int64_t kLongest = 24 * 3600 * 1000;
+  constexpr std::int64_t kLongest = 86'400'000;
   if (status != std::errc() || rest != end || value < 1 || value > kLongest) {
     throw RejectedRequest(400, "invalid_deadline", "X-Deadline-Ms must be 1 to 86400000");
   }
--- a/packages/entry/src/entry_process.cc
+++ b/packages/entry/src/entry_process.cc
@@ -213,8 +213,8 @@
       sharing.push_back({host, stored.record.version.incarnation});
     }
     if (alive) live.insert(host);
-    if (alive && host != self && member->data_centre == m_settings.common.data_centre)
-      local.push_back(host);
+    const bool is_local = member->data_centre == m_settings.common.data_centre;
+    if (alive && is_local && host != self) local.push_back(host);
   }
   m_admission.SetMembers(std::move(sharing));
   m_claims.SetMembers(live);
--- a/packages/entry/src/profile_commands.cc
+++ b/packages/entry/src/profile_commands.cc
@@ -32,7 +32,7 @@
 };
 
 std::shared_ptr<EditOptions> AddEditOptions(CLI::App& command) {
-  const auto options = std::make_shared<EditOptions>();
+  auto options = std::make_shared<EditOptions>();
   options->access = internal::AddAccessOptions(command);
   command.add_option("--seen", options->seen,
                      "refuse if the catalogue is newer than this revision");
--- a/packages/entry/src/request_task.cc
+++ b/packages/entry/src/request_task.cc
@@ -235,8 +235,9 @@
   for (const auto& candidate : decision.candidates) {
     telemetry::CandidateRecord record;
     record.upstream = candidate.replica;
-    if (candidate.score)
+    if (candidate.score) {
       record.score_seconds = std::chrono::duration<double>(*candidate.score).count();
+    }
     if (candidate.exclusion) record.exclusion = std::string(ToString(*candidate.exclusion));
     m_record.candidates.push_back(std::move(record));
   }
--- a/packages/net/src/http_client.cc
+++ b/packages/net/src/http_client.cc
@@ -162,7 +162,9 @@
                                                       std::chrono::milliseconds timeout) {
     ConnectionPtr connection;
     if (use == ConnectionUse::kReuse) connection = m_pool->Take(peer);
-    if (!connection) connection = co_await Connect(peer);
+    if (!connection) {
+      connection = co_await Connect(peer);
+    }
     co_return std::make_unique<Exchange>(std::move(peer), std::move(connection), m_pool, timeout,
                                          m_limits);
   }
