--- a/packages/limits/tests/admission_test.cc
+++ b/packages/limits/tests/admission_test.cc
@@ -106,6 +106,33 @@
   }
 }
 
+// Guards against buckets that fill at a grown share for the time before the view was settled, and
+// so exceed the account's rate.
+TEST_CASE("the time before a statement settles a view earns tokens at the old rate") {
+  const Member a{core::HostId("a"), 1};
+  const Member b{core::HostId("b"), 1};
+  const Member c{core::HostId("c"), 1};
+  AdmissionConfig config;
+  config.ledger.self = a.id;
+  AdmissionController controller(config);
+  controller.Step(At(0), LimitsChanged{core::ServiceId("s"), {300, {300, 30, 3000, 300}, {}}});
+  controller.Step(At(0), MembersChanged{{a, b, c}});
+  for (const Member& other : {b, c}) {
+    controller.Step(At(0), SettledReceived{other.id, ViewId({a, b, c}), Standing::kSettled, 1});
+  }
+  REQUIRE(controller.ledger().settled());
+  controller.Step(At(1000), Request(1));
+  controller.Step(At(1000), MembersChanged{{a, b}});
+  REQUIRE_FALSE(controller.ledger().settled());
+  controller.Step(At(11000), SettledReceived{b.id, ViewId({a, b}), Standing::kSettled, 2});
+  REQUIRE(controller.ledger().settled());
+  controller.Step(At(11000), Request(2));
+  // 11 s at a third of 30 a second, less two requests; at half of it the last 10 s would earn 150.
+  const auto& state =
+      controller.services().at(core::ServiceId("s")).accounts.at(core::ClientAccountId("x"));
+  CHECK(state.bucket.tokens() == Approx(108));
+}
+
 // Guards against queueing work that cannot end in time, which wastes the caller's time and an
 // upstream's.
 TEST_CASE("work that cannot meet its deadline is refused at once with a retry-after") {
