Release the permit of a caller that leaves the queue; split the request task

Change: a request that ends without an answer is cancelled at admission. AnswerWriter and ReplicaChoice are classes of their own; runtime has Pause and the set-up that both binaries share. Conclusion: the permit leak is closed; the split changes no behaviour.

--- a/packages/agent/include/cornelrelay/agent/agent_process.h
+++ b/packages/agent/include/cornelrelay/agent/agent_process.h
@@ -40,9 +40,7 @@
   boost::asio::awaitable<void> PollLoop();
   boost::asio::awaitable<void> Poll();
   boost::asio::awaitable<void> DrainAndStop();
-  boost::asio::awaitable<void> Pause(core::Duration time);
   void Publish();
-  gossip::NodeSettings NodeSettings() const;
 
   boost::asio::io_context& m_context;
   settings::AgentSettings m_settings;
--- a/packages/agent/main/cornelrelay-agent.cc
+++ b/packages/agent/main/cornelrelay-agent.cc
@@ -8,29 +8,24 @@
 #include <iostream>
 #include <memory>
 #include <nlohmann/json.hpp>
-#include <random>
 #include <string>
 
 #include "cornelrelay/agent/agent_process.h"
+#include "cornelrelay/runtime/process_setup.h"
 #include "cornelrelay/settings/invalid_settings.h"
 
 namespace {
 
 constexpr int kExitInvalidInput = 2;
 
-std::uint64_t SeedOf(const cornelrelay::settings::CommonSettings& common) {
-  if (common.seed) return *common.seed;
-  std::random_device device;
-  return (static_cast<std::uint64_t>(device()) << 32U) | device();
-}
-
 int Run(const std::string& file) {
   namespace telemetry = cornelrelay::telemetry;
   const auto settings = cornelrelay::settings::LoadAgentSettings(file);
   telemetry::JsonLog log(settings.common.host.value(), settings.common.log_level,
                          std::make_shared<spdlog::sinks::stderr_sink_mt>());
   boost::asio::io_context context(1);
-  cornelrelay::agent::AgentProcess process(context, settings, log, SeedOf(settings.common));
+  cornelrelay::agent::AgentProcess process(context, settings, log,
+                                           cornelrelay::runtime::SeedOf(settings.common));
   process.Start();
   boost::asio::signal_set signals(context, SIGTERM, SIGINT, SIGUSR1);
   std::function<void()> wait = [&] {
--- a/packages/agent/src/agent_process.cc
+++ b/packages/agent/src/agent_process.cc
@@ -2,15 +2,14 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
 
 #include "cornelrelay/core/error.h"
 #include "cornelrelay/gossip/state_dump.h"
+#include "cornelrelay/runtime/pause.h"
+#include "cornelrelay/runtime/process_setup.h"
 
 namespace cornelrelay::agent {
 namespace {
@@ -24,10 +23,6 @@
 constexpr std::chrono::seconds kLeaveTime{2};
 constexpr std::chrono::milliseconds kDrainPoll{100};
 
-wire::MacKey ToMacKey(const settings::ControlKey& key) {
-  return wire::MacKey(std::string(key.bytes().begin(), key.bytes().end()));
-}
-
 }  // namespace
 
 AgentProcess::AgentProcess(asio::io_context& context, settings::AgentSettings settings,
@@ -37,25 +32,16 @@
       m_log(log),
       m_client(context, net::HttpClientLimits{}),
       m_control(
-          context, m_clock, NodeSettings(), ToMacKey(m_settings.common.control_key),
+          context, m_clock,
+          runtime::ToNodeSettings(m_settings.common, gossip::Role::kAgent,
+                                  runtime::IncarnationAt(m_clock)),
+          runtime::ToMacKey(m_settings.common.control_key),
           [](const core::HostId&, const wire::ControlMessage&) {}, [](const gossip::Record&) {}),
       m_host_list(context, m_client, m_settings.common.host_list, seed,
                   [this](std::vector<gossip::HostListEntry> hosts) {
                     m_control.Step(gossip::HostListReceived{std::move(hosts)});
                   }) {}
 
-gossip::NodeSettings AgentProcess::NodeSettings() const {
-  gossip::NodeSettings node;
-  node.self = m_settings.common.host;
-  node.role = gossip::Role::kAgent;
-  node.data_centre = m_settings.common.data_centre;
-  node.control = m_settings.common.control;
-  node.incarnation = static_cast<std::uint64_t>(m_clock.Now().time_since_epoch().count());
-  node.seeds = m_settings.common.peers;
-  node.random_seed = node.incarnation;
-  return node;
-}
-
 void AgentProcess::Start() {
   m_control.Start();
   m_host_list.Start();
@@ -68,7 +54,7 @@
 asio::awaitable<void> AgentProcess::PollLoop() {
   while (true) {
     co_await Poll();
-    co_await Pause(m_settings.poll_interval);
+    co_await runtime::Pause(m_context, m_settings.poll_interval);
   }
 }
 
@@ -113,23 +99,17 @@
 
 asio::awaitable<void> AgentProcess::DrainAndStop() {
   const auto limit = m_clock.Now() + m_settings.common.shutdown_limit;
-  co_await Pause(kNoticeTime);
+  co_await runtime::Pause(m_context, kNoticeTime);
   // An upstream that does not answer any more has no work to wait for.
   while (m_load && !m_load->Idle() && m_clock.Now() < limit) {
-    co_await Pause(kDrainPoll);
+    co_await runtime::Pause(m_context, kDrainPoll);
   }
   m_control.Step(gossip::Leave{});
-  co_await Pause(kLeaveTime);
+  co_await runtime::Pause(m_context, kLeaveTime);
   m_log.Info("shutdown_finished", {{"upstream", m_settings.upstream}});
   m_context.stop();
 }
 
-asio::awaitable<void> AgentProcess::Pause(core::Duration time) {
-  asio::steady_timer timer(m_context, time);
-  boost::system::error_code ec;
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-}
-
 nlohmann::json AgentProcess::Dump() const {
   nlohmann::json load;
   if (m_load) load = {{"running", m_load->running}, {"waiting", m_load->waiting}};
--- a/packages/entry/include/cornelrelay/entry/admission_hub.h
+++ b/packages/entry/include/cornelrelay/entry/admission_hub.h
@@ -18,7 +18,7 @@
 /// \code
 /// hub.Arrive(arrival, [mailbox](const request::RequestEvent& event) { mailbox->Push(event); });
 /// ...
-/// hub.Finish(id, true);
+/// hub.Finish(id);
 /// \endcode
 class AdmissionHub {
  public:
@@ -30,7 +30,10 @@
 
   /// \param arrival its request id must be unique within the process
   void Arrive(const limits::RequestArrived& arrival, Notify notify);
-  void Finish(const core::RequestId& request, bool completed);
+  /// \brief The request ran to its end.
+  void Finish(const core::RequestId& request);
+
+  /// \brief The request ended in any other way, also while it was queued.
   void Cancel(const core::RequestId& request);
   void SetLimits(const core::ServiceId& service, const limits::ServiceLimits& limits);
   void SetMembers(std::vector<limits::Member> members);
--- a/packages/entry/include/cornelrelay/entry/crash_hub.h
+++ b/packages/entry/include/cornelrelay/entry/crash_hub.h
@@ -57,7 +57,6 @@
   boost::asio::awaitable<void> Examine(core::AttemptId run, core::UpstreamId upstream,
                                        core::Endpoint endpoint, std::function<void()> done);
   boost::asio::awaitable<bool> RefusesConnections(core::Endpoint endpoint);
-  boost::asio::awaitable<void> Pause(core::Duration time);
   void ReportFailure(const core::UpstreamId& upstream);
 
   boost::asio::io_context& m_context;
--- a/packages/entry/include/cornelrelay/entry/entry_process.h
+++ b/packages/entry/include/cornelrelay/entry/entry_process.h
@@ -50,10 +50,8 @@
 
  private:
   boost::asio::awaitable<void> DrainAndStop();
-  boost::asio::awaitable<void> Pause(core::Duration time);
   boost::asio::awaitable<void> ServeControl(net::HttpRequest request,
                                             net::ResponseStream& response);
-  gossip::NodeSettings NodeSettings(std::uint64_t incarnation) const;
   ServiceMap MakeServices(std::uint64_t seed) const;
   void OnRecord(const gossip::Record& record);
   void OnMember(const gossip::Record& record, const gossip::MemberState& member);
--- a/packages/entry/include/cornelrelay/entry/table_service.h
+++ b/packages/entry/include/cornelrelay/entry/table_service.h
@@ -36,7 +36,6 @@
   boost::asio::awaitable<void> Run();
   boost::asio::awaitable<void> FetchPart(gossip::SnapshotPart part);
   boost::asio::awaitable<bool> FetchFrom(core::Endpoint peer, gossip::SnapshotPart part);
-  boost::asio::awaitable<void> Pause(core::Duration time);
   std::optional<core::Endpoint> ChoosePeer();
 
   boost::asio::io_context& m_context;
--- a/packages/entry/src/admission_hub.cc
+++ b/packages/entry/src/admission_hub.cc
@@ -41,8 +41,8 @@
   Step(arrival);
 }
 
-void AdmissionHub::Finish(const core::RequestId& request, bool completed) {
-  Step(limits::RequestFinished{request, completed});
+void AdmissionHub::Finish(const core::RequestId& request) {
+  Step(limits::RequestFinished{request, true});
 }
 
 void AdmissionHub::Cancel(const core::RequestId& request) {
--- a/packages/entry/src/crash_hub.cc
+++ b/packages/entry/src/crash_hub.cc
@@ -2,9 +2,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <chrono>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -13,6 +10,7 @@
 
 #include "cornelrelay/net/errors.h"
 #include "cornelrelay/quarantine/state_dump.h"
+#include "cornelrelay/runtime/pause.h"
 #include "quarantine_codec.h"
 
 namespace cornelrelay::entry {
@@ -76,7 +74,7 @@
     bool dead = co_await RefusesConnections(endpoint);
     if (!dead) {
       // A process that is just ending may still accept for a moment.
-      co_await Pause(kSecondLook);
+      co_await runtime::Pause(m_context, kSecondLook);
       dead = co_await RefusesConnections(endpoint);
     }
     if (dead && !m_holds.contains(run)) ReportFailure(upstream);
@@ -85,17 +83,11 @@
   if (hold != m_holds.end()) {
     const core::Duration wait = hold->second - m_clock.Now();
     m_holds.erase(hold);
-    co_await Pause(wait);
+    co_await runtime::Pause(m_context, wait);
   }
   done();
 }
 
-asio::awaitable<void> CrashHub::Pause(core::Duration time) {
-  asio::steady_timer timer(m_context, time);
-  boost::system::error_code ec;
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-}
-
 asio::awaitable<bool> CrashHub::RefusesConnections(core::Endpoint endpoint) {
   try {
     co_await m_client.Open(std::move(endpoint), net::HttpClient::ConnectionUse::kFresh,
--- a/packages/entry/src/entry_process.cc
+++ b/packages/entry/src/entry_process.cc
@@ -3,9 +3,6 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 #include <utility>
 #include <vector>
@@ -13,7 +10,10 @@
 #include "cornelrelay/core/hash.h"
 #include "cornelrelay/gossip/quantise.h"
 #include "cornelrelay/gossip/upstream_view.h"
+#include "cornelrelay/runtime/pause.h"
+#include "cornelrelay/runtime/process_setup.h"
 #include "dump.h"
+#include "settings_conversion.h"
 
 namespace cornelrelay::entry {
 namespace {
@@ -34,42 +34,11 @@
 /// Load reports age and notices arrive without an event of their own.
 constexpr std::chrono::milliseconds kRefreshInterval{200};
 
-std::uint64_t IncarnationAt(const runtime::ProcessClock& clock) {
-  return static_cast<std::uint64_t>(clock.Now().time_since_epoch().count());
-}
-
-wire::MacKey ToMacKey(const settings::ControlKey& key) {
-  return wire::MacKey(std::string(key.bytes().begin(), key.bytes().end()));
-}
-
-net::HttpServerLimits CallerLimits(const settings::SizeLimits& limits) {
-  net::HttpServerLimits server;
-  server.head_bytes = static_cast<std::uint32_t>(limits.head);
-  server.body_bytes = limits.body;
-  return server;
-}
-
-std::optional<net::TlsFiles> ToTls(const std::optional<settings::TlsFiles>& files) {
-  if (!files) return std::nullopt;
-  return net::TlsFiles{files->certificate, files->key};
-}
-
 // Incarnations are start times in microseconds, so the sum keeps rising over restarts.
 std::uint64_t StatementOrder(const gossip::Version& version) {
   return version.incarnation + version.sequence;
 }
 
-limits::ServiceLimits ToLimits(const profile::Profile& profile, std::size_t accounts) {
-  limits::ServiceLimits limits;
-  limits.account.concurrency = profile.account.concurrency;
-  limits.account.rate = static_cast<std::uint64_t>(std::max(1.0, profile.account.rate_per_s));
-  limits.account.burst = limits.account.rate;
-  limits.account.queue = profile.account.queue;
-  // No profile field limits a service as a whole; the sum over its accounts does.
-  limits.concurrency = limits.account.concurrency * std::max<std::size_t>(1, accounts);
-  return limits;
-}
-
 }  // namespace
 
 EntryProcess::EntryProcess(asio::io_context& context, settings::EntrySettings settings,
@@ -77,7 +46,7 @@
     : m_context(context),
       m_settings(std::move(settings)),
       m_log(log),
-      m_incarnation(IncarnationAt(m_clock)),
+      m_incarnation(runtime::IncarnationAt(m_clock)),
       m_upstream_client(context, net::HttpClientLimits{}),
       m_platform_client(context, net::HttpClientLimits{}),
       m_decisions(kDecisions),
@@ -85,7 +54,9 @@
                                                    m_settings.common.store,
                                                    platform::StoreClientOptions{}, seed + 1)),
       m_control(
-          context, m_clock, NodeSettings(m_incarnation), ToMacKey(m_settings.common.control_key),
+          context, m_clock,
+          runtime::ToNodeSettings(m_settings.common, gossip::Role::kEntry, m_incarnation),
+          runtime::ToMacKey(m_settings.common.control_key),
           [this](const core::HostId& from, const wire::ControlMessage& message) {
             m_claims.Receive(from, message);
             m_catalogues.Receive(message);
@@ -119,7 +90,8 @@
                     m_control.Step(gossip::HostListReceived{std::move(hosts)});
                   }),
       m_refresh(context, m_clock, [this] { RefreshReplicas(); }),
-      m_callers(context, m_settings.callers, CallerLimits(m_settings.limits), ToTls(m_settings.tls),
+      m_callers(context, m_settings.callers, internal::ToServerLimits(m_settings.limits),
+                internal::ToTls(m_settings.tls),
                 [this](net::HttpRequest request, net::ResponseStream& response) {
                   return m_gateway.Serve(std::move(request), response);
                 }),
@@ -146,18 +118,6 @@
                                        {"admin", core::ToString(m_settings.admin)}});
 }
 
-gossip::NodeSettings EntryProcess::NodeSettings(std::uint64_t incarnation) const {
-  gossip::NodeSettings node;
-  node.self = m_settings.common.host;
-  node.role = gossip::Role::kEntry;
-  node.data_centre = m_settings.common.data_centre;
-  node.control = m_settings.common.control;
-  node.incarnation = incarnation;
-  node.seeds = m_settings.common.peers;
-  node.random_seed = incarnation;
-  return node;
-}
-
 ServiceMap EntryProcess::MakeServices(std::uint64_t seed) const {
   ServiceMap services;
   for (const auto& service : m_settings.services) {
@@ -265,7 +225,8 @@
 void EntryProcess::OnCatalogue(const profile::Catalogue& catalogue) {
   for (const auto& [id, service] : m_services) {
     service->Apply(m_clock.Now(), service->ProfileIn(catalogue));
-    m_admission.SetLimits(id, ToLimits(service->ProfileIn(catalogue), m_settings.accounts.size()));
+    m_admission.SetLimits(
+        id, internal::ToLimits(service->ProfileIn(catalogue), m_settings.accounts.size()));
   }
 }
 
@@ -294,33 +255,27 @@
   const auto limit = m_clock.Now() + m_settings.common.shutdown_limit;
   m_gateway.SetDraining();
   m_callers.AnnounceClosing();
-  co_await Pause(kAnnounceTime);
+  co_await runtime::Pause(m_context, kAnnounceTime);
   m_callers.StopAccepting();
   while (m_clock.Now() < limit) {
     if (m_gateway.tasks().empty() && m_callers.ActiveExchanges() == 0) break;
-    co_await Pause(kDrainPoll);
+    co_await runtime::Pause(m_context, kDrainPoll);
   }
   if (!m_gateway.tasks().empty()) {
     m_gateway.EndAll();
-    co_await Pause(std::chrono::milliseconds(200));
+    co_await runtime::Pause(m_context, std::chrono::milliseconds(200));
   }
   while (m_claims.HasUnfinished() && m_clock.Now() < limit) {
-    co_await Pause(kDrainPoll);
+    co_await runtime::Pause(m_context, kDrainPoll);
   }
   // The others take over this process's share of the limits once it has left, so it leaves when it
   // runs nothing more.
   m_control.Step(gossip::Leave{});
-  co_await Pause(kLeaveTime);
+  co_await runtime::Pause(m_context, kLeaveTime);
   m_log.Info("shutdown_finished");
   m_context.stop();
 }
 
-asio::awaitable<void> EntryProcess::Pause(core::Duration time) {
-  asio::steady_timer timer(m_context, time);
-  boost::system::error_code ec;
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-}
-
 nlohmann::json EntryProcess::Dump() const {
   return internal::DumpOf({m_gateway, m_services, m_admission, m_claims, m_crashes, m_catalogues,
                            m_control, *m_store, m_clock.Now()});
--- a/packages/entry/src/request_task.cc
+++ b/packages/entry/src/request_task.cc
@@ -52,6 +52,15 @@
   return static_cast<std::uint8_t>(profile.request.priority);
 }
 
+routing::RouteQuery QueryOf(const CallerRequest& request, const profile::Profile& profile) {
+  routing::RouteQuery query;
+  query.request = request.id;
+  query.size = request.size;
+  if (profile.routing.prefix_affinity) query.prefix_key = request.prefix;
+  query.priority = PriorityOf(profile);
+  return query;
+}
+
 }  // namespace
 
 RequestTask::RequestTask(RequestServices& services, ServiceRuntime& service,
@@ -63,12 +72,13 @@
       m_profile(profile),
       m_internal_id(std::move(internal_id)),
       m_response(response),
+      m_writer(response, m_request.id, m_request.stream),
       m_mailbox(std::make_shared<RequestMailbox>(services.context)),
       m_machine(PolicyOf(m_request, m_profile), FactsOf(m_request, m_internal_id),
                 services.clock.Now()),
       m_deadline(services.clock.Now() + DeadlineOf(m_request, m_profile)),
-      m_fingerprint(FingerprintOf(m_request)),
-      m_run_retry(services.context, services.clock, [this] { RequestRun(); }) {
+      m_choice(services, service, QueryOf(m_request, m_profile), FingerprintOf(m_request),
+               m_internal_id, m_deadline, m_mailbox) {
   m_record.time = std::chrono::sys_time<std::chrono::milliseconds>(
       std::chrono::duration_cast<std::chrono::milliseconds>(
           services.clock.Now().time_since_epoch()));
@@ -77,10 +87,7 @@
   m_record.service = m_request.service;
 }
 
-RequestTask::~RequestTask() {
-  m_mailbox->Close();
-  if (m_run_open) m_services.crashes.Ended(m_run, false);
-}
+RequestTask::~RequestTask() { m_mailbox->Close(); }
 
 boost::asio::awaitable<void> RequestTask::Run() {
   m_response.NotifyGone([mailbox = m_mailbox] { mailbox->Push(request::CallerGone{}); });
@@ -89,10 +96,10 @@
   while (!m_outcome) {
     const auto wake = m_machine.WakeAt();
     co_await m_mailbox->WaitUntil(m_services.clock.ToSteady(wake.value_or(core::Instant::max())));
-    while (m_output.size() < kFlushBytes) {
+    while (m_writer.pending().size() < kFlushBytes) {
       std::optional<request::RequestEvent> event = m_mailbox->Pop();
       if (!event) break;
-      if (!HeldBack(*event)) Step(*event);
+      if (!m_choice.HoldBack(*event)) Step(*event);
     }
     Step(request::TimePassed{});
     co_await Flush();
@@ -101,7 +108,13 @@
   co_await Flush();
   m_response.NotifyGone(nullptr);
   if (m_claim_requested) m_services.claims.Abandon(m_internal_id);
-  m_services.admission.Finish(m_internal_id, !m_outcome->error.has_value());
+  if (m_outcome->error) {
+    // It may still be queued; a start that nobody takes would hold its permit for ever.
+    m_services.admission.Cancel(m_internal_id);
+  } else {
+    m_services.admission.Finish(m_internal_id);
+  }
+  m_record.candidates = m_choice.candidates();
   m_services.decisions.Append(std::move(m_record));
   m_mailbox->Close();
 }
@@ -141,106 +154,7 @@
 }
 
 void RequestTask::Perform(const request::ChooseReplica& action) {
-  m_tried = action.excluded;
-  RequestRun();
-}
-
-routing::RouteQuery RequestTask::Query() const {
-  routing::RouteQuery query;
-  query.request = m_request.id;
-  query.size = m_request.size;
-  if (m_profile.routing.prefix_affinity) query.prefix_key = m_request.prefix;
-  query.priority = PriorityOf(m_profile);
-  query.excluded = m_tried;
-  return query;
-}
-
-// Only a suspect needs the list; it then runs on the first upstream that has no other suspect.
-std::vector<core::UpstreamId> RequestTask::Candidates() {
-  std::vector<core::UpstreamId> candidates;
-  routing::RouteQuery query = Query();
-  while (candidates.size() < m_service.settings().upstreams.size()) {
-    const auto decision = m_service.router().Choose(m_services.clock.Now(), query);
-    if (!decision.chosen) break;
-    candidates.push_back(*decision.chosen);
-    query.excluded.insert(*decision.chosen);
-  }
-  return candidates;
-}
-
-void RequestTask::RequestRun() {
-  RunOrder order;
-  order.run = core::AttemptId(m_internal_id.value() + "/run-" + std::to_string(++m_runs));
-  order.fingerprint = m_fingerprint;
-  if (m_services.crashes.IsSuspect(m_fingerprint)) order.candidates = Candidates();
-  m_run = order.run;
-  m_run_open = true;
-  m_services.crashes.Request(
-      order,
-      [this, mailbox = m_mailbox](const quarantine::AllowRun& allowed) {
-        if (!mailbox->closed()) ChooseWithin(allowed);
-      },
-      [this, mailbox = m_mailbox](const quarantine::RefuseRun& refusal) {
-        if (!mailbox->closed()) OnRunRefused(refusal);
-      });
-}
-
-void RequestTask::ChooseWithin(const quarantine::AllowRun& allowed) {
-  if (!allowed.only.empty()) {
-    m_mailbox->Push(request::ReplicaChosen{allowed.only});
-    return;
-  }
-  routing::RouteQuery query = Query();
-  query.excluded.insert(allowed.excluded.begin(), allowed.excluded.end());
-  routing::RouteQuery preferred = query;
-  preferred.excluded.insert(allowed.avoid.begin(), allowed.avoid.end());
-  auto decision = m_service.router().Choose(m_services.clock.Now(), preferred);
-  if (!decision.chosen && !allowed.avoid.empty()) {
-    decision = m_service.router().Choose(m_services.clock.Now(), query);
-  }
-  NoteCandidates(decision);
-  if (decision.chosen) {
-    m_mailbox->Push(request::ReplicaChosen{*decision.chosen});
-  } else {
-    m_mailbox->Push(request::NoReplica{std::chrono::seconds(1)});
-  }
-}
-
-void RequestTask::OnRunRefused(const quarantine::RefuseRun& refusal) {
-  m_run_open = false;
-  const auto again = m_services.clock.Now() + refusal.retry_after;
-  if (refusal.reason == quarantine::RefuseReason::kProbedElsewhere && again < m_deadline) {
-    m_run_retry.SetAt(again);
-    return;
-  }
-  m_mailbox->Push(
-      request::Refused{request::RequestError::kRequestQuarantined, refusal.retry_after});
-}
-
-// A broken attempt is first looked into: if its upstream has died, the request may be the cause,
-// and neither its caller nor a retry may carry it to another upstream before the others know.
-bool RequestTask::HeldBack(const request::RequestEvent& event) {
-  const auto* closed = std::get_if<request::UpstreamClosed>(&event);
-  if (closed == nullptr || closed->attempt != m_attempt_id || m_examined == m_attempt_id) {
-    return false;
-  }
-  m_examined = m_attempt_id;
-  m_services.crashes.Broken(m_run, m_upstream, m_service.EndpointOf(m_upstream),
-                            [mailbox = m_mailbox, again = *closed] { mailbox->Push(again); });
-  return true;
-}
-
-void RequestTask::NoteCandidates(const routing::RoutingDecision& decision) {
-  m_record.candidates.clear();
-  for (const auto& candidate : decision.candidates) {
-    telemetry::CandidateRecord record;
-    record.upstream = candidate.replica;
-    if (candidate.score) {
-      record.score_seconds = std::chrono::duration<double>(*candidate.score).count();
-    }
-    if (candidate.exclusion) record.exclusion = std::string(ToString(*candidate.exclusion));
-    m_record.candidates.push_back(std::move(record));
-  }
+  m_choice.Choose(action.excluded);
 }
 
 void RequestTask::Perform(const request::AskRetryToken&) {
@@ -261,8 +175,7 @@
   started.size = m_request.size;
   if (m_profile.routing.prefix_affinity) started.prefix_key = m_request.prefix;
   m_service.router().Step(now, started);
-  m_upstream = action.upstream;
-  m_services.crashes.Started(m_run, action.upstream);
+  m_choice.Started(action.attempt, action.upstream);
 
   AttemptOrder order;
   order.attempt = action.attempt;
@@ -303,26 +216,24 @@
   }
   // A recorded answer has no attempt, and only completions carry their id in the body.
   const bool completion = m_request.kind == settings::ServiceKind::kModel && m_attempt &&
-                          AnswerHead().status == kStatusOk;
-  const std::string payload =
-      completion ? request::ReplaceAnswerId(action.payload, m_attempt_id, m_request.id)
-                 : action.payload;
-  if (m_request.stream && completion) {
-    m_output += "data: " + payload + "\n\n";
-  } else {
-    m_output += payload;
-  }
+                          m_attempt->head() && m_attempt->head()->status == kStatusOk;
+  if (m_attempt) m_writer.SetHead(m_attempt->head());
+  m_writer.Append(completion ? request::ReplaceAnswerId(action.payload, m_attempt_id, m_request.id)
+                             : action.payload);
 }
 
-void RequestTask::Perform(const request::FinishAnswer&) { m_finished = true; }
+void RequestTask::Perform(const request::FinishAnswer&) {
+  if (m_attempt) m_writer.SetHead(m_attempt->head());
+  m_writer.Finish();
+}
 
-void RequestTask::Perform(const request::SendError& action) { m_error = ToTypedError(action); }
+void RequestTask::Perform(const request::SendError& action) { m_writer.Fail(ToTypedError(action)); }
 
 void RequestTask::Perform(const request::FinishClaim& action) {
   std::string recorded;
   const bool whole = action.outcome == request::ClaimOutcome::kCompleted && !m_request.stream;
-  if (whole && m_output.size() <= kMaxRecordedBytes) {
-    recorded = m_output;
+  if (whole && m_writer.pending().size() <= kMaxRecordedBytes) {
+    recorded = m_writer.pending();
   }
   m_claim_requested = false;
   m_services.claims.Finish(m_internal_id, action.outcome, recorded);
@@ -346,8 +257,7 @@
       m_service.router().Step(now, routing::AttemptFailed{action.attempt});
       break;
   }
-  m_run_open = false;
-  m_services.crashes.Ended(m_run, action.result == AttemptResult::kCompleted);
+  m_choice.Ended(action.result == AttemptResult::kCompleted);
   telemetry::AttemptRecord record;
   record.attempt = action.attempt;
   record.upstream = action.upstream;
@@ -390,75 +300,11 @@
 boost::asio::awaitable<void> RequestTask::Flush() {
   bool gone = false;
   try {
-    if (m_error) {
-      co_await FlushError();
-    } else if (m_request.stream) {
-      co_await FlushStream();
-    } else if (m_finished) {
-      co_await FlushWhole();
-    }
+    co_await m_writer.Flush();
   } catch (const net::CallerGone&) {
     gone = true;
   }
   if (gone) m_mailbox->Push(request::CallerGone{});
 }
 
-boost::asio::awaitable<void> RequestTask::FlushStream() {
-  const bool event_stream =
-      m_attempt && m_attempt->head() && m_attempt->head()->status == kStatusOk;
-  if (m_finished && !m_response.Started() && !event_stream) {
-    co_await FlushWhole();
-    co_return;
-  }
-  if (!m_output.empty()) {
-    if (!m_response.Started()) {
-      net::HttpResponseHead head = AnswerHead();
-      co_await m_response.StartStream(std::move(head));
-    }
-    const std::string output = std::exchange(m_output, {});
-    co_await m_response.SendPiece(output);
-  }
-  if (m_finished) {
-    m_finished = false;
-    co_await m_response.SendPiece("data: [DONE]\n\n");
-    co_await m_response.FinishStream();
-  }
-}
-
-boost::asio::awaitable<void> RequestTask::FlushWhole() {
-  m_finished = false;
-  net::HttpResponseHead head = AnswerHead();
-  net::HttpResponse answer;
-  answer.status = head.status;
-  answer.headers = std::move(head.headers);
-  answer.body = std::exchange(m_output, {});
-  co_await m_response.SendWhole(std::move(answer));
-}
-
-boost::asio::awaitable<void> RequestTask::FlushError() {
-  const TypedError failure = *std::exchange(m_error, std::nullopt);
-  if (!m_response.Started()) {
-    net::HttpResponse answer = ToResponse(failure, m_request.id);
-    co_await m_response.SendWhole(std::move(answer));
-    co_return;
-  }
-  // Neither [DONE] nor the last HTTP chunk follows, so no client can take the answer for whole.
-  const std::string event = std::exchange(m_output, {}) + ToSseEvent(failure, m_request.id);
-  co_await m_response.SendPiece(event);
-  m_response.Abort();
-}
-
-net::HttpResponseHead RequestTask::AnswerHead() const {
-  net::HttpResponseHead head;
-  head.status = kStatusOk;
-  head.headers["Content-Type"] = "application/json";
-  if (m_attempt && m_attempt->head()) {
-    head.status = m_attempt->head()->status;
-    const auto type = net::FindHeader(m_attempt->head()->headers, "Content-Type");
-    if (type) head.headers["Content-Type"] = *type;
-  }
-  head.headers["X-Request-Id"] = m_request.id.value();
-  return head;
-}
-
 }  // namespace cornelrelay::entry
--- a/packages/entry/src/serve_command.cc
+++ b/packages/entry/src/serve_command.cc
@@ -6,28 +6,22 @@
 #include <csignal>
 #include <functional>
 #include <memory>
-#include <random>
 #include <string>
 
 #include "cornelrelay/entry/commands.h"
 #include "cornelrelay/entry/entry_process.h"
+#include "cornelrelay/runtime/process_setup.h"
 #include "cornelrelay/settings/entry_settings.h"
 
 namespace cornelrelay::entry {
 namespace {
 
-std::uint64_t SeedOf(const settings::CommonSettings& common) {
-  if (common.seed) return *common.seed;
-  std::random_device device;
-  return (static_cast<std::uint64_t>(device()) << 32U) | device();
-}
-
 int Serve(const std::string& file) {
   const settings::EntrySettings settings = settings::LoadEntrySettings(file);
   telemetry::JsonLog log(settings.common.host.value(), settings.common.log_level,
                          std::make_shared<spdlog::sinks::stderr_sink_mt>());
   boost::asio::io_context context(1);
-  EntryProcess process(context, settings, log, SeedOf(settings.common));
+  EntryProcess process(context, settings, log, cornelrelay::runtime::SeedOf(settings.common));
   process.Start();
   boost::asio::signal_set signals(context, SIGTERM, SIGINT);
   std::function<void()> wait = [&] {
--- a/packages/entry/src/table_service.cc
+++ b/packages/entry/src/table_service.cc
@@ -2,14 +2,12 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <chrono>
 #include <utility>
 #include <variant>
 
 #include "cornelrelay/core/error.h"
+#include "cornelrelay/runtime/pause.h"
 
 namespace cornelrelay::entry {
 namespace {
@@ -36,13 +34,13 @@
 
 asio::awaitable<void> TableService::Run() {
   co_await FetchPart(gossip::SnapshotPart::kNear);
-  co_await Pause(std::chrono::milliseconds(m_random.Below(kFarSpreadMs)));
+  co_await runtime::Pause(m_context, std::chrono::milliseconds(m_random.Below(kFarSpreadMs)));
   co_await FetchPart(gossip::SnapshotPart::kFar);
 }
 
 asio::awaitable<void> TableService::FetchPart(gossip::SnapshotPart part) {
   for (int i = 0; i < kTries; ++i) {
-    co_await Pause(kRetry);
+    co_await runtime::Pause(m_context, kRetry);
     const std::optional<core::Endpoint> peer = ChoosePeer();
     if (!peer) continue;
     const bool fetched = co_await FetchFrom(*peer, part);
@@ -87,12 +85,6 @@
   co_return false;
 }
 
-asio::awaitable<void> TableService::Pause(core::Duration time) {
-  asio::steady_timer timer(m_context, time);
-  boost::system::error_code ec;
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-}
-
 std::string TableService::AnswerFetch(const std::string& sealed) {
   try {
     const auto opened = m_control.OpenMessage(sealed);
