--- a/packages/runtime/src/host_list_poller.cc
+++ b/packages/runtime/src/host_list_poller.cc
@@ -25,7 +25,8 @@
 
 std::vector<gossip::HostListEntry> ParseHosts(const std::string& body) {
   std::vector<gossip::HostListEntry> hosts;
-  for (const auto& entry : nlohmann::json::parse(body).at("hosts")) {
+  const auto list = nlohmann::json::parse(body);
+  for (const auto& entry : list.at("hosts")) {
     gossip::HostListEntry host;
     host.host = core::HostId(entry.at("host").get<std::string>());
     host.role = entry.at("role").get<std::string>() == "agent" ? gossip::Role::kAgent
