Move what the decisions know of a request into a file of its own

Change: request_facts.h and .cc hold the conversions; the code is unchanged. Conclusion: no change of behaviour.

--- a/packages/entry/src/request_task.cc
+++ b/packages/entry/src/request_task.cc
@@ -9,58 +9,16 @@
 #include "cornelrelay/entry/request_errors.h"
 #include "cornelrelay/net/errors.h"
 #include "cornelrelay/request/answer_id.h"
+#include "request_facts.h"
 
 namespace cornelrelay::entry {
 namespace {
 
-constexpr std::chrono::milliseconds kClaimTimeout{1500};
 constexpr std::size_t kMaxRecordedBytes = 512;
 constexpr std::size_t kFlushBytes = 16'384;
 constexpr int kStatusOk = 200;
 constexpr std::uint64_t kProgressEvents = 16;
 
-core::Duration DeadlineOf(const CallerRequest& request, const profile::Profile& profile) {
-  return request.deadline ? std::min(*request.deadline, profile.request.deadline)
-                          : profile.request.deadline;
-}
-
-request::RequestPolicy PolicyOf(const CallerRequest& request, const profile::Profile& profile) {
-  request::RequestPolicy policy;
-  policy.idempotent = profile.IsIdempotent(request.upstream.method, request.upstream.target);
-  policy.key_required = profile.request.key_required;
-  policy.max_attempts = static_cast<int>(profile.retry.attempts);
-  policy.deadline = DeadlineOf(request, profile);
-  policy.claim_timeout = kClaimTimeout;
-  return policy;
-}
-
-request::RequestFacts FactsOf(const CallerRequest& request, const core::RequestId& internal_id) {
-  request::RequestFacts facts;
-  facts.id = request.id;
-  facts.attempt_prefix = internal_id.value();
-  facts.has_key = request.key.has_value();
-  facts.resumable = request.kind == settings::ServiceKind::kModel && request.stream;
-  return facts;
-}
-
-quarantine::Fingerprint FingerprintOf(const CallerRequest& request) {
-  return quarantine::Fingerprint::Of(request.account, request.service,
-                                     request.upstream.target + '\n' + request.upstream.body);
-}
-
-std::uint8_t PriorityOf(const profile::Profile& profile) {
-  return static_cast<std::uint8_t>(profile.request.priority);
-}
-
-routing::RouteQuery QueryOf(const CallerRequest& request, const profile::Profile& profile) {
-  routing::RouteQuery query;
-  query.request = request.id;
-  query.size = request.size;
-  if (profile.routing.prefix_affinity) query.prefix_key = request.prefix;
-  query.priority = PriorityOf(profile);
-  return query;
-}
-
 }  // namespace
 
 RequestTask::RequestTask(RequestServices& services, ServiceRuntime& service,
@@ -74,11 +32,11 @@
       m_response(response),
       m_writer(response, m_request.id, m_request.stream),
       m_mailbox(std::make_shared<RequestMailbox>(services.context)),
-      m_machine(PolicyOf(m_request, m_profile), FactsOf(m_request, m_internal_id),
-                services.clock.Now()),
-      m_deadline(services.clock.Now() + DeadlineOf(m_request, m_profile)),
-      m_choice(services, service, QueryOf(m_request, m_profile), FingerprintOf(m_request),
-               m_internal_id, m_deadline, m_mailbox) {
+      m_machine(internal::PolicyOf(m_request, m_profile),
+                internal::FactsOf(m_request, m_internal_id), services.clock.Now()),
+      m_deadline(services.clock.Now() + internal::DeadlineOf(m_request, m_profile)),
+      m_choice(services, service, internal::QueryOf(m_request, m_profile),
+               internal::FingerprintOf(m_request), m_internal_id, m_deadline, m_mailbox) {
   m_record.time = std::chrono::sys_time<std::chrono::milliseconds>(
       std::chrono::duration_cast<std::chrono::milliseconds>(
           services.clock.Now().time_since_epoch()));
@@ -132,7 +90,7 @@
   arrival.request = m_internal_id;
   arrival.account = m_request.account;
   arrival.service = m_request.service;
-  arrival.priority = PriorityOf(m_profile);
+  arrival.priority = internal::PriorityOf(m_profile);
   arrival.deadline = m_deadline;
   arrival.work = m_request.size.prompt + m_request.size.output;
   m_services.admission.Arrive(
