List passed-over replicas in the decision of a probe

Cause: Choose() returned after TakeProbe() without an outcome for the replicas that were eligible but not compared, so explain showed 3 of 10 candidates. The router was wrong and the oracle of the property test right; its check stays as it was. Ruled out: counts of replicas that were erased (the sizes differ only with probe set). Conclusion: fixed.

--- a/packages/routing/src/router_choice.cc
+++ b/packages/routing/src/router_choice.cc
@@ -137,7 +137,16 @@
   }
 
   const bool probe = TakeProbe(choice, probed);
-  if (!probe) {
+  if (probe) {
+    // A probe compares nothing, but the decision still accounts for every replica.
+    for (const auto* from : {&local, &remote}) {
+      for (const Record* record : *from) {
+        if (!choice.outcomes.contains(record->status.id)) {
+          choice.Exclude(*record, Exclusion::kNotSampled);
+        }
+      }
+    }
+  } else {
     ScoreAffine(choice, local);
     ScoreSampled(choice, local);
     if (choice.best == nullptr || choice.best_score > query.spill_over_threshold) {
--- a/packages/routing/tests/router_test.cc
+++ b/packages/routing/tests/router_test.cc
@@ -44,6 +44,22 @@
   CHECK(stalled <= 2);
 }
 
+// Guards against a decision that is silent about the replicas that a probe passed over.
+TEST_CASE("a decision accounts for every replica, also when it is a probe") {
+  ReplicaRouter router({.seed = 2});
+  router.Step(At(0), ReplicaSetUpdated{Fleet(10)});
+  // Three failures in a row eject a replica; after the probe interval it gets one trial.
+  for (int i = 0; i < 3; ++i) {
+    const core::AttemptId attempt("failed-" + std::to_string(i));
+    router.Step(At(1), AttemptStarted{attempt, Replica(0), {}, {}});
+    router.Step(At(2), AttemptFailed{attempt});
+  }
+  const auto decision = router.Choose(At(60'000), RouteQuery{});
+  REQUIRE(decision.probe);
+  CHECK(decision.chosen == Replica(0));
+  CHECK(decision.candidates.size() == 10);
+}
+
 // Guards against removing most of a fleet when the observer itself is cut off, and against keeping
 // a single dead one.
 TEST_CASE("many losses at once keep the last known set, a single loss does not") {
