--- a/packages/bench/src/capacity/catalogue_world.h
+++ b/packages/bench/src/capacity/catalogue_world.h
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "cornelrelay/core/random.h"
-#include "cornelrelay/platform/store_client.h"
-#include "cornelrelay/platform/testing/store_model.h"
 #include "cornelrelay/profile/catalogue_replica.h"
+#include "cornelrelay/store/store_client.h"
+#include "cornelrelay/store/testing/store_model.h"
 
 namespace cornelrelay::bench {
 
@@ -53,25 +53,25 @@
  private:
   struct Process {
     int incarnation = 0;
-    std::unique_ptr<platform::StoreClient> store;
+    std::unique_ptr<store::StoreClient> store;
     std::unique_ptr<profile::CatalogueReplica> replica;
-    std::map<platform::StoreCallId, profile::CallNumber> calls;
-    platform::StoreCallId last_call = 0;
+    std::map<store::StoreCallId, profile::CallNumber> calls;
+    store::StoreCallId last_call = 0;
   };
   struct Transmission {
     int process;
     int incarnation;
-    platform::TransmissionId id;
+    store::TransmissionId id;
   };
 
   void After(core::Duration delay, std::function<void()> action);
   void Start(int process);
   bool IsWatcher(int process) const;
   void StepReplica(int process, const profile::ReplicaEvent& event);
-  void StepStore(int process, const platform::StoreClientEvent& event);
-  void Submit(int process, profile::CallNumber call, platform::StoreRequest request);
-  void Transmit(int process, const platform::TransmitCall& call);
-  void Answer(std::uint64_t transmission, platform::StoreReply reply);
+  void StepStore(int process, const store::StoreClientEvent& event);
+  void Submit(int process, profile::CallNumber call, store::StoreRequest request);
+  void Transmit(int process, const store::TransmitCall& call);
+  void Answer(std::uint64_t transmission, store::StoreReply reply);
   void Fetch(int process, const profile::FetchFromPeer& fetch);
   void Confirm(profile::CatalogueRevision revision);
   void Gossip();
@@ -79,7 +79,7 @@
   Options m_options;
   core::Random m_random;
   core::Instant m_now{};
-  platform::testing::StoreModel m_store;
+  store::testing::StoreModel m_store;
   std::string m_bytes;
   std::vector<Process> m_processes;
   std::map<std::uint64_t, Transmission> m_transmissions;
--- a/packages/bench/src/capacity/claims_world.h
+++ b/packages/bench/src/capacity/claims_world.h
@@ -11,8 +11,8 @@
 #include "cornelrelay/claims/claim_owner.h"
 #include "cornelrelay/claims/partitions.h"
 #include "cornelrelay/core/random.h"
-#include "cornelrelay/platform/store_client.h"
-#include "cornelrelay/platform/testing/store_model.h"
+#include "cornelrelay/store/store_client.h"
+#include "cornelrelay/store/testing/store_model.h"
 #include "cornelrelay/wire/control_message.h"
 
 namespace cornelrelay::bench {
@@ -53,18 +53,18 @@
  private:
   struct Process {
     Process(const Options& options, std::uint64_t seed);
-    platform::StoreClient store;
-    std::map<platform::StoreCallId, std::pair<std::uint32_t, claims::StoreCallId>> calls;
-    platform::StoreCallId last_call = 0;
+    store::StoreClient store;
+    std::map<store::StoreCallId, std::pair<std::uint32_t, claims::StoreCallId>> calls;
+    store::StoreCallId last_call = 0;
   };
 
   void After(core::Duration delay, std::function<void()> action);
   void Arrive();
   void StepClient(const claims::ClientEvent& event);
   void StepOwner(std::uint32_t partition, const claims::OwnerEvent& event);
-  void StepStore(const core::HostId& host, const platform::StoreClientEvent& event);
-  void Deliver(const core::HostId& host, const platform::DeliverReply& delivery);
-  void Submit(std::uint32_t partition, claims::StoreCallId call, platform::StoreRequest request);
+  void StepStore(const core::HostId& host, const store::StoreClientEvent& event);
+  void Deliver(const core::HostId& host, const store::DeliverReply& delivery);
+  void Submit(std::uint32_t partition, claims::StoreCallId call, store::StoreRequest request);
   wire::ControlMessage Transfer(const wire::ControlMessage& message);
 
   Options m_options;
@@ -74,7 +74,7 @@
   std::uint64_t m_requests = 0;
   std::uint64_t m_transmissions = 0;
   std::set<core::HostId> m_members;
-  platform::testing::StoreModel m_store;
+  store::testing::StoreModel m_store;
   std::map<core::HostId, Process> m_processes;
   std::vector<core::HostId> m_owner_hosts;
   std::vector<claims::ClaimOwner> m_owners;
--- /dev/null
+++ b/packages/directory/tests/upstream_directory_test.cc
@@ -0,0 +1,98 @@
+#include "cornelrelay/directory/upstream_directory.h"
+
+#include <catch2/catch.hpp>
+
+namespace cornelrelay::directory {
+namespace {
+
+using std::chrono::milliseconds;
+
+const core::ServiceId kService("llm");
+
+core::Instant At(std::int64_t ms) { return core::Instant(milliseconds(ms)); }
+core::UpstreamId Id(int n) { return core::UpstreamId("i-" + std::to_string(n)); }
+
+UpstreamEntry Entry(int n, std::uint64_t incarnation = 1) {
+  UpstreamEntry entry;
+  entry.id = Id(n);
+  entry.service = kService;
+  entry.incarnation = incarnation;
+  return entry;
+}
+
+EntriesChanged Added(int from, int to) {
+  EntriesChanged event;
+  for (int n = from; n < to; ++n) event.changes.push_back({Id(n), Entry(n)});
+  return event;
+}
+
+EntriesChanged Removed(int from, int to) {
+  EntriesChanged event;
+  for (int n = from; n < to; ++n) event.changes.push_back({Id(n), std::nullopt});
+  return event;
+}
+
+UpstreamDirectory Sixteen() {
+  UpstreamDirectory directory({});
+  directory.Step(At(0), Added(0, 16));
+  return directory;
+}
+
+}  // namespace
+
+TEST_CASE("a draining or removed upstream gets no more requests at once") {
+  UpstreamDirectory directory = Sixteen();
+  UpstreamEntry leaving = Entry(0);
+  leaving.leaving = true;
+  directory.Step(At(10), EntriesChanged{{{Id(0), leaving}}});
+  directory.Step(At(10), Removed(1, 2));
+  CHECK(directory.Usable(kService).size() == 14);
+}
+
+TEST_CASE("entries that lapse in an outage stay in use until the time of their return is over") {
+  UpstreamDirectory directory = Sixteen();
+  directory.Step(At(1000), StoreLost{});
+  directory.Step(At(6000), StoreRegained{});
+  directory.Step(At(6010), Removed(0, 16));
+  CHECK(directory.Usable(kService).size() == 16);
+  directory.Step(At(7000), Added(0, 10));
+  REQUIRE(directory.NextWake() == At(8000));
+  directory.Step(At(8000), DirectoryTick{});
+  CHECK(directory.Usable(kService).size() == 10);
+}
+
+TEST_CASE("a removal well after an outage is believed") {
+  UpstreamDirectory directory = Sixteen();
+  directory.Step(At(1000), StoreLost{});
+  directory.Step(At(6000), StoreRegained{});
+  directory.Step(At(8001), Removed(0, 1));
+  CHECK(directory.Usable(kService).size() == 15);
+}
+
+TEST_CASE("the removal of most entries at once is doubted, but not for long") {
+  UpstreamDirectory directory = Sixteen();
+  directory.Step(At(1000), Removed(0, 12));
+  CHECK(directory.Usable(kService).size() == 16);
+  directory.Step(At(2200), DirectoryTick{});
+  CHECK(directory.Usable(kService).size() == 4);
+}
+
+TEST_CASE("an announced departure is believed also during an outage") {
+  UpstreamDirectory directory = Sixteen();
+  UpstreamEntry leaving = Entry(3);
+  leaving.leaving = true;
+  directory.Step(At(10), EntriesChanged{{{Id(3), leaving}}});
+  directory.Step(At(1000), StoreLost{});
+  directory.Step(At(1500), Removed(3, 4));
+  CHECK(directory.Usable(kService).size() == 15);
+  CHECK_FALSE(directory.Find(Id(3)));
+}
+
+TEST_CASE("a restart under the same id is told apart") {
+  UpstreamDirectory directory = Sixteen();
+  const auto actions = directory.Step(At(10), EntriesChanged{{{Id(5), Entry(5, 2)}}});
+  REQUIRE(actions.size() == 1);
+  CHECK(std::get<UpstreamJoined>(actions.front()).restarted);
+}
+
+}  // namespace cornelrelay::directory
--- a/packages/entry/include/cornelrelay/entry/catalogue_service.h
+++ b/packages/entry/include/cornelrelay/entry/catalogue_service.h
@@ -64,7 +64,7 @@
   telemetry::JsonLog& m_log;
   profile::CatalogueReplica m_replica;
   AppliedHandler m_on_applied;
-  std::map<profile::CallNumber, platform::StoreCallId> m_store_calls;
+  std::map<profile::CallNumber, store::StoreCallId> m_store_calls;
   runtime::WakeTimer m_timer;
 };
 
--- a/packages/entry/include/cornelrelay/entry/entry_process.h
+++ b/packages/entry/include/cornelrelay/entry/entry_process.h
@@ -23,6 +23,7 @@
 #include "cornelrelay/runtime/process_clock.h"
 #include "cornelrelay/runtime/store_link.h"
 #include "cornelrelay/settings/entry_settings.h"
+#include "cornelrelay/store/store_http_codec.h"
 #include "cornelrelay/telemetry/decision_log.h"
 #include "cornelrelay/telemetry/json_log.h"
 #include "cornelrelay/telemetry/metric_registry.h"
@@ -69,6 +70,7 @@
   net::HttpClient m_platform_client;
   telemetry::MetricRegistry m_metrics;
   telemetry::DecisionLog m_decisions;
+  store::StoreHttpCodec m_store_codec;
   std::shared_ptr<runtime::StoreLink> m_store;
   runtime::ControlPlane m_control;
   CatalogueService m_catalogues;
--- a/packages/entry/include/cornelrelay/entry/request_task.h
+++ b/packages/entry/include/cornelrelay/entry/request_task.h
@@ -51,6 +51,7 @@
   void Perform(const request::CancelAttempt& action);
   void Perform(const request::ForwardChunk& action);
   void Perform(const request::FinishAnswer& action);
+  void Perform(const request::ForwardFailure& action);
   void Perform(const request::SendError& action);
   void Perform(const request::FinishClaim& action);
   void Perform(const request::RecordAttempt& action);
--- a/packages/entry/src/catalogue_edit.cc
+++ b/packages/entry/src/catalogue_edit.cc
@@ -34,19 +34,19 @@
 }
 
 void CatalogueEdit::Perform(const profile::ReadCatalogueKey& action) {
-  m_store.Call(platform::Get{profile::kCatalogueKey},
-               [edit = shared_from_this(), call = action.call](const platform::StoreReply& reply) {
+  m_store.Call(store::Get{profile::kCatalogueKey},
+               [edit = shared_from_this(), call = action.call](const store::StoreReply& reply) {
                  edit->Step(ToEditorEvent(call, reply));
                });
 }
 
 void CatalogueEdit::Perform(const profile::SwapCatalogueKey& action) {
-  platform::CompareAndSwap swap;
+  store::CompareAndSwap swap;
   swap.key = profile::kCatalogueKey;
   swap.expected = action.expected;
   swap.value = action.bytes;
   m_store.Call(std::move(swap),
-               [edit = shared_from_this(), call = action.call](const platform::StoreReply& reply) {
+               [edit = shared_from_this(), call = action.call](const store::StoreReply& reply) {
                  edit->Step(ToEditorEvent(call, reply));
                });
 }
--- a/packages/entry/src/catalogue_service.cc
+++ b/packages/entry/src/catalogue_service.cc
@@ -43,18 +43,18 @@
 }
 
 void CatalogueService::Perform(const profile::ReadCatalogueKey& action) {
-  m_store.Call(platform::Get{profile::kCatalogueKey},
-               [this, call = action.call](const platform::StoreReply& reply) {
+  m_store.Call(store::Get{profile::kCatalogueKey},
+               [this, call = action.call](const store::StoreReply& reply) {
                  OnEvent(ToReplicaEvent(call, reply));
                });
 }
 
 void CatalogueService::Perform(const profile::WatchCatalogueKey& action) {
-  platform::Watch watch;
+  store::Watch watch;
   watch.key = profile::kCatalogueKey;
   watch.after = action.after;
   m_store_calls[action.call] =
-      m_store.Call(std::move(watch), [this, call = action.call](const platform::StoreReply& reply) {
+      m_store.Call(std::move(watch), [this, call = action.call](const store::StoreReply& reply) {
         m_store_calls.erase(call);
         OnEvent(ToReplicaEvent(call, reply));
       });
--- a/packages/entry/src/catalogue_store.cc
+++ b/packages/entry/src/catalogue_store.cc
@@ -8,18 +8,18 @@
 namespace cornelrelay::entry {
 namespace {
 
-std::optional<profile::KeyContent> ToContent(const std::optional<platform::StoredValue>& value) {
+std::optional<profile::KeyContent> ToContent(const std::optional<store::StoredValue>& value) {
   if (!value) return std::nullopt;
   return profile::KeyContent{value->value, value->revision};
 }
 
-profile::StoreCallFailed Failure(profile::CallNumber call, const platform::StoreReply& reply) {
+profile::StoreCallFailed Failure(profile::CallNumber call, const store::StoreReply& reply) {
   profile::StoreCallFailed failed;
   failed.call = call;
-  failed.outcome_unknown = std::holds_alternative<platform::TimedOut>(reply);
-  if (const auto* refused = std::get_if<platform::RefusedForRate>(&reply)) {
+  failed.outcome_unknown = std::holds_alternative<store::TimedOut>(reply);
+  if (const auto* refused = std::get_if<store::RefusedForRate>(&reply)) {
     failed.retry_after = refused->retry_after;
-  } else if (const auto* unavailable = std::get_if<platform::Unavailable>(&reply)) {
+  } else if (const auto* unavailable = std::get_if<store::Unavailable>(&reply)) {
     failed.retry_after = unavailable->retry_after;
   }
   return failed;
@@ -27,14 +27,14 @@
 
 }  // namespace
 
-profile::ReplicaEvent ToReplicaEvent(profile::CallNumber call, const platform::StoreReply& reply) {
+profile::ReplicaEvent ToReplicaEvent(profile::CallNumber call, const store::StoreReply& reply) {
   using profile::ReplicaEvent;
   return std::visit(
       core::Overloaded{
-          [&](const platform::ValueRead& read) {
+          [&](const store::ValueRead& read) {
             return ReplicaEvent(profile::CatalogueKeyRead{call, ToContent(read.current)});
           },
-          [&](const platform::WatchEvent& changed) {
+          [&](const store::WatchEvent& changed) {
             profile::CatalogueKeyChanged event;
             event.call = call;
             if (changed.current) event.bytes = changed.current->value;
@@ -45,15 +45,15 @@
       reply);
 }
 
-profile::EditorEvent ToEditorEvent(profile::CallNumber call, const platform::StoreReply& reply) {
+profile::EditorEvent ToEditorEvent(profile::CallNumber call, const store::StoreReply& reply) {
   using profile::EditorEvent;
   return std::visit(
       core::Overloaded{
-          [&](const platform::ValueRead& read) {
+          [&](const store::ValueRead& read) {
             return EditorEvent(profile::CatalogueKeyRead{call, ToContent(read.current)});
           },
-          [&](const platform::Swapped&) { return EditorEvent(profile::CatalogueKeySwapped{call}); },
-          [&](const platform::NotSwapped& other) {
+          [&](const store::Swapped&) { return EditorEvent(profile::CatalogueKeySwapped{call}); },
+          [&](const store::NotSwapped& other) {
             return EditorEvent(profile::CatalogueKeyNotSwapped{call, ToContent(other.current)});
           },
           [&](const auto&) { return EditorEvent(Failure(call, reply)); }},
--- a/packages/entry/src/claim_hub.cc
+++ b/packages/entry/src/claim_hub.cc
@@ -49,10 +49,10 @@
   return claims::ClaimState::kUnknown;
 }
 
-claims::OwnerEvent ReadEvent(claims::StoreCallId call, const platform::StoreReply& reply) {
+claims::OwnerEvent ReadEvent(claims::StoreCallId call, const store::StoreReply& reply) {
   return std::visit(
       core::Overloaded{
-          [&](const platform::ValueRead& read) {
+          [&](const store::ValueRead& read) {
             claims::StoreReadDone done;
             done.call = call;
             if (read.current) {
@@ -65,19 +65,17 @@
       reply);
 }
 
-claims::OwnerEvent SwapEvent(claims::StoreCallId call, const platform::StoreReply& reply) {
+claims::OwnerEvent SwapEvent(claims::StoreCallId call, const store::StoreReply& reply) {
   return std::visit(
       core::Overloaded{
-          [&](const platform::Swapped& swapped) {
+          [&](const store::Swapped& swapped) {
             return claims::OwnerEvent(claims::StoreSwapDone{
                 call, true, static_cast<claims::StoreRevision>(swapped.revision)});
           },
-          [&](const platform::NotSwapped&) {
+          [&](const store::NotSwapped&) {
             return claims::OwnerEvent(claims::StoreSwapDone{call, false, 0});
           },
-          [&](const platform::TimedOut&) {
-            return claims::OwnerEvent(claims::StoreAnswerLost{call});
-          },
+          [&](const store::TimedOut&) { return claims::OwnerEvent(claims::StoreAnswerLost{call}); },
           [&](const auto&) { return claims::OwnerEvent(claims::StoreUnavailable{call}); }},
       reply);
 }
@@ -190,19 +188,19 @@
 void ClaimHub::Perform(const claims::DenyClaim& action) { Tell(action.request, Denied(action)); }
 
 void ClaimHub::Perform(std::uint32_t partition, const claims::StoreRead& action) {
-  m_store.Call(platform::Get{action.key},
-               [this, partition, call = action.call](const platform::StoreReply& reply) {
+  m_store.Call(store::Get{action.key},
+               [this, partition, call = action.call](const store::StoreReply& reply) {
                  StepOwner(partition, ReadEvent(call, reply));
                });
 }
 
 void ClaimHub::Perform(std::uint32_t partition, const claims::StoreSwap& action) {
-  platform::CompareAndSwap swap;
+  store::CompareAndSwap swap;
   swap.key = action.key;
-  swap.expected = static_cast<platform::StoreRevision>(action.expected);
+  swap.expected = static_cast<store::StoreRevision>(action.expected);
   swap.value = action.value;
   m_store.Call(std::move(swap),
-               [this, partition, call = action.call](const platform::StoreReply& reply) {
+               [this, partition, call = action.call](const store::StoreReply& reply) {
                  StepOwner(partition, SwapEvent(call, reply));
                });
 }
--- a/packages/entry/src/dump.cc
+++ b/packages/entry/src/dump.cc
@@ -6,10 +6,10 @@
 #include "cornelrelay/claims/state_dump.h"
 #include "cornelrelay/gossip/state_dump.h"
 #include "cornelrelay/limits/limits_state_json.h"
-#include "cornelrelay/platform/store_client_dump.h"
 #include "cornelrelay/profile/dump.h"
 #include "cornelrelay/request/to_json.h"
 #include "cornelrelay/routing/router_state_json.h"
+#include "cornelrelay/store/store_client_dump.h"
 
 namespace cornelrelay::entry::internal {
 namespace {
@@ -59,7 +59,7 @@
           {"claims", Claims(sources.claims)},
           {"quarantine", sources.crashes.Dump()},
           {"catalogue", profile::ToJson(sources.catalogues.replica())},
-          {"store", platform::ToJson(sources.store.client())},
+          {"store", store::ToJson(sources.store.client())},
           {"control", Control(sources.control, sources.now)}};
 }
 
--- a/packages/entry/src/entry_process.cc
+++ b/packages/entry/src/entry_process.cc
@@ -51,8 +51,8 @@
       m_platform_client(context, net::HttpClientLimits{}),
       m_decisions(kDecisions),
       m_store(std::make_shared<runtime::StoreLink>(context, m_clock, m_platform_client,
-                                                   m_settings.common.store,
-                                                   platform::StoreClientOptions{}, seed + 1)),
+                                                   m_store_codec, m_settings.common.store,
+                                                   store::StoreClientOptions{}, seed + 1)),
       m_control(
           context, m_clock,
           runtime::ToNodeSettings(m_settings.common, gossip::Role::kEntry, m_incarnation),
@@ -90,7 +90,8 @@
                     m_control.Step(gossip::HostListReceived{std::move(hosts)});
                   }),
       m_refresh(context, m_clock, [this] { RefreshReplicas(); }),
-      m_callers(context, m_settings.callers, internal::ToServerLimits(m_settings.limits),
+      m_callers(context, m_settings.callers,
+                internal::ToServerLimits(m_settings.limits, m_settings.timeouts),
                 internal::ToTls(m_settings.tls),
                 [this](net::HttpRequest request, net::ResponseStream& response) {
                   return m_gateway.Serve(std::move(request), response);
--- a/packages/entry/src/request_task.cc
+++ b/packages/entry/src/request_task.cc
@@ -1,6 +1,7 @@
 #include "cornelrelay/entry/request_task.h"
 
 #include <algorithm>
+#include <cassert>
 #include <chrono>
 #include <utility>
 #include <variant>
@@ -185,6 +186,9 @@
   m_writer.Finish();
 }
 
+// This driver forwards failures as ordinary answers and reports none as AnswerFailed.
+void RequestTask::Perform(const request::ForwardFailure&) { assert(false); }
+
 void RequestTask::Perform(const request::SendError& action) { m_writer.Fail(ToTypedError(action)); }
 
 void RequestTask::Perform(const request::FinishClaim& action) {
@@ -212,6 +216,7 @@
     case AttemptResult::kConnectFailed:
     case AttemptResult::kFailed:
     case AttemptResult::kForeign:
+    case AttemptResult::kRefused:
       m_service.router().Step(now, routing::AttemptFailed{action.attempt});
       break;
   }
--- a/packages/entry/src/settings_conversion.cc
+++ b/packages/entry/src/settings_conversion.cc
@@ -5,8 +5,12 @@
 
 namespace cornelrelay::entry::internal {
 
-net::HttpServerLimits ToServerLimits(const settings::SizeLimits& limits) {
+net::HttpServerLimits ToServerLimits(const settings::SizeLimits& limits,
+                                     const settings::CallerTimeouts& timeouts) {
+  using std::chrono::milliseconds;
   net::HttpServerLimits server;
+  server.head_timeout = std::chrono::duration_cast<milliseconds>(timeouts.head);
+  server.idle_timeout = std::chrono::duration_cast<milliseconds>(timeouts.idle);
   server.head_bytes = static_cast<std::uint32_t>(limits.head);
   server.body_bytes = limits.body;
   return server;
--- a/packages/net/include/cornelrelay/net/http_client.h
+++ b/packages/net/include/cornelrelay/net/http_client.h
@@ -15,6 +15,10 @@
 struct HttpClientLimits {
   std::chrono::milliseconds connect_timeout{1000};
   std::size_t idle_connections_per_peer = 64;
+  /// How long a connection may be idle before its next use, if the peer does not say.
+  std::chrono::milliseconds idle_time{30'000};
+  /// The same for `ConnectionUse::kRecent`.
+  std::chrono::milliseconds recent_idle_time{500};
   std::uint32_t head_bytes = 16'384;
   std::size_t piece_bytes = 16'384;
 };
@@ -30,8 +34,9 @@
 class HttpClient {
  public:
   enum class ConnectionUse {
-    kReuse,  ///< may use an idle connection, which the peer may just have closed
-    kFresh,  ///< opens a connection, so that the peer was reachable a moment ago
+    kReuse,   ///< may use an idle connection, which the peer may just have closed
+    kRecent,  ///< may use a connection that was in use a moment ago
+    kFresh,   ///< opens a connection, so that the peer was reachable a moment ago
   };
 
   HttpClient(boost::asio::io_context& context, HttpClientLimits limits);
@@ -45,6 +50,9 @@
   boost::asio::awaitable<std::unique_ptr<HttpExchange>> Open(core::Endpoint peer, ConnectionUse use,
                                                              std::chrono::milliseconds timeout);
 
+  /// \brief Closes the idle connections to a peer.
+  void Forget(const core::Endpoint& peer);
+
   /// \brief Sends a request and reads the whole response of at most `max_body` bytes.
   /// \throws ConnectFailed, ExchangeBroken
   boost::asio::awaitable<HttpResponse> Fetch(core::Endpoint peer, HttpRequest request,
--- a/packages/net/include/cornelrelay/net/http_exchange.h
+++ b/packages/net/include/cornelrelay/net/http_exchange.h
@@ -16,12 +16,20 @@
   virtual ~HttpExchange() = default;
 
   /// \brief Sends the whole request; after a failure the peer may have received it.
-  /// \throws ExchangeBroken
+  ///
+  /// A peer may answer and close before it has read a long body. A failed write is therefore
+  /// reported by ReadHead(), and only if no response has arrived.
   virtual boost::asio::awaitable<void> SendRequest(HttpRequest request) = 0;
 
+  /// \brief Head of the final response; interim responses are skipped.
   /// \throws ExchangeBroken
   virtual boost::asio::awaitable<HttpResponseHead> ReadHead() = 0;
 
+  /// \brief Reads and drops the current response, so that ReadHead() gives the next one on the same
+  /// connection.
+  /// \throws ExchangeBroken also when the response has no end but that of the connection
+  virtual boost::asio::awaitable<void> SkipResponse() = 0;
+
   /// \brief Next piece of the body, or nothing after its proven end.
   /// \throws ExchangeBroken also when the connection closes before the declared end
   virtual boost::asio::awaitable<std::optional<std::string>> ReadPiece() = 0;
--- a/packages/net/include/cornelrelay/net/http_headers.h
+++ b/packages/net/include/cornelrelay/net/http_headers.h
@@ -13,7 +13,7 @@
   bool operator()(std::string_view a, std::string_view b) const;
 };
 
-/// \brief HTTP header fields; a repeated field keeps the last value.
+/// \brief HTTP header fields; the values of a repeated field are joined with commas.
 using HttpHeaders = std::map<std::string, std::string, HeaderNameLess>;
 
 std::optional<std::string> FindHeader(const HttpHeaders& headers, std::string_view name);
--- a/packages/net/include/cornelrelay/net/http_server.h
+++ b/packages/net/include/cornelrelay/net/http_server.h
@@ -21,8 +21,9 @@
   std::uint32_t head_bytes = 16'384;
   std::uint64_t body_bytes = 4'194'304;
   std::size_t connections = 4096;
-  std::chrono::seconds idle_timeout{75};
-  std::chrono::seconds write_timeout{60};
+  std::chrono::milliseconds head_timeout{10'000};  ///< from the first byte of a head to its end
+  std::chrono::milliseconds idle_timeout{75'000};  ///< before a request, and for its body
+  std::chrono::milliseconds write_timeout{60'000};
 };
 
 /// \brief HTTP/1.1 server with keep-alive; one coroutine per connection on the given context.
@@ -46,6 +47,9 @@
 
   void Start();
 
+  /// \brief Holds for the next request of each open connection and for new connections.
+  void SetLimits(const HttpServerLimits& limits);
+
   /// \brief Ends each connection after its next response, which says so; still accepts new ones.
   void AnnounceClosing();
 
--- a/packages/net/src/bad_input.cc
+++ b/packages/net/src/bad_input.cc
@@ -1,10 +1,10 @@
 #include "bad_input.h"
 
+#include <boost/beast/core/error.hpp>
 #include <boost/beast/http/error.hpp>
 #include <string>
 
 namespace cornelrelay::net::internal {
-namespace {
 
 namespace http = boost::beast::http;
 
@@ -17,8 +17,6 @@
   return response;
 }
 
-}  // namespace
-
 std::optional<HttpResponse> BadInputResponse(const boost::system::error_code& reason) {
   if (reason == http::error::header_limit) {
     return TypedError(431, "head_too_large", "the request head exceeds its limit");
@@ -26,6 +24,9 @@
   if (reason == http::error::body_limit) {
     return TypedError(413, "body_too_large", "the request body exceeds its limit");
   }
+  if (reason == boost::beast::error::timeout) {
+    return TypedError(408, "request_timeout", "the request did not arrive in time");
+  }
   const bool parse_error =
       reason.category() == http::make_error_code(http::error::bad_method).category();
   if (!parse_error || reason == http::error::end_of_stream ||
--- a/packages/net/src/beast_convert.h
+++ b/packages/net/src/beast_convert.h
@@ -11,7 +11,9 @@
 inline HttpHeaders ToHeaders(const boost::beast::http::fields& fields) {
   HttpHeaders headers;
   for (const auto& field : fields) {
-    headers[std::string(field.name_string())] = std::string(field.value());
+    const auto [found, added] =
+        headers.try_emplace(std::string(field.name_string()), field.value());
+    if (!added) found->second.append(", ").append(field.value());
   }
   return headers;
 }
--- a/packages/net/src/http_server.cc
+++ b/packages/net/src/http_server.cc
@@ -63,7 +63,7 @@
        const std::optional<TlsFiles>& tls, Handler handler)
       : m_context(context),
         m_acceptor(OpenAcceptor(context, endpoint)),
-        m_limits(limits),
+        m_limits(std::make_shared<HttpServerLimits>(limits)),
         m_tls(MakeTlsContext(tls)),
         m_handler(std::move(handler)),
         m_registry(std::make_shared<internal::SessionRegistry>()) {}
@@ -73,6 +73,8 @@
         m_context, [self = shared_from_this()] { return self->AcceptLoop(); }, asio::detached);
   }
 
+  void SetLimits(const HttpServerLimits& limits) { *m_limits = limits; }
+
   void AnnounceClosing() { m_registry->SetDraining(); }
 
   void StopAccepting() {
@@ -97,7 +99,7 @@
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
         continue;
       }
-      if (m_registry->size() >= m_limits.connections) continue;
+      if (m_registry->size() >= m_limits->connections) continue;
       socket.set_option(tcp::no_delay(true), ec);
       SpawnSession(std::move(socket));
     }
@@ -123,7 +125,7 @@
 
   asio::io_context& m_context;
   tcp::acceptor m_acceptor;
-  HttpServerLimits m_limits;
+  std::shared_ptr<HttpServerLimits> m_limits;
   std::unique_ptr<asio::ssl::context> m_tls;
   Handler m_handler;
   std::shared_ptr<internal::SessionRegistry> m_registry;
@@ -139,6 +141,7 @@
 }
 
 void HttpServer::Start() { m_impl->Start(); }
+void HttpServer::SetLimits(const HttpServerLimits& limits) { m_impl->SetLimits(limits); }
 void HttpServer::AnnounceClosing() { m_impl->AnnounceClosing(); }
 void HttpServer::StopAccepting() { m_impl->StopAccepting(); }
 void HttpServer::CloseAll() { m_impl->CloseAll(); }
--- a/packages/net/src/stream_ends.h
+++ b/packages/net/src/stream_ends.h
@@ -11,8 +11,8 @@
 
 /// \return whether the stream can be used; a plain stream needs no handshake
 boost::asio::awaitable<bool> ServerHandshake(boost::beast::tcp_stream& stream,
-                                             std::chrono::seconds timeout);
-boost::asio::awaitable<bool> ServerHandshake(TlsStream& stream, std::chrono::seconds timeout);
+                                             std::chrono::milliseconds timeout);
+boost::asio::awaitable<bool> ServerHandshake(TlsStream& stream, std::chrono::milliseconds timeout);
 
 boost::asio::awaitable<void> CloseGracefully(boost::beast::tcp_stream& stream);
 boost::asio::awaitable<void> CloseGracefully(TlsStream& stream);
--- /dev/null
+++ b/packages/peers/src/peer_table.cc
@@ -0,0 +1,142 @@
+#include "cornelrelay/peers/peer_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cornelrelay::peers {
+
+PeerTable::PeerTable(PeerTableConfig config)
+    : m_config(std::move(config)), m_random(m_config.seed) {}
+
+std::vector<PeerAction> PeerTable::Step(core::Instant now, const PeerEvent& event) {
+  Actions out;
+  std::visit([&](const auto& e) { Apply(now, e, out); }, event);
+  Silence(now, out);
+  FetchIfBehind(now, out);
+  SendDue(now, out);
+  return out;
+}
+
+void PeerTable::Apply(core::Instant now, const PeerRegistered& event, Actions&) {
+  if (event.host == m_config.self) return;
+  Peer& peer = m_peers.try_emplace(event.host).first->second;
+  // A bulletin is fresher than the list.
+  if (!peer.live) peer.endpoint = event.endpoint;
+  peer.since = now;
+}
+
+void PeerTable::Apply(core::Instant, const PeerUnregistered& event, Actions&) {
+  const auto found = m_peers.find(event.host);
+  if (found != m_peers.end() && !found->second.live) m_peers.erase(found);
+}
+
+void PeerTable::Apply(core::Instant now, const BulletinReceived& event, Actions& out) {
+  const Bulletin& bulletin = event.bulletin;
+  if (bulletin.host == m_config.self) return;
+  Peer& peer = m_peers.try_emplace(bulletin.host).first->second;
+  const auto order = [](const Bulletin& b) { return std::pair(b.incarnation, b.sequence); };
+  if (peer.heard && order(bulletin) <= order(peer.last)) return;
+  if (!peer.live || peer.last.incarnation != bulletin.incarnation) {
+    out.emplace_back(PeerAppeared{bulletin.host, bulletin.incarnation});
+  }
+  peer.heard = now;
+  peer.live = true;
+  peer.endpoint = bulletin.endpoint;
+  if (peer.last.loads != bulletin.loads || peer.last.queues != bulletin.queues) ++m_version;
+  peer.last = bulletin;
+}
+
+void PeerTable::Apply(core::Instant, const OwnItemsChanged& event, Actions&) {
+  m_revision = event.revision;
+  m_linked = event.store_linked;
+}
+
+void PeerTable::Apply(core::Instant, const OwnLoadChanged&, Actions&) { m_load_changed = true; }
+void PeerTable::Apply(core::Instant, const FetchEnded&, Actions&) { m_fetching_since.reset(); }
+void PeerTable::Apply(core::Instant, const PeerTick&, Actions&) {}
+
+void PeerTable::Silence(core::Instant now, Actions& out) {
+  for (auto& [host, peer] : m_peers) {
+    if (!peer.live || now - *peer.heard < m_config.silence) continue;
+    peer.live = false;
+    peer.since = now;
+    ++m_version;
+    out.emplace_back(PeerSilent{host});
+  }
+}
+
+void PeerTable::FetchIfBehind(core::Instant now, Actions& out) {
+  std::vector<const std::pair<const core::HostId, Peer>*> ahead;
+  for (const auto& entry : m_peers) {
+    if (entry.second.live && entry.second.last.items_revision > m_revision) ahead.push_back(&entry);
+  }
+  if (ahead.empty()) {
+    m_behind_since.reset();
+    return;
+  }
+  if (!m_behind_since) m_behind_since = now;
+  if (m_linked && now - *m_behind_since < m_config.lag) return;
+  if (m_fetching_since && now - *m_fetching_since < m_config.fetch_timeout) return;
+  const auto& [host, peer] = *ahead[m_random.Below(ahead.size())];
+  m_fetching_since = now;
+  out.emplace_back(FetchItems{host, peer.endpoint, m_revision});
+}
+
+core::Duration PeerTable::Interval(core::Duration base) const {
+  const double seconds = static_cast<double>(m_peers.size()) / m_config.datagrams_per_second;
+  return std::max(
+      base, std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(seconds)));
+}
+
+void PeerTable::SendDue(core::Instant now, Actions& out) {
+  const auto base = m_load_changed ? m_config.busy_interval : m_config.idle_interval;
+  if (now - m_last_send < Interval(base)) return;
+  SendBulletin send;
+  for (auto& [host, peer] : m_peers) {
+    if (!peer.live) {
+      if (now - peer.since > m_config.forget_time || now < peer.next_to_silent) continue;
+      peer.next_to_silent = now + m_config.silent_interval;
+    }
+    send.to.push_back(peer.endpoint);
+  }
+  m_last_send = now;
+  m_load_changed = false;
+  if (!send.to.empty()) out.emplace_back(std::move(send));
+}
+
+core::Instant PeerTable::NextWake() const {
+  return m_last_send + Interval(m_load_changed ? m_config.busy_interval : m_config.idle_interval);
+}
+
+std::map<core::UpstreamId, std::uint32_t> PeerTable::InFlight() const {
+  std::map<core::UpstreamId, std::uint32_t> sum;
+  for (const auto& [host, peer] : m_peers) {
+    if (!peer.live) continue;
+    for (const UpstreamLoad& load : peer.last.loads) sum[load.upstream] += load.in_flight;
+  }
+  return sum;
+}
+
+std::uint32_t PeerTable::Waiting(const core::ServiceId& service) const {
+  std::uint32_t sum = 0;
+  for (const auto& [host, peer] : m_peers) {
+    if (!peer.live) continue;
+    for (const ServiceQueue& queue : peer.last.queues) {
+      if (queue.service == service) sum += queue.waiting;
+    }
+  }
+  return sum;
+}
+
+std::size_t PeerTable::live() const {
+  return static_cast<std::size_t>(std::count_if(
+      m_peers.begin(), m_peers.end(), [](const auto& entry) { return entry.second.live; }));
+}
+
+bool PeerTable::AnyLinked() const {
+  return std::any_of(m_peers.begin(), m_peers.end(), [](const auto& entry) {
+    return entry.second.live && entry.second.last.store_linked;
+  });
+}
+
+}  // namespace cornelrelay::peers
--- /dev/null
+++ b/packages/peers/tests/peer_table_test.cc
@@ -0,0 +1,88 @@
+#include "cornelrelay/peers/peer_table.h"
+
+#include <catch2/catch.hpp>
+
+namespace cornelrelay::peers {
+namespace {
+
+using std::chrono::milliseconds;
+
+core::Instant At(std::int64_t ms) { return core::Instant(milliseconds(ms)); }
+
+Bulletin From(const std::string& host, std::uint64_t sequence, std::int64_t revision = 0,
+              std::uint32_t in_flight = 1) {
+  Bulletin bulletin;
+  bulletin.host = core::HostId(host);
+  bulletin.endpoint = {"10.0.0.1", 7000};
+  bulletin.incarnation = 1;
+  bulletin.sequence = sequence;
+  bulletin.items_revision = revision;
+  bulletin.loads = {{core::UpstreamId("u"), in_flight}};
+  return bulletin;
+}
+
+template <class Action>
+const Action* Find(const std::vector<PeerAction>& actions) {
+  for (const auto& action : actions) {
+    if (const auto* found = std::get_if<Action>(&action)) return found;
+  }
+  return nullptr;
+}
+
+PeerTableConfig Config() {
+  PeerTableConfig config;
+  config.self = core::HostId("self");
+  return config;
+}
+
+}  // namespace
+
+TEST_CASE("the loads of all live peers add up, those of silent ones end") {
+  PeerTable peers(Config());
+  peers.Step(At(0), BulletinReceived{From("a", 1, 0, 3)});
+  peers.Step(At(1000), BulletinReceived{From("b", 1, 0, 4)});
+  CHECK(peers.InFlight().at(core::UpstreamId("u")) == 7);
+  CHECK(Find<PeerSilent>(peers.Step(At(1600), PeerTick{})));
+  CHECK(peers.InFlight().at(core::UpstreamId("u")) == 4);
+}
+
+TEST_CASE("a late bulletin does not replace a newer one") {
+  PeerTable peers(Config());
+  peers.Step(At(0), BulletinReceived{From("a", 5, 0, 3)});
+  peers.Step(At(1), BulletinReceived{From("a", 4, 0, 9)});
+  CHECK(peers.InFlight().at(core::UpstreamId("u")) == 3);
+}
+
+TEST_CASE("items are fetched from a peer at once without a link, after a while with one") {
+  PeerTable peers(Config());
+  peers.Step(At(0), OwnItemsChanged{10, true});
+  CHECK_FALSE(Find<FetchItems>(peers.Step(At(1), BulletinReceived{From("a", 1, 12)})));
+  const auto later = peers.Step(At(130), PeerTick{});
+  REQUIRE(Find<FetchItems>(later));
+  CHECK(Find<FetchItems>(later)->since == 10);
+  CHECK_FALSE(Find<FetchItems>(peers.Step(At(140), PeerTick{})));
+  peers.Step(At(150), FetchEnded{});
+  peers.Step(At(150), OwnItemsChanged{12, false});
+  CHECK(Find<FetchItems>(peers.Step(At(160), BulletinReceived{From("a", 2, 13)})));
+}
+
+TEST_CASE("bulletins go out more often while the load changes, within the datagram budget") {
+  PeerTable peers(Config());
+  for (int i = 0; i < 100; ++i) {
+    peers.Step(At(0), PeerRegistered{core::HostId("h" + std::to_string(i)), {"10.0.0.1", 1}});
+  }
+  std::size_t sent = 0;
+  for (int ms = 0; ms < 10'000; ms += 5) {
+    for (int i = 0; i < 100; ++i) {
+      Bulletin bulletin = From("h" + std::to_string(i), static_cast<std::uint64_t>(ms + 1));
+      if (ms % 1000 == 0) peers.Step(At(ms), BulletinReceived{bulletin});
+    }
+    peers.Step(At(ms), OwnLoadChanged{});
+    if (const auto* send = Find<SendBulletin>(peers.Step(At(ms), PeerTick{}))) {
+      sent += send->to.size();
+    }
+  }
+  CHECK(sent <= 2'200);
+}
+
+}  // namespace cornelrelay::peers
--- a/packages/request/include/cornelrelay/request/request_action.h
+++ b/packages/request/include/cornelrelay/request/request_action.h
@@ -38,6 +38,8 @@
   std::string payload;
 };
 struct FinishAnswer {};
+/// \brief Forward the upstream's last failed answer as it is.
+struct ForwardFailure {};
 /// \brief As an HTTP error before the first forwarded chunk, as `event: error` after it.
 struct SendError {
   RequestError error = RequestError::kOverloaded;
@@ -60,6 +62,7 @@
   kBroken,     ///< closed or cut after bytes were sent; a crash is possible
   kFailed,     ///< answered with a server error
   kForeign,    ///< answered with another request's data
+  kRefused,    ///< proved not run by the upstream
   kCancelled,  ///< ended from this side
 };
 std::string_view ToString(AttemptResult result);
@@ -78,8 +81,9 @@
   core::Duration elapsed{};
 };
 
-using RequestAction = std::variant<AskAdmission, RequestClaim, ChooseReplica, AskRetryToken,
-                                   OpenAttempt, CancelAttempt, ForwardChunk, FinishAnswer,
-                                   SendError, FinishClaim, RecordAttempt, RecordOutcome>;
+using RequestAction =
+    std::variant<AskAdmission, RequestClaim, ChooseReplica, AskRetryToken, OpenAttempt,
+                 CancelAttempt, ForwardChunk, FinishAnswer, ForwardFailure, SendError, FinishClaim,
+                 RecordAttempt, RecordOutcome>;
 
 }  // namespace cornelrelay::request
--- a/packages/request/include/cornelrelay/request/request_event.h
+++ b/packages/request/include/cornelrelay/request/request_event.h
@@ -71,6 +71,18 @@
   core::AttemptId attempt;
 };
 
+/// \brief The upstream proved that it has not run the attempt and never will, so that the attempt
+/// counts as not sent.
+struct AttemptRefused {
+  core::AttemptId attempt;
+  std::optional<core::Duration> retry_after;
+};
+/// \brief The whole answer has arrived, and it reports a failure of the upstream. The driver keeps
+/// it for ForwardFailure.
+struct AnswerFailed {
+  core::AttemptId attempt;
+};
+
 struct CallerGone {};
 /// \brief No occurrence but time; due at RequestMachine::WakeAt().
 struct TimePassed {};
@@ -80,6 +92,7 @@
 using RequestEvent =
     std::variant<Started, Admitted, Refused, ClaimGranted, ClaimDenied, ClaimTimedOut,
                  ReplicaChosen, NoReplica, RetryGranted, RetryDenied, ConnectFailed, BytesSent,
-                 Head, ChunkChecked, UpstreamClosed, CallerGone, TimePassed, ShutdownLimit>;
+                 Head, ChunkChecked, UpstreamClosed, AttemptRefused, AnswerFailed, CallerGone,
+                 TimePassed, ShutdownLimit>;
 
 }  // namespace cornelrelay::request
--- a/packages/request/include/cornelrelay/request/request_policy.h
+++ b/packages/request/include/cornelrelay/request/request_policy.h
@@ -11,6 +11,8 @@
   int max_attempts = 1;       ///< attempts in all, the first included
   core::Duration deadline{};  ///< from the start of the request to the end of its answer
   core::Duration claim_timeout{};
+  /// Failures to connect that do not count as attempts, because no upstream saw the request.
+  int free_connect_failures = 0;
 
   friend bool operator==(const RequestPolicy&, const RequestPolicy&) = default;
 };
--- a/packages/request/src/names.cc
+++ b/packages/request/src/names.cc
@@ -102,6 +102,8 @@
       return "failed";
     case AttemptResult::kForeign:
       return "foreign";
+    case AttemptResult::kRefused:
+      return "refused";
     case AttemptResult::kCancelled:
       return "cancelled";
   }
--- a/packages/request/src/request_core.h
+++ b/packages/request/src/request_core.h
@@ -19,6 +19,7 @@
   AttemptResult result = AttemptResult::kBroken;
   RequestError error = RequestError::kUpstreamBroken;
   bool connection_open = false;
+  std::optional<core::Duration> retry_after{};
 };
 
 /// \brief The request must end now, whatever it waits for.
@@ -54,7 +55,14 @@
   bool ClaimOverdue() const { return m_claim_deadline && m_now >= *m_claim_deadline; }
   InjectedFault fault() const { return m_fault; }
 
-  void MarkSent() { m_sent = true; }
+  /// \brief Notes that the upstream of `attempt` may have received a byte of it.
+  void MarkSent(const core::AttemptId& attempt);
+  /// \brief Notes that the current attempt reached no upstream.
+  void MarkUnconnected() { ++m_connect_failures; }
+  /// \brief Notes that the upstream of the current attempt has not run it.
+  void MarkRefused() { m_current_sent = false; }
+  /// \brief Whether some attempt may have begun to run.
+  bool Sent() const { return m_sent || m_current_sent; }
   /// \brief Releases a claim whose grant arrives after the request has failed without it.
   void ReleaseLateClaim();
 
@@ -75,6 +83,8 @@
   void OnAnswerEnded(const AnswerEnded& event);
   void OnBrokenRetry(const AttemptBroken& event);
   void OnBrokenFail(const AttemptBroken& event);
+  void OnFailedRetry(const AnswerFailed& event);
+  void OnFailedAnswer(const AnswerFailed& event);
   void OnStopped(const Stopped& event);
 
   void set_state(RequestState state) { m_state = state; }
@@ -84,6 +94,8 @@
 
  private:
   void Choose();
+  /// \brief Attempts that count against the limit.
+  int CountedAttempts() const;
   void EndAttempt(AttemptResult result, bool connection_open);
   void Fail(RequestError error, std::optional<core::Duration> retry_after = std::nullopt,
             std::optional<core::Execution> execution = std::nullopt);
@@ -99,7 +111,11 @@
   std::vector<RequestAction> m_actions;
 
   int m_attempts = 0;
-  bool m_sent = false;  ///< some attempt sent a byte, or may have
+  int m_connect_failures = 0;
+  bool m_sent = false;           ///< an earlier attempt sent a byte, or may have
+  bool m_current_sent = false;   ///< the current attempt did
+  bool m_failed_answer = false;  ///< the driver holds a failed answer of the upstream
+  std::optional<core::Duration> m_retry_after;
   bool m_forwarded = false;
   bool m_claim_pending = false;  ///< asked for and neither granted nor denied so far
   bool m_claim_held = false;
--- a/packages/request/src/request_machine.cc
+++ b/packages/request/src/request_machine.cc
@@ -55,11 +55,15 @@
   const internal::RequestCore& core() const { return m_core; }
 
  private:
-  // Only ConnectFailed says that nothing was written; every other event of an attempt shows that it
-  // may have begun, even one that is too late to be processed.
+  // ConnectFailed and AttemptRefused say that the attempt cannot run; every other event of an
+  // attempt shows that it may have begun, even one that is too late to be processed.
   template <class Event>
-  void NoteSent(const Event&) {
-    if constexpr (OfAttempt<Event> && !std::is_same_v<Event, ConnectFailed>) m_core.MarkSent();
+  void NoteSent(const Event& event) {
+    if constexpr (std::is_same_v<Event, AttemptRefused>) {
+      if (m_core.IsCurrent(event.attempt)) m_core.MarkRefused();
+    } else if constexpr (OfAttempt<Event> && !std::is_same_v<Event, ConnectFailed>) {
+      m_core.MarkSent(event.attempt);
+    }
   }
 
   template <class Event>
@@ -95,6 +99,7 @@
   }
 
   void Process(const ConnectFailed&) {
+    if (m_core.state() == RequestState::kConnecting) m_core.MarkUnconnected();
     m_table.process_event(
         AttemptBroken{AttemptResult::kConnectFailed, RequestError::kConnectFailed, false});
   }
@@ -132,6 +137,11 @@
         AttemptBroken{AttemptResult::kBroken, RequestError::kUpstreamBroken, false});
   }
 
+  void Process(const AttemptRefused& event) {
+    m_table.process_event(AttemptBroken{AttemptResult::kRefused, RequestError::kOverloaded, false,
+                                        event.retry_after});
+  }
+
   void Process(const CallerGone&) { m_table.process_event(Stopped{RequestError::kCallerGone}); }
   void Process(const ShutdownLimit&) { m_table.process_event(Stopped{RequestError::kShutdown}); }
   void Process(const TimePassed&) {}
--- a/packages/request/src/request_table.h
+++ b/packages/request/src/request_table.h
@@ -94,6 +94,8 @@
       Row<Waiting,    Head,          Streaming,  None,                      None>,
       Row<Waiting,    AttemptBroken, Token,      Do<&C::OnBrokenRetry>,     Retry>,
       Row<Waiting,    AttemptBroken, Failed,     Do<&C::OnBrokenFail>,      NoRetry>,
+      Row<Waiting,    AnswerFailed,  Token,      Do<&C::OnFailedRetry>,     Retry>,
+      Row<Waiting,    AnswerFailed,  Failed,     Do<&C::OnFailedAnswer>,    NoRetry>,
       Row<Waiting,    Stopped,       Failed,     Stop,                      None>,
       Row<Streaming,  ChunkAccepted, None,       Do<&C::OnChunkAccepted>,   None>,
       Row<Streaming,  AnswerEnded,   Completed,  Do<&C::OnAnswerEnded>,     None>,
--- /dev/null
+++ b/packages/request/tests/refusal_test.cc
@@ -0,0 +1,98 @@
+#include <catch2/catch.hpp>
+
+#include "cornelrelay/request/request_machine.h"
+
+namespace cornelrelay::request {
+namespace {
+
+using std::chrono::milliseconds;
+
+const core::Instant kStart{};
+
+template <class Action>
+const Action* Find(const std::vector<RequestAction>& actions) {
+  for (const auto& action : actions) {
+    if (const auto* found = std::get_if<Action>(&action)) return found;
+  }
+  return nullptr;
+}
+
+/// \brief A machine whose first attempt has been sent.
+struct SentRequest {
+  explicit SentRequest(RequestPolicy policy)
+      : machine(policy, {core::RequestId("r"), "e-1", false, false}, kStart) {
+    machine.Step(kStart, Started{});
+    machine.Step(kStart, Admitted{});
+    Open("u-1");
+  }
+  void Open(const std::string& upstream) {
+    const auto actions = machine.Step(kStart, ReplicaChosen{core::UpstreamId(upstream)});
+    attempt = Find<OpenAttempt>(actions)->attempt;
+    machine.Step(kStart, BytesSent{attempt});
+  }
+  RequestMachine machine;
+  core::AttemptId attempt;
+};
+
+RequestPolicy Policy(bool idempotent, int attempts) {
+  RequestPolicy policy;
+  policy.idempotent = idempotent;
+  policy.max_attempts = attempts;
+  policy.deadline = milliseconds(800);
+  return policy;
+}
+
+}  // namespace
+
+TEST_CASE("a refused attempt of a non-idempotent request may be sent to another upstream") {
+  SentRequest request(Policy(false, 2));
+  CHECK(Find<AskRetryToken>(request.machine.Step(kStart, AttemptRefused{request.attempt, {}})));
+  const auto actions = request.machine.Step(kStart, RetryGranted{});
+  REQUIRE(Find<ChooseReplica>(actions));
+  CHECK(Find<ChooseReplica>(actions)->excluded.size() == 1);
+}
+
+TEST_CASE("a request whose only attempt was refused is reported as not run") {
+  SentRequest request(Policy(false, 1));
+  const auto actions =
+      request.machine.Step(kStart, AttemptRefused{request.attempt, milliseconds(70)});
+  REQUIRE(Find<SendError>(actions));
+  CHECK(Find<SendError>(actions)->execution == core::Execution::kNotRun);
+  CHECK(Find<SendError>(actions)->retry_after == milliseconds(70));
+}
+
+TEST_CASE("a refusal does not hide an earlier attempt that may have run") {
+  SentRequest request(Policy(true, 2));
+  request.machine.Step(kStart, UpstreamClosed{request.attempt});
+  request.machine.Step(kStart, RetryGranted{});
+  request.Open("u-2");
+  const auto actions = request.machine.Step(kStart, AttemptRefused{request.attempt, {}});
+  REQUIRE(Find<SendError>(actions));
+  CHECK(Find<SendError>(actions)->execution == core::Execution::kUnknown);
+}
+
+TEST_CASE("a failed answer is repeated where allowed, else forwarded") {
+  SentRequest order(Policy(false, 2));
+  CHECK(Find<ForwardFailure>(order.machine.Step(kStart, AnswerFailed{order.attempt})));
+
+  SentRequest lookup(Policy(true, 2));
+  CHECK(Find<AskRetryToken>(lookup.machine.Step(kStart, AnswerFailed{lookup.attempt})));
+  CHECK(Find<ForwardFailure>(lookup.machine.Step(kStart, RetryDenied{})));
+}
+
+TEST_CASE("connect failures within their allowance do not use up attempts") {
+  RequestPolicy policy = Policy(false, 1);
+  policy.free_connect_failures = 1;
+  RequestMachine machine(policy, {core::RequestId("r"), "e-1", false, false}, kStart);
+  machine.Step(kStart, Started{});
+  machine.Step(kStart, Admitted{});
+  const auto fail = [&](const std::string& upstream) {
+    const auto actions = machine.Step(kStart, ReplicaChosen{core::UpstreamId(upstream)});
+    return machine.Step(kStart, ConnectFailed{Find<OpenAttempt>(actions)->attempt});
+  };
+  CHECK(Find<AskRetryToken>(fail("u-1")));
+  machine.Step(kStart, RetryGranted{});
+  CHECK(Find<SendError>(fail("u-2")));
+}
+
+}  // namespace cornelrelay::request
--- /dev/null
+++ b/packages/routes/include/cornelrelay/routes/caller_limits.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstddef>
+
+#include "cornelrelay/core/time.h"
+
+namespace cornelrelay::routes {
+
+/// \brief Bounds on what callers send and how long they take.
+struct CallerLimits {
+  std::size_t head_bytes = 16'384;
+  std::size_t body_bytes = 4'194'304;
+  core::Duration head_timeout = std::chrono::seconds(10);
+  core::Duration idle_timeout = std::chrono::seconds(15);
+
+  friend bool operator==(const CallerLimits&, const CallerLimits&) = default;
+};
+
+}  // namespace cornelrelay::routes
--- a/packages/runtime/src/store_link.cc
+++ b/packages/runtime/src/store_link.cc
@@ -13,7 +13,7 @@
 namespace {
 
 namespace asio = boost::asio;
-using platform::StoreReply;
+using store::StoreReply;
 
 constexpr std::size_t kMaxAnswerBytes = 2'097'152;
 
@@ -24,68 +24,70 @@
 }  // namespace
 
 StoreLink::StoreLink(asio::io_context& context, const ProcessClock& clock, net::HttpClient& client,
-                     core::Endpoint store, const platform::StoreClientOptions& options,
-                     std::uint64_t seed)
+                     const store::StoreCodec& codec, core::Endpoint store,
+                     const store::StoreClientOptions& options, std::uint64_t seed)
     : m_context(context),
       m_clock(clock),
       m_http(client),
+      m_codec(codec),
       m_store(std::move(store)),
       m_options(options),
       m_machine(options, seed),
-      m_timer(context, clock, [this] { Step(platform::ClientTick{}); }) {}
+      m_timer(context, clock, [this] { Step(store::ClientTick{}); }) {}
 
-platform::StoreCallId StoreLink::Call(platform::StoreRequest request, ReplyHandler on_reply) {
-  const platform::StoreCallId id = m_next_call++;
+store::StoreCallId StoreLink::Call(store::StoreRequest request, ReplyHandler on_reply) {
+  const store::StoreCallId id = m_next_call++;
   m_handlers.emplace(id, std::move(on_reply));
-  Step(platform::CallSubmitted{id, std::move(request)});
+  Step(store::CallSubmitted{id, std::move(request)});
   return id;
 }
 
-void StoreLink::Cancel(platform::StoreCallId call) {
+void StoreLink::Cancel(store::StoreCallId call) {
   m_handlers.erase(call);
-  Step(platform::CallCancelled{call});
+  Step(store::CallCancelled{call});
 }
 
-void StoreLink::Step(const platform::StoreClientEvent& event) {
+void StoreLink::Step(const store::StoreClientEvent& event) {
   for (const auto& action : m_machine.Step(m_clock.Now(), event)) {
-    std::visit(core::Overloaded{[this](const platform::TransmitCall& call) { Transmit(call); },
-                                [](const platform::AbandonTransmission&) {},
-                                [this](const platform::DeliverReply& d) { Deliver(d); }},
+    std::visit(core::Overloaded{[this](const store::TransmitCall& call) { Transmit(call); },
+                                [](const store::AbandonTransmission&) {},
+                                [this](const store::DeliverReply& d) { Deliver(d); }},
                action);
   }
   if (const auto wake = m_machine.NextWake(m_clock.Now())) m_timer.SetAt(*wake);
 }
 
-void StoreLink::Transmit(const platform::TransmitCall& call) {
+void StoreLink::Transmit(const store::TransmitCall& call) {
   ++m_transmissions;
   asio::co_spawn(
       m_context, [self = shared_from_this(), call] { return self->Run(call); }, asio::detached);
 }
 
-asio::awaitable<void> StoreLink::Run(platform::TransmitCall call) {
-  StoreReply reply = platform::TimedOut{};
+asio::awaitable<void> StoreLink::Run(store::TransmitCall call) {
+  StoreReply reply = store::TimedOut{};
   try {
     reply = co_await Exchange(call.request);
   } catch (const net::ConnectFailed&) {
-    reply = platform::Unavailable{};
+    reply = store::Unavailable{};
   } catch (const net::ExchangeBroken&) {
-    reply = platform::TimedOut{};
+    reply = store::TimedOut{};
   }
-  platform::ReplyReceived received;
+  store::ReplyReceived received;
   received.transmission = call.transmission;
   received.reply = std::move(reply);
   Step(received);
 }
 
-asio::awaitable<StoreReply> StoreLink::Exchange(const platform::StoreRequest& request) {
-  const auto* watch = std::get_if<platform::Watch>(&request);
-  const auto timeout = ToMilliseconds(watch ? m_options.watch_timeout : m_options.call_timeout);
+asio::awaitable<StoreReply> StoreLink::Exchange(const store::StoreRequest& request) {
+  const auto* watch = std::get_if<store::Watch>(&request);
+  const auto timeout =
+      ToMilliseconds(store::IsWatch(request) ? m_options.watch_timeout : m_options.call_timeout);
   auto exchange = co_await m_http.Open(m_store, net::HttpClient::ConnectionUse::kFresh, timeout);
-  platform::StoreHttpRequest message = m_codec.ToHttp(request);
+  store::StoreHttpRequest message = m_codec.ToHttp(request);
   net::HttpRequest http;
-  http.method = "POST";
+  http.method = std::move(message.method);
   http.target = std::move(message.path);
-  http.headers["Content-Type"] = "application/json";
+  if (!message.body.empty()) http.headers["Content-Type"] = "application/json";
   http.body = std::move(message.body);
   co_await exchange->SendRequest(std::move(http));
   const net::HttpResponseHead head = co_await exchange->ReadHead();
@@ -102,7 +104,7 @@
   co_return m_codec.FromHttp(request, head.status, body);
 }
 
-asio::awaitable<StoreReply> StoreLink::ReadWatch(const platform::Watch& watch,
+asio::awaitable<StoreReply> StoreLink::ReadWatch(const store::Watch& watch,
                                                  net::HttpExchange& exchange) {
   std::string buffer;
   while (true) {
@@ -115,10 +117,10 @@
       if (reply) co_return std::move(*reply);
     }
   }
-  co_return StoreReply(platform::TimedOut{});
+  co_return StoreReply(store::TimedOut{});
 }
 
-void StoreLink::Deliver(const platform::DeliverReply& delivery) {
+void StoreLink::Deliver(const store::DeliverReply& delivery) {
   const auto found = m_handlers.find(delivery.call);
   if (found == m_handlers.end()) return;
   const ReplyHandler handler = std::move(found->second);
--- a/packages/settings/include/cornelrelay/settings/entry_settings.h
+++ b/packages/settings/include/cornelrelay/settings/entry_settings.h
@@ -7,6 +7,7 @@
 
 #include "cornelrelay/core/endpoint.h"
 #include "cornelrelay/settings/account_settings.h"
+#include "cornelrelay/settings/caller_timeouts.h"
 #include "cornelrelay/settings/common_settings.h"
 #include "cornelrelay/settings/credential_digest.h"
 #include "cornelrelay/settings/service_settings.h"
@@ -26,6 +27,7 @@
   core::Endpoint admin;
   CredentialDigest operator_credential;
   SizeLimits limits;
+  CallerTimeouts timeouts;
   std::optional<TlsFiles> tls;
   std::vector<AccountSettings> accounts;
   std::vector<ServiceSettings> services;
--- a/packages/settings/src/entry_settings.cc
+++ b/packages/settings/src/entry_settings.cc
@@ -38,6 +38,18 @@
   return limits;
 }
 
+CallerTimeouts ReadTimeouts(TableReader& table) {
+  constexpr std::int64_t kLongestMs = 3'600'000;
+  const auto time = [&](std::string_view key, core::Duration fallback) {
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(fallback);
+    return table.Milliseconds(key, {1, kLongestMs}, ms.count());
+  };
+  CallerTimeouts timeouts;
+  timeouts.head = time("head_timeout_ms", timeouts.head);
+  timeouts.idle = time("idle_timeout_ms", timeouts.idle);
+  return timeouts;
+}
+
 AccountSettings ReadAccount(TableReader& table, Seen& seen) {
   AccountSettings account;
   account.id = core::ClientAccountId(table.Name("id"));
@@ -120,8 +132,10 @@
     root.Section("operator", Presence::kRequired, [&](TableReader& table) {
       settings.operator_credential = internal::ReadCredential(table, "credential");
     });
-    root.Section("limits", Presence::kOptional,
-                 [&](TableReader& table) { settings.limits = ReadLimits(table); });
+    root.Section("limits", Presence::kOptional, [&](TableReader& table) {
+      settings.limits = ReadLimits(table);
+      settings.timeouts = ReadTimeouts(table);
+    });
     root.Section("tls", Presence::kOptional, [&](TableReader& table) {
       settings.tls = TlsFiles{internal::ReadFilePath(table, "cert_file"),
                               internal::ReadFilePath(table, "key_file")};
--- a/packages/store/include/cornelrelay/store/backoff.h
+++ b/packages/store/include/cornelrelay/store/backoff.h
@@ -5,7 +5,7 @@
 #include "cornelrelay/core/random.h"
 #include "cornelrelay/core/time.h"
 
-namespace cornelrelay::platform {
+namespace cornelrelay::store {
 
 /// \brief Exponential delays with jitter: uniform between half and the whole of the doubled base.
 ///
@@ -28,4 +28,4 @@
   core::Random m_random;
 };
 
-}  // namespace cornelrelay::platform
+}  // namespace cornelrelay::store
--- a/packages/store/include/cornelrelay/store/base64.h
+++ b/packages/store/include/cornelrelay/store/base64.h
@@ -3,7 +3,7 @@
 #include <string>
 #include <string_view>
 
-namespace cornelrelay::platform {
+namespace cornelrelay::store {
 
 /// \brief Standard base64 with padding, as the JSON gateway uses it for keys and values.
 std::string EncodeBase64(std::string_view bytes);
@@ -11,4 +11,4 @@
 /// \brief Inverse of EncodeBase64; throws MalformedStoreMessage.
 std::string DecodeBase64(std::string_view text);
 
-}  // namespace cornelrelay::platform
+}  // namespace cornelrelay::store
--- a/packages/store/include/cornelrelay/store/malformed_store_message.h
+++ b/packages/store/include/cornelrelay/store/malformed_store_message.h
@@ -4,7 +4,7 @@
 
 #include "cornelrelay/core/error.h"
 
-namespace cornelrelay::platform {
+namespace cornelrelay::store {
 
 /// \brief A message of the store's JSON gateway cannot be understood.
 class MalformedStoreMessage : public core::Error {
@@ -12,4 +12,4 @@
   explicit MalformedStoreMessage(const std::string& reason);
 };
 
-}  // namespace cornelrelay::platform
+}  // namespace cornelrelay::store
--- /dev/null
+++ b/packages/store/include/cornelrelay/store/prefix_reader.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "cornelrelay/core/time.h"
+#include "cornelrelay/store/backoff.h"
+#include "cornelrelay/store/item_change.h"
+#include "cornelrelay/store/store_reply.h"
+#include "cornelrelay/store/store_request.h"
+
+namespace cornelrelay::store {
+
+struct PrefixReaderOptions {
+  /// How long the store holds a watch without a change. A silent loss of the connection shows no
+  /// sooner than this.
+  core::Duration watch_wait = std::chrono::milliseconds(1'500);
+  core::Duration retry_base = std::chrono::milliseconds(100);
+  core::Duration retry_ceiling = std::chrono::seconds(1);
+};
+
+/// \brief The reader wants this call made and its reply passed to OnReply().
+struct CallStore {
+  StoreRequest request;
+};
+/// \brief All items with the prefix as of a revision.
+struct ItemsRead {
+  std::vector<ItemChange> items;
+  StoreRevision revision = 0;
+};
+/// \brief What changed up to a revision.
+struct ItemsChanged {
+  std::vector<ItemChange> changes;
+  StoreRevision revision = 0;
+};
+struct StoreLinkLost {
+  std::string_view reason;  ///< kind of the reply that showed it
+};
+struct StoreLinkRegained {
+  core::Duration outage{};
+};
+using PrefixReaderAction =
+    std::variant<CallStore, ItemsRead, ItemsChanged, StoreLinkLost, StoreLinkRegained>;
+
+/// \brief Keeps a copy of the items with a prefix: reads all pages, then follows the changes.
+///
+/// After lost history or an outage it reads all again, because changes may have been missed. A
+/// watch that breaks once is repeated from the last revision.
+///
+/// \code
+/// PrefixReader reader("servers/", options, seed);
+/// Run(reader.Start(now));
+/// Run(reader.OnReply(now, reply));
+/// Run(reader.OnTick(now));  // at NextWake()
+/// \endcode
+class PrefixReader {
+ public:
+  using Actions = std::vector<PrefixReaderAction>;
+
+  PrefixReader(std::string prefix, const PrefixReaderOptions& options, std::uint64_t seed);
+
+  Actions Start(core::Instant now);
+  Actions OnReply(core::Instant now, const StoreReply& reply);
+  Actions OnTick(core::Instant now);
+
+  std::optional<core::Instant> NextWake() const { return m_retry_at; }
+  bool linked() const { return m_linked; }
+  /// \brief When the store last answered.
+  core::Instant last_answer() const { return m_last_answer; }
+
+ private:
+  void ReadPage(Actions& out);
+  void Watch(Actions& out);
+  void ReadAll(Actions& out);
+  void OnPage(core::Instant now, const PrefixRead& page, Actions& out);
+  void OnChanges(core::Instant now, const PrefixChanged& changes, Actions& out);
+  void OnFailure(core::Instant now, const StoreReply& reply, Actions& out);
+  void NoteAnswer(core::Instant now, Actions& out);
+
+  std::string m_prefix;
+  PrefixReaderOptions m_options;
+  Backoff m_backoff;
+  bool m_watching = false;
+  bool m_linked = true;
+  std::uint32_t m_failures = 0;
+  StoreRevision m_revision = 0;  ///< changes up to it are known; during a read, of its first page
+  std::vector<ItemChange> m_items;  ///< pages read so far
+  std::string m_after_key;
+  std::optional<core::Instant> m_retry_at;
+  core::Instant m_last_answer{};
+};
+
+}  // namespace cornelrelay::store
--- a/packages/store/include/cornelrelay/store/store_client.h
+++ b/packages/store/include/cornelrelay/store/store_client.h
@@ -8,12 +8,12 @@
 #include <vector>
 
 #include "cornelrelay/core/time.h"
-#include "cornelrelay/platform/backoff.h"
-#include "cornelrelay/platform/store_client_messages.h"
-#include "cornelrelay/platform/store_client_options.h"
-#include "cornelrelay/platform/token_bucket.h"
+#include "cornelrelay/store/backoff.h"
+#include "cornelrelay/store/store_client_messages.h"
+#include "cornelrelay/store/store_client_options.h"
+#include "cornelrelay/store/token_bucket.h"
 
-namespace cornelrelay::platform {
+namespace cornelrelay::store {
 
 /// \brief Decides when calls go to the store and what their users are told.
 ///
@@ -87,4 +87,4 @@
   std::uint64_t m_late_replies = 0;
 };
 
-}  // namespace cornelrelay::platform
+}  // namespace cornelrelay::store
--- a/packages/store/include/cornelrelay/store/store_client_dump.h
+++ b/packages/store/include/cornelrelay/store/store_client_dump.h
@@ -2,11 +2,11 @@
 
 #include <nlohmann/json_fwd.hpp>
 
-#include "cornelrelay/platform/store_client.h"
+#include "cornelrelay/store/store_client.h"
 
-namespace cornelrelay::platform {
+namespace cornelrelay::store {
 
 /// \brief State of the client for `/dump`; holds no keys or values.
 nlohmann::json ToJson(const StoreClient& client);
 
-}  // namespace cornelrelay::platform
+}  // namespace cornelrelay::store
--- a/packages/store/include/cornelrelay/store/store_client_messages.h
+++ b/packages/store/include/cornelrelay/store/store_client_messages.h
@@ -4,10 +4,10 @@
 #include <cstdint>
 #include <variant>
 
-#include "cornelrelay/platform/store_reply.h"
-#include "cornelrelay/platform/store_request.h"
+#include "cornelrelay/store/store_reply.h"
+#include "cornelrelay/store/store_request.h"
 
-namespace cornelrelay::platform {
+namespace cornelrelay::store {
 
 /// \brief Names a call between the StoreClient and its user; chosen by the user, never reused.
 using StoreCallId = std::uint64_t;
@@ -70,4 +70,4 @@
 
 using StoreClientAction = std::variant<TransmitCall, AbandonTransmission, DeliverReply>;
 
-}  // namespace cornelrelay::platform
+}  // namespace cornelrelay::store
--- a/packages/store/include/cornelrelay/store/store_client_options.h
+++ b/packages/store/include/cornelrelay/store/store_client_options.h
@@ -5,7 +5,7 @@
 
 #include "cornelrelay/core/time.h"
 
-namespace cornelrelay::platform {
+namespace cornelrelay::store {
 
 /// \brief Limits of one process's StoreClient.
 struct StoreClientOptions {
@@ -23,4 +23,4 @@
   friend auto operator<=>(const StoreClientOptions&, const StoreClientOptions&) = default;
 };
 
-}  // namespace cornelrelay::platform
+}  // namespace cornelrelay::store
--- a/packages/store/include/cornelrelay/store/store_http_message.h
+++ b/packages/store/include/cornelrelay/store/store_http_message.h
@@ -3,17 +3,18 @@
 #include <compare>
 #include <string>
 
-namespace cornelrelay::platform {
+namespace cornelrelay::store {
 
-/// \brief A call of the store's JSON gateway; the method is always POST.
+/// \brief A call of the store's HTTP interface.
 struct StoreHttpRequest {
   std::string path;
   std::string body;
+  std::string method = "POST";
 
   friend auto operator<=>(const StoreHttpRequest&, const StoreHttpRequest&) = default;
 };
 
-/// \brief An answer of the JSON gateway.
+/// \brief An answer of the store.
 struct StoreHttpResponse {
   int status = 200;
   std::string body;
@@ -21,4 +22,4 @@
   friend auto operator<=>(const StoreHttpResponse&, const StoreHttpResponse&) = default;
 };
 
-}  // namespace cornelrelay::platform
+}  // namespace cornelrelay::store
--- a/packages/store/include/cornelrelay/store/store_http_server_codec.h
+++ b/packages/store/include/cornelrelay/store/store_http_server_codec.h
@@ -2,11 +2,11 @@
 
 #include <string>
 
-#include "cornelrelay/platform/store_http_message.h"
-#include "cornelrelay/platform/store_reply.h"
-#include "cornelrelay/platform/store_request.h"
+#include "cornelrelay/store/store_http_message.h"
+#include "cornelrelay/store/store_reply.h"
+#include "cornelrelay/store/store_request.h"
 
-namespace cornelrelay::platform {
+namespace cornelrelay::store {
 
 /// \brief Server side of the etcd v3 JSON gateway, for the stand-in of the store.
 ///
@@ -27,4 +27,4 @@
   std::string WatchCreatedLine(StoreRevision store_revision) const;
 };
 
-}  // namespace cornelrelay::platform
+}  // namespace cornelrelay::store
--- a/packages/store/include/cornelrelay/store/store_reply.h
+++ b/packages/store/include/cornelrelay/store/store_reply.h
@@ -5,11 +5,13 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "cornelrelay/core/time.h"
-#include "cornelrelay/platform/store_request.h"
+#include "cornelrelay/store/item_change.h"
+#include "cornelrelay/store/store_request.h"
 
-namespace cornelrelay::platform {
+namespace cornelrelay::store {
 
 /// \brief A value and the revision of the write that set it.
 struct StoredValue {
@@ -64,6 +66,28 @@
   friend auto operator<=>(const WatchEvent&, const WatchEvent&) = default;
 };
 
+/// \brief One page of items, as of a revision of its own.
+struct PrefixRead {
+  std::vector<ItemChange> items;
+  bool more = false;  ///< another page follows after the last key
+  StoreRevision revision = 0;
+
+  friend auto operator<=>(const PrefixRead&, const PrefixRead&) = default;
+};
+
+/// \brief Changes with a prefix, oldest first; none if the wait was over before.
+struct PrefixChanged {
+  std::vector<ItemChange> changes;
+  StoreRevision revision = 0;  ///< the next watch continues after it
+
+  friend auto operator<=>(const PrefixChanged&, const PrefixChanged&) = default;
+};
+
+/// \brief The store no longer has the changes after the watched revision; all must be read again.
+struct HistoryLost {
+  friend auto operator<=>(const HistoryLost&, const HistoryLost&) = default;
+};
+
 /// \brief Refused because too many calls were made. The request had no effect.
 struct RefusedForRate {
   core::Duration retry_after{};
@@ -88,8 +112,9 @@
 /// \code
 /// std::visit(core::Overloaded{[](const Swapped& s) { ... }, [](const auto&) { ... }}, reply);
 /// \endcode
-using StoreReply = std::variant<ValueRead, Swapped, NotSwapped, LeaseGranted, LeaseExpired,
-                                WatchEvent, RefusedForRate, Unavailable, TimedOut>;
+using StoreReply =
+    std::variant<ValueRead, Swapped, NotSwapped, LeaseGranted, LeaseExpired, WatchEvent, PrefixRead,
+                 PrefixChanged, HistoryLost, RefusedForRate, Unavailable, TimedOut>;
 
 /// \brief True for a reply that the store itself gave after it looked at the request.
 bool IsAnswer(const StoreReply& reply);
@@ -97,4 +122,4 @@
 /// \brief Name of the reply's kind in logs and dumps, e.g. `not_swapped`.
 std::string_view KindName(const StoreReply& reply);
 
-}  // namespace cornelrelay::platform
+}  // namespace cornelrelay::store
--- a/packages/store/include/cornelrelay/store/store_request.h
+++ b/packages/store/include/cornelrelay/store/store_request.h
@@ -8,7 +8,7 @@
 
 #include "cornelrelay/core/time.h"
 
-namespace cornelrelay::platform {
+namespace cornelrelay::store {
 
 /// \brief Modification revision of a key in the store; 0 means that the key is absent.
 using StoreRevision = std::int64_t;
@@ -62,18 +62,39 @@
   friend auto operator<=>(const Watch&, const Watch&) = default;
 };
 
+/// \brief Reads one page of the items whose keys begin with a prefix.
+struct ReadPrefix {
+  std::string prefix;
+  std::string after_key;  ///< the page begins after this key; empty for the first page
+
+  friend auto operator<=>(const ReadPrefix&, const ReadPrefix&) = default;
+};
+
+/// \brief Waits for changes of keys with a prefix after a revision; answered without a change when
+/// `wait` is over.
+struct WatchPrefix {
+  std::string prefix;
+  StoreRevision after = 0;
+  core::Duration wait{};
+
+  friend auto operator<=>(const WatchPrefix&, const WatchPrefix&) = default;
+};
+
 /// \brief One call to the platform's key-value store.
 ///
 /// \code
 /// const StoreRequest request = CompareAndSwap{"cornelrelay/catalogue", seen_revision, bytes};
 /// \endcode
-using StoreRequest =
-    std::variant<Get, CompareAndSwap, LeaseGrant, LeaseKeepAlive, LeaseRevoke, Watch>;
+using StoreRequest = std::variant<Get, CompareAndSwap, LeaseGrant, LeaseKeepAlive, LeaseRevoke,
+                                  Watch, ReadPrefix, WatchPrefix>;
 
 /// \brief True when running the request twice has the effect of running it once.
 bool IsRepeatable(const StoreRequest& request);
 
+/// \brief True for requests that the store holds until something changes.
+bool IsWatch(const StoreRequest& request);
+
 /// \brief Name of the request's kind in logs and dumps, e.g. `compare_and_swap`.
 std::string_view KindName(const StoreRequest& request);
 
-}  // namespace cornelrelay::platform
+}  // namespace cornelrelay::store
--- a/packages/store/include/cornelrelay/store/testing/store_model.h
+++ b/packages/store/include/cornelrelay/store/testing/store_model.h
@@ -9,11 +9,11 @@
 
 #include "cornelrelay/core/overloaded.h"
 #include "cornelrelay/core/time.h"
-#include "cornelrelay/platform/store_reply.h"
-#include "cornelrelay/platform/store_request.h"
-#include "cornelrelay/platform/token_bucket.h"
+#include "cornelrelay/store/store_reply.h"
+#include "cornelrelay/store/store_request.h"
+#include "cornelrelay/store/token_bucket.h"
 
-namespace cornelrelay::platform::testing {
+namespace cornelrelay::store::testing {
 
 /// \brief In-memory store for tests: revisions, leases, watches, call limit, outage, lost answers.
 ///
@@ -110,7 +110,7 @@
                            EndLease(revoke.lease);
                            return LeaseExpired{revoke.lease};
                          },
-                         [](const Watch&) -> StoreReply { return TimedOut{}; }},
+                         [](const auto&) -> StoreReply { return TimedOut{}; }},
         request);
   }
 
@@ -184,4 +184,4 @@
   std::uint64_t m_calls = 0;
 };
 
-}  // namespace cornelrelay::platform::testing
+}  // namespace cornelrelay::store::testing
--- a/packages/store/include/cornelrelay/store/token_bucket.h
+++ b/packages/store/include/cornelrelay/store/token_bucket.h
@@ -2,7 +2,7 @@
 
 #include "cornelrelay/core/time.h"
 
-namespace cornelrelay::platform {
+namespace cornelrelay::store {
 
 /// \brief Call budget: `rate_per_second` tokens a second, at most `burst` saved up.
 ///
@@ -30,4 +30,4 @@
   core::Instant m_updated{};
 };
 
-}  // namespace cornelrelay::platform
+}  // namespace cornelrelay::store
--- a/packages/store/src/backoff.cc
+++ b/packages/store/src/backoff.cc
@@ -1,9 +1,9 @@
-#include "cornelrelay/platform/backoff.h"
+#include "cornelrelay/store/backoff.h"
 
 #include <algorithm>
 #include <cassert>
 
-namespace cornelrelay::platform {
+namespace cornelrelay::store {
 
 Backoff::Backoff(core::Duration base, core::Duration ceiling, std::uint64_t seed)
     : m_base(base), m_ceiling(ceiling), m_random(seed) {
@@ -19,4 +19,4 @@
                                    static_cast<std::uint64_t>(delay.count() - half) + 1)));
 }
 
-}  // namespace cornelrelay::platform
+}  // namespace cornelrelay::store
--- a/packages/store/src/base64.cc
+++ b/packages/store/src/base64.cc
@@ -1,10 +1,10 @@
-#include "cornelrelay/platform/base64.h"
+#include "cornelrelay/store/base64.h"
 
 #include <openssl/evp.h>
 
-#include "cornelrelay/platform/malformed_store_message.h"
+#include "cornelrelay/store/malformed_store_message.h"
 
-namespace cornelrelay::platform {
+namespace cornelrelay::store {
 
 std::string EncodeBase64(std::string_view bytes) {
   std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');  // EVP_EncodeBlock adds a zero byte
@@ -33,4 +33,4 @@
   return bytes;
 }
 
-}  // namespace cornelrelay::platform
+}  // namespace cornelrelay::store
--- a/packages/store/src/gateway_json.cc
+++ b/packages/store/src/gateway_json.cc
@@ -2,10 +2,10 @@
 
 #include <charconv>
 
-#include "cornelrelay/platform/base64.h"
-#include "cornelrelay/platform/malformed_store_message.h"
+#include "cornelrelay/store/base64.h"
+#include "cornelrelay/store/malformed_store_message.h"
 
-namespace cornelrelay::platform::internal {
+namespace cornelrelay::store::internal {
 
 const nlohmann::json& Member(const nlohmann::json& object, const char* snake, const char* camel) {
   static const nlohmann::json absent;
@@ -47,4 +47,4 @@
   return stored;
 }
 
-}  // namespace cornelrelay::platform::internal
+}  // namespace cornelrelay::store::internal
--- a/packages/store/src/gateway_json.h
+++ b/packages/store/src/gateway_json.h
@@ -5,9 +5,9 @@
 #include <optional>
 #include <string>
 
-#include "cornelrelay/platform/store_reply.h"
+#include "cornelrelay/store/store_reply.h"
 
-namespace cornelrelay::platform::internal {
+namespace cornelrelay::store::internal {
 
 inline constexpr char kRangePath[] = "/v3/kv/range";
 inline constexpr char kTxnPath[] = "/v3/kv/txn";
@@ -36,4 +36,4 @@
 
 StoredValue ValueOf(const nlohmann::json& pair);
 
-}  // namespace cornelrelay::platform::internal
+}  // namespace cornelrelay::store::internal
--- a/packages/store/src/malformed_store_message.cc
+++ b/packages/store/src/malformed_store_message.cc
@@ -1,8 +1,8 @@
-#include "cornelrelay/platform/malformed_store_message.h"
+#include "cornelrelay/store/malformed_store_message.h"
 
-namespace cornelrelay::platform {
+namespace cornelrelay::store {
 
 MalformedStoreMessage::MalformedStoreMessage(const std::string& reason)
     : core::Error("malformed_store_message", "malformed store message: " + reason) {}
 
-}  // namespace cornelrelay::platform
+}  // namespace cornelrelay::store
--- a/packages/store/src/store_client.cc
+++ b/packages/store/src/store_client.cc
@@ -1,4 +1,4 @@
-#include "cornelrelay/platform/store_client.h"
+#include "cornelrelay/store/store_client.h"
 
 #include <algorithm>
 #include <cassert>
@@ -6,7 +6,7 @@
 
 #include "cornelrelay/core/overloaded.h"
 
-namespace cornelrelay::platform {
+namespace cornelrelay::store {
 
 StoreClient::StoreClient(const StoreClientOptions& options, std::uint64_t seed)
     : m_options(options),
@@ -38,7 +38,7 @@
 }
 
 void StoreClient::Submit(core::Instant now, const CallSubmitted& event, Actions& out) {
-  const bool watch = std::holds_alternative<Watch>(event.request);
+  const bool watch = IsWatch(event.request);
   Call call{event.call, event.request, 0, now + m_options.queue_timeout, false};
   if (m_outage) {
     if (!watch && !TrialInFlight() && now >= m_next_trial && m_bucket.TryTake(now)) {
@@ -111,7 +111,7 @@
 }
 
 void StoreClient::Transmit(core::Instant now, Call call, bool trial, Actions& out) {
-  const bool watch = std::holds_alternative<Watch>(call.request);
+  const bool watch = IsWatch(call.request);
   const auto timeout = watch ? m_options.watch_timeout : m_options.call_timeout;
   const TransmissionId id = m_next_transmission++;
   ++call.attempts;
@@ -122,7 +122,7 @@
 void StoreClient::Resolve(core::Instant now, Transmission transmission, const StoreReply& reply,
                           Actions& out) {
   Call& call = transmission.call;
-  const bool watch = std::holds_alternative<Watch>(call.request);
+  const bool watch = IsWatch(call.request);
   const bool timed_out = std::holds_alternative<TimedOut>(reply);
   if (IsAnswer(reply)) {
     RecordSuccess();
@@ -130,8 +130,8 @@
     return;
   }
   if (timed_out) call.unanswered = true;
-  // A watch without a change runs into its time limit; that is no sign of an outage.
-  const bool idle_watch = watch && timed_out;
+  // A streamed watch without a change runs into its time limit; that is no sign of an outage.
+  const bool idle_watch = std::holds_alternative<Watch>(call.request) && timed_out;
   const bool refused = std::holds_alternative<RefusedForRate>(reply);
   if (!idle_watch && !refused) RecordFailure(now, transmission.trial, out);
   if (refused && transmission.trial) RecordSuccess();
@@ -150,8 +150,8 @@
 
 DeliverReply StoreClient::Final(const Call& call, StoreReply reply) {
   // A refusal of the last transmission says nothing about an earlier one without an answer.
-  const bool reads =
-      std::holds_alternative<Get>(call.request) || std::holds_alternative<Watch>(call.request);
+  const bool reads = std::holds_alternative<Get>(call.request) ||
+                     std::holds_alternative<ReadPrefix>(call.request) || IsWatch(call.request);
   if (call.unanswered && !reads) return {call.id, TimedOut{}};
   return {call.id, std::move(reply)};
 }
@@ -192,4 +192,4 @@
                      [](const auto& entry) { return entry.second.trial; });
 }
 
-}  // namespace cornelrelay::platform
+}  // namespace cornelrelay::store
--- a/packages/store/src/store_client_dump.cc
+++ b/packages/store/src/store_client_dump.cc
@@ -1,8 +1,8 @@
-#include "cornelrelay/platform/store_client_dump.h"
+#include "cornelrelay/store/store_client_dump.h"
 
 #include <nlohmann/json.hpp>
 
-namespace cornelrelay::platform {
+namespace cornelrelay::store {
 
 nlohmann::json ToJson(const StoreClient& client) {
   return {{"outage", client.InOutage()},
@@ -13,4 +13,4 @@
           {"late_replies", client.LateReplies()}};
 }
 
-}  // namespace cornelrelay::platform
+}  // namespace cornelrelay::store
--- a/packages/store/src/store_http_codec.cc
+++ b/packages/store/src/store_http_codec.cc
@@ -1,13 +1,14 @@
-#include "cornelrelay/platform/store_http_codec.h"
+#include "cornelrelay/store/store_http_codec.h"
 
 #include <nlohmann/json.hpp>
 
 #include "cornelrelay/core/overloaded.h"
-#include "cornelrelay/platform/base64.h"
-#include "cornelrelay/platform/malformed_store_message.h"
+#include "cornelrelay/store/base64.h"
+#include "cornelrelay/store/malformed_store_message.h"
+#include "cornelrelay/store/unsupported_store_request.h"
 #include "gateway_json.h"
 
-namespace cornelrelay::platform {
+namespace cornelrelay::store {
 namespace {
 
 using internal::Integer;
@@ -108,7 +109,8 @@
             const json create = {{"key", EncodeBase64(r.key)},
                                  {"startRevision", std::to_string(r.after + 1)}};
             return {internal::kWatchPath, json{{"createRequest", create}}.dump()};
-          }},
+          },
+          [&](const auto&) -> StoreHttpRequest { throw UnsupportedStoreRequest(request); }},
       request);
 }
 
@@ -135,7 +137,7 @@
               return LeaseReply(r.lease, Member(answer, "result", "result"));
             },
             [](const LeaseRevoke& r) -> StoreReply { return LeaseExpired{r.lease}; },
-            [](const Watch&) -> StoreReply { return TimedOut{}; }},
+            [](const auto&) -> StoreReply { return TimedOut{}; }},
         request);
   } catch (const json::exception&) {
     return TimedOut{};
@@ -166,4 +168,4 @@
   }
 }
 
-}  // namespace cornelrelay::platform
+}  // namespace cornelrelay::store
--- a/packages/store/src/store_http_server_codec.cc
+++ b/packages/store/src/store_http_server_codec.cc
@@ -1,13 +1,13 @@
-#include "cornelrelay/platform/store_http_server_codec.h"
+#include "cornelrelay/store/store_http_server_codec.h"
 
 #include <nlohmann/json.hpp>
 
 #include "cornelrelay/core/overloaded.h"
-#include "cornelrelay/platform/base64.h"
-#include "cornelrelay/platform/malformed_store_message.h"
+#include "cornelrelay/store/base64.h"
+#include "cornelrelay/store/malformed_store_message.h"
 #include "gateway_json.h"
 
-namespace cornelrelay::platform {
+namespace cornelrelay::store {
 namespace {
 
 using internal::Bytes;
@@ -134,6 +134,10 @@
           [](const Unavailable&) {
             return Failure(503, internal::kCodeUnavailable, "etcdserver: no leader");
           },
+          [](const auto&) -> StoreHttpResponse {
+            // The gateway of the stand-in has no calls for prefixes.
+            throw MalformedStoreMessage("a reply that no gateway call gives");
+          },
           [](const TimedOut&) {
             return Failure(503, internal::kCodeUnavailable, "etcdserver: request timed out");
           }},
@@ -144,4 +148,4 @@
   return json{{"result", {{"header", Header(store_revision)}, {"created", true}}}}.dump() + "\n";
 }
 
-}  // namespace cornelrelay::platform
+}  // namespace cornelrelay::store
--- a/packages/store/src/store_reply.cc
+++ b/packages/store/src/store_reply.cc
@@ -1,8 +1,8 @@
-#include "cornelrelay/platform/store_reply.h"
+#include "cornelrelay/store/store_reply.h"
 
 #include <array>
 
-namespace cornelrelay::platform {
+namespace cornelrelay::store {
 
 bool IsAnswer(const StoreReply& reply) {
   return !std::holds_alternative<RefusedForRate>(reply) &&
@@ -11,9 +11,10 @@
 
 std::string_view KindName(const StoreReply& reply) {
   constexpr std::array<std::string_view, std::variant_size_v<StoreReply>> kNames = {
-      "value_read",  "swapped",          "not_swapped", "lease_granted", "lease_expired",
-      "watch_event", "refused_for_rate", "unavailable", "timed_out"};
+      "value_read",    "swapped",          "not_swapped", "lease_granted",
+      "lease_expired", "watch_event",      "prefix_read", "prefix_changed",
+      "history_lost",  "refused_for_rate", "unavailable", "timed_out"};
   return kNames.at(reply.index());
 }
 
-}  // namespace cornelrelay::platform
+}  // namespace cornelrelay::store
--- a/packages/store/src/token_bucket.cc
+++ b/packages/store/src/token_bucket.cc
@@ -1,11 +1,11 @@
-#include "cornelrelay/platform/token_bucket.h"
+#include "cornelrelay/store/token_bucket.h"
 
 #include <algorithm>
 #include <cassert>
 #include <chrono>
 #include <cmath>
 
-namespace cornelrelay::platform {
+namespace cornelrelay::store {
 
 TokenBucket::TokenBucket(double rate_per_second, double burst)
     : m_rate_per_second(rate_per_second), m_burst(burst), m_tokens(burst) {
@@ -34,4 +34,4 @@
   return std::min(m_burst, m_tokens + std::max(0.0, seconds) * m_rate_per_second);
 }
 
-}  // namespace cornelrelay::platform
+}  // namespace cornelrelay::store
--- /dev/null
+++ b/packages/store/tests/prefix_reader_test.cc
@@ -0,0 +1,99 @@
+#include "cornelrelay/store/prefix_reader.h"
+
+#include <catch2/catch.hpp>
+
+#include "cornelrelay/store/item_cache.h"
+
+namespace cornelrelay::store {
+namespace {
+
+using std::chrono::milliseconds;
+
+core::Instant At(std::int64_t ms) { return core::Instant(milliseconds(ms)); }
+
+template <class Action>
+const Action* Find(const PrefixReader::Actions& actions) {
+  for (const auto& action : actions) {
+    if (const auto* found = std::get_if<Action>(&action)) return found;
+  }
+  return nullptr;
+}
+
+template <class Request>
+const Request* Called(const PrefixReader::Actions& actions) {
+  const auto* call = Find<CallStore>(actions);
+  return call ? std::get_if<Request>(&call->request) : nullptr;
+}
+
+}  // namespace
+
+TEST_CASE("the watch starts at the revision of the first page") {
+  PrefixReader reader("servers/", {}, 1);
+  REQUIRE(Called<ReadPrefix>(reader.Start(At(0))));
+  auto actions = reader.OnReply(At(1), PrefixRead{{{"servers/a", "1", 4}}, true, 10});
+  REQUIRE(Called<ReadPrefix>(actions));
+  CHECK(Called<ReadPrefix>(actions)->after_key == "servers/a");
+  // The item of the first page changed at revision 11, while the second page was read.
+  actions = reader.OnReply(At(2), PrefixRead{{{"servers/b", "2", 12}}, false, 12});
+  REQUIRE(Find<ItemsRead>(actions));
+  CHECK(Find<ItemsRead>(actions)->items.size() == 2);
+  REQUIRE(Called<WatchPrefix>(actions));
+  CHECK(Called<WatchPrefix>(actions)->after == 10);
+}
+
+TEST_CASE("lost history leads to a new read of everything") {
+  PrefixReader reader("", {}, 1);
+  reader.Start(At(0));
+  reader.OnReply(At(1), PrefixRead{{}, false, 10});
+  CHECK(Called<ReadPrefix>(reader.OnReply(At(2), HistoryLost{})));
+}
+
+TEST_CASE("one broken watch is repeated, two are an outage that ends with a full read") {
+  PrefixReader reader("", {}, 1);
+  reader.Start(At(0));
+  reader.OnReply(At(1), PrefixRead{{}, false, 10});
+  CHECK_FALSE(Find<StoreLinkLost>(reader.OnReply(At(2), TimedOut{})));
+  REQUIRE(reader.NextWake());
+  const auto again = reader.OnTick(*reader.NextWake());
+  REQUIRE(Called<WatchPrefix>(again));
+  CHECK(Called<WatchPrefix>(again)->after == 10);
+  CHECK(Find<StoreLinkLost>(reader.OnReply(At(200), Unavailable{})));
+  CHECK(Called<ReadPrefix>(reader.OnTick(*reader.NextWake())));
+  CHECK(Find<StoreLinkRegained>(reader.OnReply(At(900), PrefixRead{{}, false, 12})));
+  CHECK(reader.linked());
+}
+
+TEST_CASE("the delay between trials stays below the ceiling, so that a return is noticed") {
+  PrefixReader reader("", {}, 7);
+  reader.Start(At(0));
+  core::Instant now = At(0);
+  for (int i = 0; i < 30; ++i) {
+    reader.OnReply(now, Unavailable{});
+    REQUIRE(reader.NextWake());
+    CHECK(*reader.NextWake() - now <= std::chrono::seconds(1));
+    now = *reader.NextWake();
+    reader.OnTick(now);
+  }
+}
+
+TEST_CASE("the copy of the items never goes back") {
+  ItemCache cache;
+  CHECK(cache.Merge({{"k", "new", 9}}, 9).size() == 1);
+  CHECK(cache.Merge({{"k", "old", 5}}, 5).empty());
+  CHECK(cache.revision() == 9);
+  CHECK(cache.Merge({{"k", std::nullopt, 10}}, 10).size() == 1);
+  CHECK(cache.Merge({{"k", "new", 9}}, 9).empty());
+  REQUIRE(cache.Since(8).size() == 1);
+  CHECK_FALSE(cache.Since(8).front().value);
+}
+
+TEST_CASE("a full read deletes what it lacks, but nothing newer than itself") {
+  ItemCache cache;
+  cache.Merge({{"servers/a", "1", 3}, {"servers/b", "1", 12}, {"op/c", "1", 2}}, 12);
+  const auto changes = cache.Replace("servers/", {}, 10);
+  REQUIRE(changes.size() == 1);
+  CHECK(changes.front().key == "servers/a");
+  CHECK_FALSE(changes.front().value);
+}
+
+}  // namespace cornelrelay::store
--- /dev/null
+++ b/packages/wire/src/fleet_messages.cc
@@ -0,0 +1,84 @@
+#include "cornelrelay/wire/fleet_messages.h"
+
+#include "fields.h"
+
+namespace cornelrelay::wire {
+namespace {
+
+using internal::Reader;
+using internal::Ref;
+using internal::Writer;
+
+constexpr std::size_t kMaxLoads = 1024;
+constexpr std::size_t kMaxQueues = 64;
+constexpr std::size_t kMaxItems = 100'000;
+constexpr std::size_t kMaxKeyBytes = 200;
+constexpr std::size_t kMaxValueBytes = 1'048'576;
+/// The least that one element of a list takes, for the check before allocation.
+constexpr std::size_t kLoadBytes = 3;
+constexpr std::size_t kItemBytes = 10;
+
+template <class Ar>
+void Code(Ar& ar, Ref<Ar, peers::Bulletin> b) {
+  internal::Identifier(ar, b.host);
+  internal::Address(ar, b.endpoint);
+  ar.archive(b.incarnation, b.sequence, b.items_revision);
+  internal::Flag(ar, b.store_linked);
+  internal::List<std::uint16_t>(ar, b.loads, kMaxLoads, kLoadBytes, [&](auto& load) {
+    internal::Identifier(ar, load.upstream);
+    internal::Number<std::uint16_t>(ar, load.in_flight);
+  });
+  internal::List<std::uint8_t>(ar, b.queues, kMaxQueues, kLoadBytes, [&](auto& queue) {
+    internal::Identifier(ar, queue.service);
+    internal::Number<std::uint16_t>(ar, queue.waiting);
+  });
+}
+
+template <class Ar>
+void Code(Ar& ar, Ref<Ar, ItemsTransfer> t) {
+  ar.archive(t.revision);
+  internal::List<std::uint32_t>(ar, t.changes, kMaxItems, kItemBytes, [&](auto& change) {
+    internal::Text(ar, change.key, kMaxKeyBytes);
+    ar.archive(change.revision);
+    bool present = change.value.has_value();
+    internal::Flag(ar, present);
+    if (!present) return;
+    if constexpr (Ar::kReads) change.value.emplace();
+    internal::Bytes<std::uint32_t>(ar, *change.value, kMaxValueBytes);
+  });
+}
+
+template <class Message>
+std::string EncodeMessage(const Message& message) {
+  std::string bytes;
+  Writer writer(bytes);
+  Code(writer, message);
+  return bytes;
+}
+
+template <class Message>
+Message DecodeMessage(std::string_view bytes) {
+  Reader reader(bytes);
+  Message message;
+  try {
+    Code(reader, message);
+  } catch (const cereal::Exception&) {
+    throw MalformedMessage();
+  }
+  return message;
+}
+
+}  // namespace
+
+std::string Encode(const peers::Bulletin& bulletin) { return EncodeMessage(bulletin); }
+std::string Encode(const ItemsTransfer& transfer) { return EncodeMessage(transfer); }
+
+peers::Bulletin DecodeBulletin(std::string_view bytes) {
+  return DecodeMessage<peers::Bulletin>(bytes);
+}
+
+ItemsTransfer DecodeItemsTransfer(std::string_view bytes) {
+  return DecodeMessage<ItemsTransfer>(bytes);
+}
+
+}  // namespace cornelrelay::wire
