--- a/apps/cornelrelay-agent.cc
+++ b/apps/cornelrelay-agent.cc
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "cornelrelay/agent/agent_process.h"
+#include "cornelrelay/platform/rank_command.h"
 #include "cornelrelay/runtime/process_setup.h"
 #include "cornelrelay/settings/invalid_settings.h"
 
@@ -50,10 +51,16 @@
 int main(int argc, char** argv) {
   CLI::App app("Agent beside one upstream; SIGUSR1 prints its state, SIGTERM drains the upstream");
   std::string file;
-  app.add_option("--settings", file, "TOML settings file")->required();
-  CLI11_PARSE(app, argc, argv);
+  auto* settings = app.add_option("--settings", file, "TOML settings file");
+  int exit_code = 0;
   try {
+    cornelrelay::platform::AddRankCommand(app, exit_code);
+    app.parse(argc, argv);
+    if (!app.get_subcommands().empty()) return exit_code;
+    if (settings->count() == 0) throw CLI::RequiredError("--settings");
     return Run(file);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error);
   } catch (const cornelrelay::settings::InvalidSettings& error) {
     std::cerr << cornelrelay::settings::FormatFaults(error.faults());
     return kExitInvalidInput;
--- /dev/null
+++ b/packages/balance/include/cornelrelay/balance/switch_messages.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <optional>
+#include <string_view>
+#include <variant>
+
+#include "cornelrelay/balance/expert_map.h"
+#include "cornelrelay/balance/rank_order.h"
+#include "cornelrelay/core/time.h"
+
+namespace cornelrelay::balance {
+
+/// \brief This process holds the group's lease, with a fence above all earlier ones.
+struct LeadershipGained {
+  Fence fence = 0;
+  core::Instant until;  ///< the lease cannot end before
+};
+struct LeadershipExtended {
+  core::Instant until;
+};
+struct LeadershipLost {};
+/// \brief A state that a rank told on its own.
+struct RankObserved {
+  RankIndex rank = 0;
+  RankState state;
+};
+/// \brief The end of an order, with the state after it if it is known.
+struct OrderEnded {
+  RankIndex rank = 0;
+  OrderResult result = OrderResult::kUnknown;
+  std::optional<RankState> state;
+};
+/// \brief The map that the group should have.
+struct MapWanted {
+  LayerMap map;
+};
+struct SwitchTick {};
+
+using SwitchEvent = std::variant<LeadershipGained, LeadershipExtended, LeadershipLost, RankObserved,
+                                 OrderEnded, MapWanted, SwitchTick>;
+
+/// \brief Send an order to a rank; it carries the epoch, so that it has no effect in another one.
+struct SendOrder {
+  RankIndex rank = 0;
+  RankOrder order;
+  Fence fence = 0;
+  std::uint64_t epoch = 0;
+};
+
+enum class SwitchOutcome {
+  kSwitched,   ///< the map is in force on all ranks
+  kGivenUp,    ///< not all ranks loaded the map in time; nothing was armed
+  kAborted,    ///< no rank can switch to the map any more
+  kEpochOver,  ///< the group formed anew
+  kLeaseOver,  ///< left to the next leader
+};
+std::string_view ToString(SwitchOutcome outcome);
+
+struct SwitchEnded {
+  MapVersion version = 0;
+  SwitchOutcome outcome = SwitchOutcome::kSwitched;
+  StepIndex step = 0;
+  core::Duration elapsed{};
+  LayerMap map;
+};
+/// \brief An unfinished switch of an earlier leader was found.
+struct SwitchInherited {
+  StepIndex step = 0;
+  bool forward = false;  ///< all ranks are armed alike, so it is completed
+};
+
+using SwitchAction = std::variant<SendOrder, SwitchEnded, SwitchInherited>;
+
+}  // namespace cornelrelay::balance
--- /dev/null
+++ b/packages/balance/src/switch_leader.cc
@@ -0,0 +1,402 @@
+#include "cornelrelay/balance/switch_leader.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace cornelrelay::balance {
+namespace {
+
+/// Versions that one leader may use; the fence makes those of different leaders differ.
+constexpr MapVersion kVersionsPerFence = 4'096;
+const std::size_t kPrepareKind = RankOrder(PrepareMap{}).index();
+constexpr StepIndex kLeastLead = 3;
+constexpr double kPassGain = 0.3;
+/// Pauses without work are no passes.
+constexpr core::Duration kLongestPass = std::chrono::seconds(1);
+
+}  // namespace
+
+SwitchLeader::SwitchLeader(SwitchLeaderConfig config)
+    : m_config(config), m_ranks(config.ranks), m_pass_time(config.usual_pass) {
+  assert(config.self < config.ranks);
+}
+
+std::vector<SwitchAction> SwitchLeader::Step(core::Instant now, const SwitchEvent& event) {
+  Actions out;
+  std::visit([&](const auto& e) { Apply(now, e, out); }, event);
+  Advance(now, out);
+  return out;
+}
+
+void SwitchLeader::Apply(core::Instant now, const LeadershipGained& event, Actions&) {
+  m_fence = event.fence;
+  m_lease_until = event.until;
+  m_versions = 0;
+  Enter(now, Phase::kSurvey);
+}
+
+void SwitchLeader::Apply(core::Instant, const LeadershipExtended& event, Actions&) {
+  m_lease_until = std::max(m_lease_until, event.until);
+}
+
+void SwitchLeader::Apply(core::Instant now, const LeadershipLost&, Actions& out) {
+  if (m_phase == Phase::kNoLease) return;
+  const bool active = m_phase != Phase::kIdle && m_phase != Phase::kSurvey;
+  if (active) End(now, SwitchOutcome::kLeaseOver, out);
+  Enter(now, Phase::kNoLease);
+}
+
+void SwitchLeader::Apply(core::Instant now, const RankObserved& event, Actions& out) {
+  Observe(now, event.rank, event.state, out);
+}
+
+void SwitchLeader::Apply(core::Instant now, const OrderEnded& event, Actions& out) {
+  Rank& rank = m_ranks[event.rank];
+  rank.outstanding = false;
+  if (event.result == OrderResult::kUnknown) m_unanswered = now;
+  if (rank.sent_in == m_phase_number) {
+    rank.last_result = event.result;
+    if (event.result == OrderResult::kDone) rank.accepted.set(rank.sent_kind);
+  }
+  if (event.state) Observe(now, event.rank, *event.state, out);
+}
+
+void SwitchLeader::Apply(core::Instant, const MapWanted& event, Actions&) { m_wanted = event.map; }
+void SwitchLeader::Apply(core::Instant, const SwitchTick&, Actions&) {}
+
+void SwitchLeader::Observe(core::Instant now, RankIndex index, const RankState& state,
+                           Actions& out) {
+  if (state.epoch < m_epoch) return;
+  if (state.epoch > m_epoch) {
+    // The group formed anew, with nothing prepared, armed or held.
+    m_epoch = state.epoch;
+    for (Rank& rank : m_ranks) rank.state.reset();
+    m_wanted.reset();
+    if (m_phase != Phase::kNoLease) {
+      const bool active = m_phase != Phase::kIdle && m_phase != Phase::kSurvey;
+      if (active) End(now, SwitchOutcome::kEpochOver, out);
+      Enter(now, Phase::kSurvey);
+    }
+  }
+  Rank& rank = m_ranks[index];
+  if (rank.state && index == m_config.self && state.step > rank.state->step + 1) {
+    const auto passes = static_cast<std::int64_t>(state.step - rank.state->step);
+    const core::Duration sample = (now - rank.observed) / passes;
+    if (sample < kLongestPass) {
+      m_pass_time += core::Duration(static_cast<core::Duration::rep>(
+          kPassGain * static_cast<double>((sample - m_pass_time).count())));
+    }
+  }
+  rank.state = state;
+  rank.observed = now;
+}
+
+void SwitchLeader::Enter(core::Instant now, Phase phase) {
+  m_phase = phase;
+  m_phase_since = now;
+  ++m_phase_number;
+  for (Rank& rank : m_ranks) {
+    rank.last_result.reset();
+    rank.accepted.reset();
+  }
+}
+
+void SwitchLeader::End(core::Instant now, SwitchOutcome outcome, Actions& out) {
+  out.emplace_back(SwitchEnded{m_version, outcome, m_step, now - m_switch_since, m_map});
+  if (outcome == SwitchOutcome::kSwitched) m_wanted.reset();
+  Enter(now, Phase::kIdle);
+}
+
+// A switch can take several steps within one call; each step either enters a phase or returns.
+void SwitchLeader::Advance(core::Instant now, Actions& out) {
+  std::uint64_t before = 0;
+  do {
+    before = m_phase_number;
+    switch (m_phase) {
+      case Phase::kNoLease:
+        return;
+      case Phase::kSurvey:
+        Survey(now, out);
+        break;
+      case Phase::kIdle:
+        BeginWanted(now);
+        break;
+      case Phase::kPreparing:
+        Prepare(now, out);
+        break;
+      case Phase::kHolding:
+        Hold(now, out);
+        break;
+      case Phase::kArming:
+        Arm(now, out);
+        break;
+      case Phase::kRecovering:
+        Recover(now, out);
+        break;
+      case Phase::kAborting:
+        Abort(now, out);
+        break;
+      case Phase::kReleasing:
+        Release(now, out);
+        break;
+    }
+  } while (m_phase_number != before);
+}
+
+void SwitchLeader::Survey(core::Instant now, Actions& out) {
+  bool complete = true;
+  for (RankIndex index = 0; index < m_config.ranks; ++index) {
+    const Rank& rank = m_ranks[index];
+    // Only the answer to an order of this leader shows that the rank knows its fence.
+    if (rank.accepted.any() && rank.state) continue;
+    complete = false;
+    Poll(now, index, out);
+  }
+  if (!complete || !AllOpen()) return;
+  Enter(now, Phase::kIdle);
+}
+
+void SwitchLeader::BeginWanted(core::Instant now) {
+  const auto unfinished = UnfinishedStep();
+  if (unfinished) {
+    m_step = *unfinished;
+    m_version = 0;
+    m_map.clear();
+    m_switch_since = now;
+    return Enter(now, Phase::kRecovering);
+  }
+  if (!m_wanted || AnyArmed() || !AllOpen()) return;
+  if (m_lease_until - now < m_config.least_lease) return;
+  std::optional<LayerMap> former = MapInUse();
+  if (!former) return;
+  m_map = *std::exchange(m_wanted, std::nullopt);
+  if (m_map == *former) return;
+  m_former = std::move(*former);
+  m_version = NextVersion();
+  m_switch_since = now;
+  Enter(now, Phase::kPreparing);
+}
+
+void SwitchLeader::Prepare(core::Instant now, Actions& out) {
+  if (now - m_phase_since > m_config.prepare_limit) return End(now, SwitchOutcome::kGivenUp, out);
+  for (RankIndex index = 0; index < m_config.ranks; ++index) {
+    const Rank& rank = m_ranks[index];
+    if (rank.state && rank.state->prepared == m_version) continue;
+    // A refusal can mean that an earlier order without an answer was accepted.
+    if (rank.accepted.test(kPrepareKind) || rank.last_result == OrderResult::kRefused) {
+      Poll(now, index, out);
+    } else {
+      Send(now, index, PrepareMap{m_version, m_map}, out);
+    }
+  }
+  if (!AllPrepared(m_version)) return;
+  if (m_lease_until - now < m_config.least_lease) return;
+  m_step = StepAhead(now);
+  Enter(now, Phase::kHolding);
+}
+
+void SwitchLeader::Hold(core::Instant now, Actions& out) {
+  const Rank& self = m_ranks[m_config.self];
+  if (self.state && self.state->held && *self.state->held > self.state->step) {
+    m_step = *self.state->held;
+    return Enter(now, Phase::kArming);
+  }
+  if (now - m_phase_since > m_config.arm_limit) return End(now, SwitchOutcome::kGivenUp, out);
+  if (self.last_result == OrderResult::kRefused || LatestStep() >= m_step) {
+    m_step = StepAhead(now);
+    m_ranks[m_config.self].last_result.reset();
+  }
+  Send(now, m_config.self, HoldPass{m_step}, out);
+}
+
+void SwitchLeader::Arm(core::Instant now, Actions& out) {
+  const Rank& self = m_ranks[m_config.self];
+  if (!self.state || self.state->held != m_step) return Enter(now, Phase::kRecovering);
+  const ArmedMap target{m_version, m_step};
+  for (RankIndex index = 0; index < m_config.ranks; ++index) {
+    const Rank& rank = m_ranks[index];
+    if (rank.state && rank.state->armed == target) continue;
+    if (rank.last_result == OrderResult::kRefused) return BeginAbort(now);
+    Send(now, index, ArmMap{m_version, m_step}, out);
+  }
+  if (ArmedByAll() == target) {
+    m_forward = true;
+    return Enter(now, Phase::kReleasing);
+  }
+  if (now - m_phase_since > m_config.arm_limit) BeginAbort(now);
+}
+
+void SwitchLeader::Recover(core::Instant now, Actions& out) {
+  const Rank& self = m_ranks[m_config.self];
+  const bool held = self.state && self.state->held && *self.state->held <= m_step &&
+                    *self.state->held > LatestStep();
+  if (!held) {
+    // The pass has begun, so the switch is over one way or the other.
+    if (self.last_result == OrderResult::kRefused || LatestStep() >= m_step) {
+      return Enter(now, Phase::kSurvey);
+    }
+    return Send(now, m_config.self, HoldPass{m_step}, out);
+  }
+  const auto armed = ArmedByAll();
+  out.emplace_back(SwitchInherited{m_step, armed.has_value()});
+  if (armed) {
+    m_version = armed->version;
+    m_forward = true;
+    return Enter(now, Phase::kReleasing);
+  }
+  const auto former = MapInUse();
+  if (!former) {
+    for (RankIndex index = 0; index < m_config.ranks; ++index) Poll(now, index, out);
+    return;
+  }
+  m_former = *former;
+  BeginAbort(now);
+}
+
+void SwitchLeader::BeginAbort(core::Instant now) {
+  m_abort_version = NextVersion();
+  Enter(now, Phase::kAborting);
+}
+
+void SwitchLeader::Abort(core::Instant now, Actions& out) {
+  for (RankIndex index = 0; index < m_config.ranks; ++index) {
+    Rank& rank = m_ranks[index];
+    if (!rank.state) {
+      Poll(now, index, out);
+    } else if (rank.state->prepared == m_abort_version) {
+      continue;
+    } else if (rank.last_result == OrderResult::kRefused) {
+      // A late order may have armed the rank meanwhile; its state will tell.
+      if (MaySend(now, rank, m_config.resend_pause)) rank.last_result.reset();
+      Poll(now, index, out);
+    } else if (rank.accepted.test(kPrepareKind) && !rank.state->armed) {
+      Poll(now, index, out);
+    } else if (rank.state->armed) {
+      Send(now, index, DisarmMap{rank.state->armed->version}, out);
+    } else {
+      Send(now, index, PrepareMap{m_abort_version, m_former}, out);
+    }
+  }
+  if (!AllPrepared(m_abort_version)) return;
+  m_forward = false;
+  Enter(now, Phase::kReleasing);
+}
+
+void SwitchLeader::Release(core::Instant now, Actions& out) {
+  bool held = false;
+  const StepIndex latest = LatestStep();
+  for (RankIndex index = 0; index < m_config.ranks; ++index) {
+    const auto& state = m_ranks[index].state;
+    if (!state || !state->held || *state->held <= latest) continue;
+    held = true;
+    Send(now, index, ReleasePass{*state->held}, out);
+  }
+  if (!held) End(now, m_forward ? SwitchOutcome::kSwitched : SwitchOutcome::kAborted, out);
+}
+
+bool SwitchLeader::MaySend(core::Instant now, const Rank& rank, core::Duration pause) const {
+  if (now >= m_lease_until) return false;
+  const core::Duration since = now - rank.sent;
+  // An order of an earlier phase does not delay one of this phase.
+  if (rank.sent_in != m_phase_number) return true;
+  return rank.outstanding ? since >= m_config.order_timeout : since >= pause;
+}
+
+void SwitchLeader::Send(core::Instant now, RankIndex index, RankOrder order, Actions& out) {
+  Rank& rank = m_ranks[index];
+  if (!MaySend(now, rank, m_config.resend_pause)) return;
+  rank.outstanding = true;
+  rank.sent = now;
+  rank.sent_in = m_phase_number;
+  rank.sent_kind = order.index();
+  out.emplace_back(SendOrder{index, std::move(order), m_fence, m_epoch});
+}
+
+void SwitchLeader::Poll(core::Instant now, RankIndex index, Actions& out) {
+  if (MaySend(now, m_ranks[index], m_config.poll_pause)) Send(now, index, ObserveRank{}, out);
+}
+
+MapVersion SwitchLeader::NextVersion() { return m_fence * kVersionsPerFence + ++m_versions; }
+
+StepIndex SwitchLeader::LatestStep() const {
+  StepIndex latest = 0;
+  for (const Rank& rank : m_ranks) {
+    if (rank.state) latest = std::max(latest, rank.state->step);
+  }
+  return latest;
+}
+
+StepIndex SwitchLeader::StepAhead(core::Instant now) const {
+  const bool careful = m_unanswered && now - *m_unanswered < m_config.careful_for;
+  const core::Duration lead = careful ? m_config.careful_lead_time : m_config.lead_time;
+  StepIndex latest = 0;
+  for (const Rank& rank : m_ranks) {
+    if (!rank.state) continue;
+    const auto since = static_cast<StepIndex>((now - rank.observed) / m_pass_time);
+    latest = std::max(latest, rank.state->step + since);
+  }
+  return latest + std::max(kLeastLead, static_cast<StepIndex>(lead / m_pass_time) + 1);
+}
+
+std::optional<StepIndex> SwitchLeader::UnfinishedStep() const {
+  const StepIndex latest = LatestStep();
+  std::optional<StepIndex> step;
+  const auto consider = [&](StepIndex at) {
+    if (at > latest) step = std::max(step.value_or(at), at);
+  };
+  bool held = false;
+  for (const Rank& rank : m_ranks) {
+    if (!rank.state) continue;
+    if (rank.state->held) consider(*rank.state->held);
+    held = held || (rank.state->held && *rank.state->held > latest);
+    if (rank.state->armed) consider(rank.state->armed->step);
+  }
+  // A switch for which all are armed comes by itself.
+  if (!held && ArmedByAll()) return std::nullopt;
+  return step;
+}
+
+bool SwitchLeader::AllPrepared(MapVersion version) const {
+  return std::all_of(m_ranks.begin(), m_ranks.end(), [&](const Rank& rank) {
+    return rank.state && rank.state->prepared == version;
+  });
+}
+
+std::optional<ArmedMap> SwitchLeader::ArmedByAll() const {
+  std::optional<ArmedMap> armed;
+  for (const Rank& rank : m_ranks) {
+    if (!rank.state || !rank.state->armed) return std::nullopt;
+    if (armed && *armed != *rank.state->armed) return std::nullopt;
+    armed = rank.state->armed;
+  }
+  return armed;
+}
+
+bool SwitchLeader::AnyArmed() const {
+  return std::any_of(m_ranks.begin(), m_ranks.end(),
+                     [](const Rank& rank) { return rank.state && rank.state->armed; });
+}
+
+bool SwitchLeader::AllOpen() const {
+  return std::all_of(m_ranks.begin(), m_ranks.end(),
+                     [](const Rank& rank) { return rank.state && rank.state->open; });
+}
+
+std::optional<LayerMap> SwitchLeader::MapInUse() const {
+  LayerMap map;
+  for (RankIndex index = 0; index < m_config.ranks; ++index) {
+    const auto& state = m_ranks[index].state;
+    if (!state || state->experts.empty() || state->map != m_ranks.front().state->map) {
+      return std::nullopt;
+    }
+    map.resize(state->experts.size());
+    for (std::size_t set = 0; set < map.size(); ++set) {
+      map[set].resize(m_config.ranks);
+      map[set][index] = state->experts[set];
+    }
+  }
+  return map;
+}
+
+}  // namespace cornelrelay::balance
--- /dev/null
+++ b/packages/balance/tests/armed_world.cc
@@ -0,0 +1,236 @@
+#include "armed_world.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cornelrelay::balance {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTick{10};
+constexpr milliseconds kPass{50};
+constexpr milliseconds kLease{1500};
+constexpr std::uint16_t kExperts = 6;
+
+}  // namespace
+
+void ArmedEngine::Reset(std::uint64_t epoch, std::vector<std::uint16_t> experts) {
+  m_state = RankState{};
+  m_state.epoch = epoch;
+  m_state.experts = {std::move(experts)};
+  m_content.clear();
+  m_highest = 0;
+}
+
+OrderResult ArmedEngine::Order(std::uint64_t epoch, const RankOrder& order) {
+  if (epoch != m_state.epoch) return OrderResult::kRefused;
+  return std::visit([this](const auto& o) { return Do(o); }, order);
+}
+
+OrderResult ArmedEngine::Do(const PrepareMap& order) {
+  if (order.version <= m_highest || m_state.armed) return OrderResult::kRefused;
+  m_highest = order.version;
+  m_state.prepared = order.version;
+  m_prepared_content = order.map;
+  return OrderResult::kDone;
+}
+
+OrderResult ArmedEngine::Do(const ArmMap& order) {
+  if (m_state.prepared != order.version || order.step <= m_state.step) return OrderResult::kRefused;
+  m_state.armed = ArmedMap{order.version, order.step};
+  return OrderResult::kDone;
+}
+
+OrderResult ArmedEngine::Do(const DisarmMap& order) {
+  if (m_state.map == order.version) return OrderResult::kRefused;
+  if (m_state.armed && m_state.armed->version == order.version) m_state.armed.reset();
+  return OrderResult::kDone;
+}
+
+OrderResult ArmedEngine::Do(const HoldPass& order) {
+  if (order.step <= m_state.step) return OrderResult::kRefused;
+  if (m_state.held && *m_state.held != order.step) return OrderResult::kRefused;
+  m_state.held = order.step;
+  return OrderResult::kDone;
+}
+
+OrderResult ArmedEngine::Do(const ReleasePass& order) {
+  if (m_state.held == order.step) m_state.held.reset();
+  return OrderResult::kDone;
+}
+
+void ArmedEngine::Begin(StepIndex step) {
+  m_state.step = step;
+  if (!m_state.armed || m_state.armed->step != step) return;
+  m_state.map = m_state.armed->version;
+  m_content = m_prepared_content;
+  m_state.armed.reset();
+  m_state.prepared.reset();
+}
+
+ArmedWorld::ArmedWorld(ArmedWorldSettings settings, std::uint64_t seed)
+    : m_settings(settings), m_random(seed), m_gates(settings.ranks) {
+  for (RankIndex rank = 0; rank < settings.ranks; ++rank) {
+    m_engines.emplace_back(FirstExperts(rank));
+    m_engines.back().Reset(m_epoch, FirstExperts(rank));
+  }
+  for (RankIndex self : {RankIndex{0}, RankIndex{1}}) {
+    SwitchLeaderConfig config;
+    config.ranks = settings.ranks;
+    config.self = self;
+    m_candidates.push_back({SwitchLeader(config), false, {}, {}, {}});
+  }
+}
+
+std::vector<std::uint16_t> ArmedWorld::FirstExperts(RankIndex rank) const {
+  std::vector<std::uint16_t> experts;
+  for (std::uint16_t e = 0; e < kExperts; ++e) {
+    if (e % m_settings.ranks == rank) experts.push_back(e);
+  }
+  return experts;
+}
+
+void ArmedWorld::Run(int ticks) {
+  for (int i = 0; i < ticks; ++i) Tick();
+}
+
+void ArmedWorld::Tick() {
+  m_now += kTick;
+  if (m_random.Unit() < m_settings.regroup) {
+    ++m_epoch;
+    for (RankIndex rank = 0; rank < m_settings.ranks; ++rank) {
+      m_engines[rank].Reset(m_epoch, FirstExperts(rank));
+    }
+    m_step = 0;
+  }
+  for (std::size_t i = 0; i < m_late.size();) {
+    if (m_late[i].at > m_now) {
+      ++i;
+      continue;
+    }
+    m_engines[m_late[i].rank].Order(m_late[i].epoch, m_late[i].order);
+    m_late.erase(m_late.begin() + static_cast<std::ptrdiff_t>(i));
+  }
+  Elect();
+  for (std::size_t index = 0; index < m_candidates.size(); ++index) {
+    Candidate& candidate = m_candidates[index];
+    if (m_now < candidate.frozen_until) continue;
+    // One at a time: nobody is left to take over while both stand still.
+    const Candidate& other = m_candidates[1 - index];
+    if (candidate.leads && m_now >= other.frozen_until && m_random.Unit() < m_settings.freeze) {
+      candidate.frozen_until = m_now + milliseconds(500 + m_random.Below(4000));
+      continue;
+    }
+    const auto rank = static_cast<RankIndex>(m_random.Below(m_settings.ranks));
+    Drive(index, RankObserved{rank, m_engines[rank].state()});
+    Drive(index, SwitchTick{});
+    if (candidate.leads && m_random.Below(40) == 0) {
+      LayerMap map(1);
+      for (RankIndex r = 0; r < m_settings.ranks; ++r) {
+        auto experts = FirstExperts(r);
+        experts.push_back(static_cast<std::uint16_t>(m_random.Below(kExperts)));
+        map[0].push_back(experts);
+      }
+      Drive(index, MapWanted{map});
+    }
+  }
+  if (m_now.time_since_epoch() % kPass == core::Duration::zero()) Pass();
+}
+
+// The lease is renewed while its holder runs; another candidate takes it when it has lapsed.
+void ArmedWorld::Elect() {
+  for (std::size_t index = 0; index < m_candidates.size(); ++index) {
+    Candidate& candidate = m_candidates[index];
+    if (!candidate.leads || m_now < candidate.frozen_until) continue;
+    if (m_now < candidate.lease_until) {
+      candidate.lease_until = m_now + kLease;
+      Drive(index, LeadershipExtended{candidate.lease_until});
+    } else {
+      candidate.leads = false;
+      Drive(index, LeadershipLost{});
+    }
+  }
+  const bool taken = std::any_of(m_candidates.begin(), m_candidates.end(), [&](const auto& c) {
+    return c.leads && m_now < c.lease_until;
+  });
+  if (taken) return;
+  const std::size_t index = m_random.Below(m_candidates.size());
+  Candidate& candidate = m_candidates[index];
+  if (m_now < candidate.frozen_until) return;
+  if (m_settings.fault != SwitchFault::kReuseVersions || m_fence == 0) ++m_fence;
+  candidate.leads = true;
+  candidate.lease_until = m_now + kLease;
+  Drive(index, LeadershipGained{m_fence, candidate.lease_until});
+}
+
+void ArmedWorld::Drive(std::size_t index, const SwitchEvent& event) {
+  Candidate& candidate = m_candidates[index];
+  std::deque<SwitchEvent> events{event};
+  while (!events.empty()) {
+    const SwitchEvent next = events.front();
+    events.pop_front();
+    for (const SwitchAction& action : candidate.machine.Step(m_now, next)) {
+      if (const auto* send = std::get_if<SendOrder>(&action)) {
+        OrderEnded ended{send->rank, OrderResult::kUnknown, std::nullopt};
+        ArmedEngine& engine = m_engines[send->rank];
+        OrderGate& gate = m_gates[send->rank];
+        if (!gate.fence()) gate.Learn(m_fence);
+        const bool admitted =
+            gate.Admits(send->fence) || m_settings.fault == SwitchFault::kIgnoreFence;
+        const double draw = m_random.Unit();
+        const double late = m_settings.lost + m_settings.late;
+        if (!admitted) {
+          ended.result = OrderResult::kRefused;
+        } else if (draw < m_settings.lost) {
+          // Nothing happens.
+        } else if (draw < late) {
+          m_late.push_back({m_now + milliseconds(20 + m_random.Below(8000)), send->rank,
+                            send->epoch, send->order});
+        } else {
+          ended.result = engine.Order(send->epoch, send->order);
+          if (draw < late + m_settings.answer_lost) {
+            ended.result = OrderResult::kUnknown;
+          } else {
+            ended.state = engine.state();
+          }
+        }
+        const bool abort_order = candidate.machine.phase() == SwitchLeader::Phase::kAborting;
+        if (m_settings.fault == SwitchFault::kSkipAbort && abort_order) {
+          for (ArmedEngine& each : m_engines) {
+            if (each.state().held) each.Order(m_epoch, ReleasePass{*each.state().held});
+          }
+        }
+        if (m_settings.fault == SwitchFault::kReleaseUnconfirmed &&
+            std::holds_alternative<ArmMap>(send->order)) {
+          for (ArmedEngine& each : m_engines) {
+            if (each.state().held) each.Order(m_epoch, ReleasePass{*each.state().held});
+          }
+        }
+        events.emplace_back(ended);
+      } else if (const auto* ended = std::get_if<SwitchEnded>(&action)) {
+        if (ended->outcome == SwitchOutcome::kSwitched) ++m_switches;
+      }
+    }
+  }
+}
+
+void ArmedWorld::Pass() {
+  const StepIndex next = m_step + 1;
+  const bool blocked = std::any_of(m_engines.begin(), m_engines.end(),
+                                   [&](const ArmedEngine& e) { return e.Blocks(next); });
+  if (blocked) {
+    m_longest_hold = std::max(m_longest_hold, ++m_blocked);
+    return;
+  }
+  m_blocked = 0;
+  m_step = next;
+  ++m_passes;
+  for (ArmedEngine& engine : m_engines) engine.Begin(next);
+  for (const ArmedEngine& engine : m_engines) {
+    if (engine.state().map != m_engines.front().state().map) m_violations.insert("two versions");
+    if (engine.content() != m_engines.front().content()) m_violations.insert("two contents");
+  }
+}
+
+}  // namespace cornelrelay::balance
--- /dev/null
+++ b/packages/balance/tests/switch_leader_test.cc
@@ -0,0 +1,77 @@
+#include "cornelrelay/balance/switch_leader.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+
+#include "armed_world.h"
+
+namespace cornelrelay::balance {
+namespace {
+
+std::set<std::string> Detected(ArmedWorldSettings settings, SwitchFault fault) {
+  settings.fault = fault;
+  std::set<std::string> detected;
+  for (std::uint64_t seed = 1; seed <= 150; ++seed) {
+    ArmedWorld world(settings, seed);
+    world.Run(3000);
+    detected.insert(world.violations().begin(), world.violations().end());
+  }
+  return detected;
+}
+
+const ArmedWorldSettings kTroubled{.ranks = 3,
+                                   .lost = 0.05,
+                                   .late = 0.25,
+                                   .answer_lost = 0.05,
+                                   .freeze = 0.004,
+                                   .regroup = 0.0005};
+
+}  // namespace
+
+TEST_CASE("on a calm group switches follow each other and no pass waits") {
+  ArmedWorld world({.ranks = 4}, 1);
+  world.Run(3000);
+  CHECK(world.violations().empty());
+  CHECK(world.switches() > 20);
+  CHECK(world.passes() > 590);
+}
+
+TEST_CASE("no pass runs with two maps, whatever is lost, late or frozen") {
+  CHECK(rc::check([](std::uint64_t seed) {
+    ArmedWorld world(kTroubled, seed);
+    world.Run(3000);
+    RC_ASSERT(world.violations().empty());
+  }));
+}
+
+TEST_CASE("the troubled world still switches and never stands still for good") {
+  std::uint64_t switches = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    ArmedWorld world(kTroubled, seed);
+    world.Run(3000);
+    switches += world.switches();
+    CHECK(world.passes() > 300);
+    // A leader freezes for 4.5 s at most, and its lease runs out before that.
+    CHECK(world.longest_hold() < 5'000 / 50);
+  }
+  CHECK(switches > 20);
+}
+
+TEST_CASE("each deliberate fault breaks the rule") {
+  const auto fault =
+      GENERATE(SwitchFault::kReleaseUnconfirmed, SwitchFault::kSkipAbort,
+               SwitchFault::kReuseVersions);
+  CAPTURE(static_cast<int>(fault));
+  CHECK_FALSE(Detected(kTroubled, fault).empty());
+}
+
+TEST_CASE("a gate lets nothing pass before it knows a fence, nor what is older") {
+  OrderGate gate;
+  CHECK_FALSE(gate.Admits(7));
+  gate.Learn(5);
+  CHECK(gate.Admits(7));
+  CHECK_FALSE(gate.Admits(6));
+}
+
+}  // namespace cornelrelay::balance
--- a/packages/peers/include/cornelrelay/peers/peer_messages.h
+++ b/packages/peers/include/cornelrelay/peers/peer_messages.h
@@ -28,8 +28,10 @@
 };
 /// \brief The own loads changed, so that the next bulletin is due soon.
 struct OwnLoadChanged {};
-/// \brief A fetch of items from a peer has ended, with or without success.
-struct FetchEnded {};
+/// \brief A fetch of items from a peer has ended.
+struct FetchEnded {
+  bool succeeded = false;
+};
 struct PeerTick {};
 
 using PeerEvent = std::variant<PeerRegistered, PeerUnregistered, BulletinReceived, OwnItemsChanged,
--- a/packages/peers/src/peer_table.cc
+++ b/packages/peers/src/peer_table.cc
@@ -52,7 +52,10 @@
 }
 
 void PeerTable::Apply(core::Instant, const OwnLoadChanged&, Actions&) { m_load_changed = true; }
-void PeerTable::Apply(core::Instant, const FetchEnded&, Actions&) { m_fetching_since.reset(); }
+void PeerTable::Apply(core::Instant, const FetchEnded& event, Actions&) {
+  // After a failure the next peer is asked when the time-out of the fetch is over.
+  if (event.succeeded) m_fetching_since.reset();
+}
 void PeerTable::Apply(core::Instant, const PeerTick&, Actions&) {}
 
 void PeerTable::Silence(core::Instant now, Actions& out) {
--- a/packages/peers/tests/peer_table_test.cc
+++ b/packages/peers/tests/peer_table_test.cc
@@ -61,11 +61,18 @@
   REQUIRE(Find<FetchItems>(later));
   CHECK(Find<FetchItems>(later)->since == 10);
   CHECK_FALSE(Find<FetchItems>(peers.Step(At(140), PeerTick{})));
-  peers.Step(At(150), FetchEnded{});
   peers.Step(At(150), OwnItemsChanged{12, false});
+  peers.Step(At(150), FetchEnded{true});
   CHECK(Find<FetchItems>(peers.Step(At(160), BulletinReceived{From("a", 2, 13)})));
 }
 
+TEST_CASE("a fetch that fails is not repeated at once") {
+  PeerTable peers(Config());
+  CHECK(Find<FetchItems>(peers.Step(At(1), BulletinReceived{From("a", 1, 12)})));
+  CHECK_FALSE(Find<FetchItems>(peers.Step(At(2), FetchEnded{false})));
+  CHECK(Find<FetchItems>(peers.Step(At(700), BulletinReceived{From("a", 2, 12)})));
+}
+
 TEST_CASE("bulletins go out more often while the load changes, within the datagram budget") {
   PeerTable peers(Config());
   for (int i = 0; i < 100; ++i) {
--- /dev/null
+++ b/packages/placement/include/cornelrelay/placement/expert_layout.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace cornelrelay::placement {
+
+using Expert = std::uint16_t;
+
+/// \brief Which experts of one set each rank holds; ranks may hold different numbers of them.
+///
+/// \code
+/// ExpertLayout layout(4, {{0, 1}, {2, 3}});
+/// layout.Add(1, 0);  // a second copy of expert 0
+/// \endcode
+class ExpertLayout {
+ public:
+  ExpertLayout(std::size_t experts, std::vector<std::vector<Expert>> ranks);
+
+  std::size_t experts() const { return m_copies.size(); }
+  const std::vector<std::vector<Expert>>& ranks() const { return m_ranks; }
+  std::size_t Copies(Expert expert) const { return m_copies[expert]; }
+  bool Holds(std::size_t rank, Expert expert) const;
+
+  void Add(std::size_t rank, Expert expert);
+  void Remove(std::size_t rank, Expert expert);
+
+  /// \brief Every expert is on at least one rank.
+  bool Complete() const;
+
+  friend bool operator==(const ExpertLayout&, const ExpertLayout&) = default;
+
+ private:
+  std::vector<std::vector<Expert>> m_ranks;  ///< each sorted
+  std::vector<std::size_t> m_copies;
+};
+
+/// \brief Load of each rank: that of an expert is split evenly over its copies.
+std::vector<double> RankLoads(const ExpertLayout& layout, const std::vector<double>& loads);
+
+/// \brief Copies that are in `to` and not in `from`.
+std::size_t NewCopies(const ExpertLayout& from, const ExpertLayout& to);
+
+}  // namespace cornelrelay::placement
--- /dev/null
+++ b/packages/placement/tests/layout_planner_test.cc
@@ -0,0 +1,82 @@
+#include "cornelrelay/placement/layout_planner.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <cmath>
+
+#include "cornelrelay/core/random.h"
+
+namespace cornelrelay::placement {
+namespace {
+
+/// \brief Experts dealt out in turn, as a group starts.
+ExpertLayout InTurn(std::size_t experts, std::size_t ranks) {
+  std::vector<std::vector<Expert>> held(ranks);
+  for (std::size_t e = 0; e < experts; ++e) held[e % ranks].push_back(static_cast<Expert>(e));
+  return {experts, held};
+}
+
+std::vector<double> SkewedLoads(std::size_t experts, std::uint64_t seed) {
+  core::Random random(seed);
+  std::vector<double> loads(experts);
+  for (std::size_t i = 0; i < experts; ++i) loads[i] = std::pow(static_cast<double>(i + 1), -1.1);
+  for (std::size_t i = experts; i > 1; --i) std::swap(loads[i - 1], loads[random.Below(i)]);
+  return loads;
+}
+
+}  // namespace
+
+// Load pattern: other experts are in demand during the rush.
+TEST_CASE("two plans after a shift of the demand bring the busiest rank near the mean") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    const auto loads = SkewedLoads(64, seed);
+    const LayoutLimits limits{.places = 5, .spares = 2};
+    const LayoutPlan first = PlanLayout(InTurn(64, 16), loads, limits);
+    const LayoutPlan second = PlanLayout(first.layout, loads, limits);
+    CAPTURE(seed, first.before, first.after, second.after);
+    CHECK(first.after < 0.75 * first.before);
+    CHECK(second.after < 1.35);
+  }
+}
+
+TEST_CASE("a plan keeps places and spares, loses no expert and never makes it worse") {
+  CHECK(rc::check([](std::uint64_t seed) {
+    core::Random random(seed);
+    const std::size_t ranks = 2 + random.Below(10);
+    const std::size_t places = 2 + random.Below(4);
+    const std::size_t experts = ranks + random.Below(ranks * (places - 1));
+    const LayoutLimits limits{.places = places, .spares = 1 + random.Below(3)};
+    ExpertLayout layout = InTurn(experts, ranks);
+    for (int round = 0; round < 3; ++round) {
+      const auto plan = PlanLayout(layout, SkewedLoads(experts, random()), limits);
+      RC_ASSERT(plan.layout.Complete());
+      RC_ASSERT(plan.after <= plan.before + 1e-9);
+      std::size_t copies = 0;
+      for (std::size_t rank = 0; rank < ranks; ++rank) {
+        std::size_t added = 0;
+        for (const Expert expert : plan.layout.ranks()[rank]) {
+          added += layout.Holds(rank, expert) ? 0 : 1;
+        }
+        RC_ASSERT(plan.layout.ranks()[rank].size() <= places);
+        RC_ASSERT(added <= limits.spares);
+        copies += added;
+      }
+      RC_ASSERT(copies == plan.copies);
+      layout = plan.layout;
+    }
+  }));
+}
+
+TEST_CASE("an even demand causes no copies") {
+  const auto plan =
+      PlanLayout(InTurn(64, 16), std::vector<double>(64, 1.0), {.places = 5, .spares = 2});
+  CHECK(plan.copies == 0);
+}
+
+TEST_CASE("without any load the layout stays") {
+  const auto plan = PlanLayout(InTurn(8, 4), std::vector<double>(8, 0.0), {.places = 3});
+  CHECK(plan.copies == 0);
+}
+
+}  // namespace cornelrelay::placement
--- /dev/null
+++ b/packages/ranks/include/cornelrelay/ranks/group_demand.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "cornelrelay/balance/rank_state.h"
+#include "cornelrelay/placement/demand_estimate.h"
+#include "cornelrelay/placement/layout_planner.h"
+
+namespace cornelrelay::ranks {
+
+struct GroupDemandConfig {
+  std::size_t sets = 1;
+  std::size_t experts = 1;  ///< of each set
+  placement::LayoutLimits limits;
+  /// Mean gain over the sets, in the load of the busiest rank over the mean, that a switch must bring.
+  double least_gain = 0.06;
+};
+
+/// \brief A map and what it is expected to bring.
+struct MapProposal {
+  balance::LayerMap map;
+  std::size_t copies = 0;
+  double before = 1;  ///< mean over the sets of the busiest rank's load over the mean
+  double after = 1;
+};
+
+/// \brief Demand for the experts of a group, from the counts of its ranks, and the map that fits it.
+class GroupDemand {
+ public:
+  explicit GroupDemand(GroupDemandConfig config);
+
+  /// \brief Counts since the engine's start, set after set, modulo 65,536. The first ones of an
+  /// incarnation only set the baseline.
+  void Count(std::uint32_t rank, std::uint64_t incarnation, const std::vector<std::uint16_t>& picks);
+
+  /// \brief Ends a window of counts.
+  void EndWindow();
+
+  /// \brief A better map, if there is one worth its copies.
+  std::optional<MapProposal> Propose(const balance::LayerMap& current) const;
+
+ private:
+  struct Baseline {
+    std::uint64_t incarnation = 0;
+    std::vector<std::uint16_t> picks;
+  };
+
+  GroupDemandConfig m_config;
+  std::map<std::uint32_t, Baseline> m_baselines;
+  std::vector<std::vector<double>> m_window;
+  std::vector<placement::DemandEstimate> m_estimates;
+};
+
+}  // namespace cornelrelay::ranks
--- /dev/null
+++ b/packages/ranks/include/cornelrelay/ranks/group_leader.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "cornelrelay/balance/switch_leader.h"
+#include "cornelrelay/net/http_client.h"
+#include "cornelrelay/ranks/engine_link.h"
+#include "cornelrelay/ranks/group_demand.h"
+#include "cornelrelay/ranks/rank_ports.h"
+#include "cornelrelay/routes/engine_model.h"
+#include "cornelrelay/runtime/process_clock.h"
+#include "cornelrelay/runtime/store_link.h"
+#include "cornelrelay/runtime/wake_timer.h"
+#include "cornelrelay/settings/rank_settings.h"
+#include "cornelrelay/telemetry/json_log.h"
+#include "cornelrelay/telemetry/metric_registry.h"
+#include "cornelrelay/wire/rank_messages.h"
+
+namespace cornelrelay::ranks {
+
+/// \brief What the leader of a group does: asks all ranks for counts and state, plans maps, and runs
+/// the SwitchLeader.
+///
+/// Orders go to the agent beside the rank. Where that agent does not answer, its engine is asked
+/// directly, so that a pass is not held because of one agent.
+class GroupLeader {
+ public:
+  struct Services {
+    boost::asio::io_context& context;
+    const runtime::ProcessClock& clock;
+    net::HttpClient& client;
+    EngineLink& engines;
+    runtime::StoreLink& store;
+    RankPorts ports;
+    telemetry::JsonLog& log;
+    telemetry::MetricRegistry& metrics;
+  };
+  /// \brief Handles a call to the agent of this process without a connection.
+  using OwnAgent = std::function<boost::asio::awaitable<wire::RankReply>(wire::RankCall)>;
+
+  GroupLeader(Services services, settings::RankSettings settings, balance::RankReport self,
+              OwnAgent own_agent);
+
+  void Lead(balance::Fence fence, core::Instant until);
+  void Extend(core::Instant until);
+  void Stop();
+
+ private:
+  struct Member {
+    core::Endpoint engine;
+    core::Endpoint agent;
+    std::optional<balance::RankIndex> rank;
+    bool asked = false;  ///< a poll is under way
+  };
+
+  void ReadMembers(const std::string& after_key);
+  void ReadConfiguration();
+  void UseMembers(const store::PrefixRead& page);
+  void UseConfiguration(const std::string& value);
+  void Round();
+  void Plan();
+  boost::asio::awaitable<void> Poll(core::Endpoint engine);
+  boost::asio::awaitable<void> Deliver(balance::SendOrder order);
+  boost::asio::awaitable<std::optional<wire::RankReply>> CallAgent(core::Endpoint agent,
+                                                                   wire::RankCall call);
+  void Step(const balance::SwitchEvent& event);
+  void Perform(const balance::SendOrder& action);
+  void Perform(const balance::SwitchEnded& action);
+  void Perform(const balance::SwitchInherited& action);
+  void Learn(core::Endpoint engine, const balance::RankReport& report);
+  Member* MemberOf(balance::RankIndex rank);
+  bool Switching() const;
+
+  Services m_services;
+  settings::RankSettings m_settings;
+  balance::RankReport m_self;
+  OwnAgent m_own_agent;
+  balance::SwitchLeader m_machine;
+  std::map<core::Endpoint, Member> m_members;  ///< by engine
+  std::optional<GroupDemand> m_demand;
+  runtime::WakeTimer m_round_timer;
+  runtime::WakeTimer m_tick_timer;
+  core::Instant m_members_read{};
+  bool m_leading = false;
+};
+
+}  // namespace cornelrelay::ranks
--- /dev/null
+++ b/packages/ranks/src/group_demand.cc
@@ -0,0 +1,48 @@
+#include "cornelrelay/ranks/group_demand.h"
+
+#include <algorithm>
+
+namespace cornelrelay::ranks {
+
+GroupDemand::GroupDemand(GroupDemandConfig config)
+    : m_config(config),
+      m_window(config.sets, std::vector<double>(config.experts, 0)),
+      m_estimates(config.sets, placement::DemandEstimate(config.experts, {})) {}
+
+void GroupDemand::Count(std::uint32_t rank, std::uint64_t incarnation,
+                        const std::vector<std::uint16_t>& picks) {
+  if (picks.size() != m_config.sets * m_config.experts) return;
+  Baseline& baseline = m_baselines[rank];
+  if (baseline.incarnation == incarnation && baseline.picks.size() == picks.size()) {
+    for (std::size_t i = 0; i < picks.size(); ++i) {
+      const auto difference = static_cast<std::uint16_t>(picks[i] - baseline.picks[i]);
+      m_window[i / m_config.experts][i % m_config.experts] += difference;
+    }
+  }
+  baseline = {incarnation, picks};
+}
+
+void GroupDemand::EndWindow() {
+  for (std::size_t set = 0; set < m_config.sets; ++set) {
+    m_estimates[set].Add(m_window[set]);
+    std::fill(m_window[set].begin(), m_window[set].end(), 0);
+  }
+}
+
+std::optional<MapProposal> GroupDemand::Propose(const balance::LayerMap& current) const {
+  if (current.size() != m_config.sets) return std::nullopt;
+  MapProposal proposal;
+  proposal.before = proposal.after = 0;
+  for (std::size_t set = 0; set < m_config.sets; ++set) {
+    const placement::ExpertLayout layout(m_config.experts, current[set]);
+    auto plan = placement::PlanLayout(layout, m_estimates[set].loads(), m_config.limits);
+    proposal.copies += plan.copies;
+    proposal.before += plan.before / static_cast<double>(m_config.sets);
+    proposal.after += plan.after / static_cast<double>(m_config.sets);
+    proposal.map.push_back(plan.layout.ranks());
+  }
+  if (proposal.before - proposal.after < m_config.least_gain) return std::nullopt;
+  return proposal;
+}
+
+}  // namespace cornelrelay::ranks
--- /dev/null
+++ b/packages/ranks/src/group_leader.cc
@@ -0,0 +1,277 @@
+#include "cornelrelay/ranks/group_leader.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <utility>
+#include <variant>
+
+#include "cornelrelay/core/error.h"
+#include "cornelrelay/core/overloaded.h"
+#include "cornelrelay/net/errors.h"
+
+namespace cornelrelay::ranks {
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+/// Window of counts: some thousand choices of experts in each set at the usual load.
+constexpr milliseconds kRound{300};
+/// Pause between two looks at a switch under way.
+constexpr milliseconds kSwitchTick{20};
+/// An agent answers within some milliseconds; it asks its engine first.
+constexpr milliseconds kAgentTimeout{120};
+/// The list of members is read again this often while one is missing.
+constexpr milliseconds kMembersRefresh{3'000};
+constexpr int kStatusOk = 200;
+
+balance::SwitchLeaderConfig ConfigOf(const balance::RankReport& self) {
+  balance::SwitchLeaderConfig config;
+  config.ranks = self.size;
+  config.self = self.rank;
+  return config;
+}
+
+}  // namespace
+
+GroupLeader::GroupLeader(Services services, settings::RankSettings settings,
+                         balance::RankReport self, OwnAgent own_agent)
+    : m_services(services),
+      m_settings(std::move(settings)),
+      m_self(std::move(self)),
+      m_own_agent(std::move(own_agent)),
+      m_machine(ConfigOf(m_self)),
+      m_round_timer(services.context, services.clock, [this] { Round(); }),
+      m_tick_timer(services.context, services.clock, [this] { Step(balance::SwitchTick{}); }) {}
+
+void GroupLeader::Lead(balance::Fence fence, core::Instant until) {
+  m_leading = true;
+  m_services.log.Info("group_lead_taken", {{"group", m_self.group}, {"fence", fence}});
+  ReadConfiguration();
+  ReadMembers("");
+  Step(balance::LeadershipGained{fence, until});
+  Round();
+}
+
+void GroupLeader::Extend(core::Instant until) { Step(balance::LeadershipExtended{until}); }
+
+void GroupLeader::Stop() {
+  if (!std::exchange(m_leading, false)) return;
+  m_services.log.Warning("group_lead_lost",
+                         {{"group", m_self.group}, {"fence", m_machine.fence()}});
+  Step(balance::LeadershipLost{});
+}
+
+void GroupLeader::ReadMembers(const std::string& after_key) {
+  m_members_read = m_services.clock.Now();
+  const store::ReadPrefix read{m_services.ports.fleet.UpstreamsPrefix(), after_key};
+  m_services.store.Call(read, [this](const store::StoreReply& reply) {
+    if (const auto* page = std::get_if<store::PrefixRead>(&reply)) UseMembers(*page);
+  });
+}
+
+void GroupLeader::UseMembers(const store::PrefixRead& page) {
+  for (const store::ItemChange& item : page.items) {
+    const relay::FleetItem decoded = m_services.ports.fleet.Decode(item);
+    const auto* upstream = std::get_if<relay::UpstreamItem>(&decoded);
+    if (upstream == nullptr || !upstream->entry) continue;
+    if (upstream->entry->service != m_settings.service) continue;
+    Member member;
+    member.engine = upstream->entry->endpoint;
+    // Agents listen on the same port on all hosts.
+    member.agent = {member.engine.address, m_settings.agents.port};
+    m_members.try_emplace(member.engine, member);
+  }
+  if (page.more && !page.items.empty()) ReadMembers(page.items.back().key);
+  if (m_leading) Step(balance::SwitchTick{});
+}
+
+void GroupLeader::ReadConfiguration() {
+  m_services.store.Call(store::Get{m_services.ports.fleet.ConfigurationKey()},
+                        [this](const store::StoreReply& reply) {
+                          const auto* read = std::get_if<store::ValueRead>(&reply);
+                          if (read && read->current) UseConfiguration(read->current->value);
+                        });
+}
+
+void GroupLeader::UseConfiguration(const std::string& value) {
+  const relay::FleetItem decoded =
+      m_services.ports.fleet.Decode({m_services.ports.fleet.ConfigurationKey(), value, 0});
+  const auto* item = std::get_if<relay::ConfigurationItem>(&decoded);
+  if (item == nullptr) return;
+  const auto service = item->configuration.services.find(m_settings.service);
+  if (service == item->configuration.services.end() || !service->second.engine) return;
+  const routes::EngineModel& engine = *service->second.engine;
+  if (engine.expert_layers == 0) return;
+  GroupDemandConfig config;
+  config.sets = engine.expert_layers;
+  config.experts = engine.experts;
+  config.limits.places = engine.expert_places;
+  config.limits.spares = engine.expert_spares;
+  m_demand.emplace(config);
+}
+
+void GroupLeader::Round() {
+  if (!m_leading) return;
+  const auto missing = std::any_of(m_members.begin(), m_members.end(),
+                                   [](const auto& entry) { return !entry.second.rank; });
+  const bool few = m_members.size() < m_self.size;
+  if ((missing || few) && m_services.clock.Now() - m_members_read > kMembersRefresh) {
+    ReadMembers("");
+  }
+  if (!m_demand) ReadConfiguration();
+  Plan();
+  for (auto& [engine, member] : m_members) {
+    if (std::exchange(member.asked, true)) continue;
+    asio::co_spawn(
+        m_services.context, [this, engine = engine] { return Poll(engine); }, asio::detached);
+  }
+  m_round_timer.SetAt(m_services.clock.Now() + kRound);
+}
+
+void GroupLeader::Plan() {
+  if (!m_demand) return;
+  m_demand->EndWindow();
+  if (m_machine.phase() != balance::SwitchLeader::Phase::kIdle) return;
+  const auto current = m_machine.MapInUse();
+  if (!current) return;
+  const auto proposal = m_demand->Propose(*current);
+  if (!proposal) return;
+  m_services.log.Info("map_proposed", {{"group", m_self.group},
+                                       {"fence", m_machine.fence()},
+                                       {"copies", proposal->copies},
+                                       {"busiest_before", proposal->before},
+                                       {"busiest_after", proposal->after}});
+  Step(balance::MapWanted{proposal->map});
+}
+
+asio::awaitable<std::optional<wire::RankReply>> GroupLeader::CallAgent(core::Endpoint agent,
+                                                                       wire::RankCall call) {
+  std::optional<wire::RankReply> reply;
+  if (agent == m_settings.agents) {
+    reply = co_await m_own_agent(std::move(call));
+    co_return reply;
+  }
+  net::HttpRequest request;
+  request.method = "POST";
+  request.target = "/rank";
+  request.body = wire::Encode(call);
+  try {
+    const net::HttpResponse response =
+        co_await m_services.client.Fetch(agent, std::move(request), kAgentTimeout);
+    if (response.status == kStatusOk) reply = wire::DecodeRankReply(response.body);
+  } catch (const core::Error& error) {
+    m_services.log.Debug("agent_call_failed",
+                         {{"agent", core::ToString(agent)}, {"reason", error.what()}});
+  }
+  co_return reply;
+}
+
+asio::awaitable<void> GroupLeader::Poll(core::Endpoint engine) {
+  wire::RankCall call;
+  call.fence = m_machine.fence();
+  call.want_picks = true;
+  const core::Endpoint agent = m_members.at(engine).agent;
+  const std::optional<wire::RankReply> reply = co_await CallAgent(agent, call);
+  Member& member = m_members.at(engine);
+  member.asked = false;
+  if (!reply || !reply->report) {
+    // Which rank it is must be known before an order can be sent past its agent.
+    if (member.rank) co_return;
+    const auto report = co_await m_services.engines.Report(engine);
+    if (report) Learn(engine, *report);
+    co_return;
+  }
+  if (m_demand) m_demand->Count(reply->report->rank, reply->report->incarnation, reply->picks);
+  Learn(engine, *reply->report);
+}
+
+void GroupLeader::Learn(core::Endpoint engine, const balance::RankReport& report) {
+  if (report.group != m_self.group || report.rank >= m_self.size || !m_leading) return;
+  for (auto& [other, member] : m_members) {
+    if (member.rank == report.rank && other != engine) member.rank.reset();
+  }
+  m_members.at(engine).rank = report.rank;
+  Step(balance::RankObserved{report.rank, report.state});
+}
+
+GroupLeader::Member* GroupLeader::MemberOf(balance::RankIndex rank) {
+  for (auto& [engine, member] : m_members) {
+    if (member.rank == rank) return &member;
+  }
+  return nullptr;
+}
+
+asio::awaitable<void> GroupLeader::Deliver(balance::SendOrder order) {
+  balance::OrderEnded ended;
+  ended.rank = order.rank;
+  const Member* member = MemberOf(order.rank);
+  if (member == nullptr) {
+    Step(ended);
+    co_return;
+  }
+  const core::Endpoint engine = member->engine;
+  const core::Endpoint agent = member->agent;
+  wire::RankCall call;
+  call.fence = order.fence;
+  call.epoch = order.epoch;
+  call.order = order.order;
+  const std::optional<wire::RankReply> reply = co_await CallAgent(agent, call);
+  if (reply) {
+    ended.result = reply->result;
+    if (reply->report && reply->report->rank == order.rank) ended.state = reply->report->state;
+  } else if (!std::holds_alternative<balance::PrepareMap>(order.order)) {
+    m_services.log.Warning("agent_bypassed", {{"engine", core::ToString(engine)},
+                                              {"order", KindName(order.order)},
+                                              {"fence", order.fence}});
+    ended.result =
+        co_await m_services.engines.Order(engine, order.order, order.epoch, order.fence);
+    const auto report = co_await m_services.engines.Report(engine);
+    if (report && report->rank == order.rank) ended.state = report->state;
+    if (!report && std::holds_alternative<balance::ObserveRank>(order.order)) {
+      ended.result = balance::OrderResult::kUnknown;
+    }
+  }
+  Step(ended);
+}
+
+bool GroupLeader::Switching() const {
+  const auto phase = m_machine.phase();
+  return phase != balance::SwitchLeader::Phase::kIdle &&
+         phase != balance::SwitchLeader::Phase::kNoLease;
+}
+
+void GroupLeader::Step(const balance::SwitchEvent& event) {
+  for (const auto& action : m_machine.Step(m_services.clock.Now(), event)) {
+    std::visit([this](const auto& a) { Perform(a); }, action);
+  }
+  if (Switching()) m_tick_timer.SetAt(m_services.clock.Now() + kSwitchTick);
+}
+
+void GroupLeader::Perform(const balance::SendOrder& action) {
+  asio::co_spawn(
+      m_services.context, [this, action] { return Deliver(action); }, asio::detached);
+}
+
+void GroupLeader::Perform(const balance::SwitchEnded& action) {
+  m_services.log.Info("map_switch_ended", {{"group", m_self.group},
+                                           {"version", action.version},
+                                           {"outcome", ToString(action.outcome)},
+                                           {"step", action.step},
+                                           {"fence", m_machine.fence()},
+                                           {"elapsed_us", action.elapsed}});
+  m_services.metrics
+      .GetCounter("cornelrelay_map_switches_total", "Switches of the expert map.",
+                  {{"outcome", std::string(ToString(action.outcome))}})
+      .Add();
+}
+
+void GroupLeader::Perform(const balance::SwitchInherited& action) {
+  m_services.log.Warning("map_switch_inherited", {{"group", m_self.group},
+                                                  {"step", action.step},
+                                                  {"forward", action.forward},
+                                                  {"fence", m_machine.fence()}});
+}
+
+}  // namespace cornelrelay::ranks
--- a/packages/relay/include/cornelrelay/relay/fleet_protocol.h
+++ b/packages/relay/include/cornelrelay/relay/fleet_protocol.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <string>
+
 #include "cornelrelay/relay/fleet_item.h"
 #include "cornelrelay/store/item_change.h"
 
@@ -10,6 +12,11 @@
  public:
   virtual ~FleetProtocol() = default;
 
+  /// \brief Key of the operators' configuration.
+  virtual std::string ConfigurationKey() const = 0;
+  /// \brief Prefix of the keys of all upstreams' registrations.
+  virtual std::string UpstreamsPrefix() const = 0;
+
   /// \brief Never throws: items come from many writers.
   virtual FleetItem Decode(const store::ItemChange& item) const = 0;
 };
--- a/packages/relay/src/peer_hub.cc
+++ b/packages/relay/src/peer_hub.cc
@@ -137,7 +137,7 @@
   if (!failure.empty()) {
     m_log.Warning("peer_fetch_failed", {{"peer", action.host}, {"reason", failure}});
   }
-  Step(peers::FetchEnded{});
+  Step(peers::FetchEnded{failure.empty()});
 }
 
 asio::awaitable<void> PeerHub::Serve(net::HttpRequest request, net::ResponseStream& response) {
--- a/packages/routes/src/route_table.cc
+++ b/packages/routes/src/route_table.cc
@@ -8,6 +8,9 @@
 namespace cornelrelay::routes {
 namespace {
 
+/// Stands between host and prefix; a host cannot contain it.
+constexpr char kSeparator = ' ';
+
 std::string HostName(std::string_view host) {
   const auto colon = host.rfind(':');
   std::string name(host.substr(0, colon));
@@ -22,13 +25,13 @@
   const auto& routes = m_configuration.routes;
   m_by_prefix.reserve(routes.size());
   for (std::size_t i = 0; i < routes.size(); ++i) {
-    m_by_prefix.emplace(HostName(routes[i].host) + routes[i].prefix, i);
+    m_by_prefix.emplace(HostName(routes[i].host) + kSeparator + routes[i].prefix, i);
   }
 }
 
 const Route* RouteTable::Match(std::string_view host, std::string_view target) const {
   std::string_view path = target.substr(0, target.find_first_of("?#"));
-  std::string key = HostName(host);
+  std::string key = HostName(host) + kSeparator;
   const std::size_t name_size = key.size();
   key.append(path);
   // A prefix ends with a slash, so only the parts of the path up to a slash can match.
--- /dev/null
+++ b/packages/wire/include/cornelrelay/wire/rank_messages.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cornelrelay/balance/rank_order.h"
+#include "cornelrelay/balance/rank_report.h"
+
+namespace cornelrelay::wire {
+
+/// \brief A leader's order to the agent beside a rank.
+struct RankCall {
+  balance::Fence fence = 0;
+  std::uint64_t epoch = 0;
+  balance::RankOrder order = balance::ObserveRank{};
+  bool want_picks = false;
+
+  friend bool operator==(const RankCall&, const RankCall&) = default;
+};
+
+/// \brief The agent's answer, with the rank's state after the order.
+struct RankReply {
+  balance::OrderResult result = balance::OrderResult::kUnknown;
+  std::optional<balance::RankReport> report;
+  /// How often each expert was chosen, set after set, modulo 65,536.
+  std::vector<std::uint16_t> picks;
+
+  friend bool operator==(const RankReply&, const RankReply&) = default;
+};
+
+/// \throws MessageTooLarge
+std::string Encode(const RankCall& call);
+std::string Encode(const RankReply& reply);
+
+/// \throws MalformedMessage, MessageTooLarge
+RankCall DecodeRankCall(std::string_view bytes);
+RankReply DecodeRankReply(std::string_view bytes);
+
+}  // namespace cornelrelay::wire
--- a/packages/wire/src/fleet_messages.cc
+++ b/packages/wire/src/fleet_messages.cc
@@ -58,9 +58,9 @@
 
 template <class Message>
 Message DecodeMessage(std::string_view bytes) {
-  Reader reader(bytes);
   Message message;
   try {
+    Reader reader(bytes);
     Code(reader, message);
   } catch (const cereal::Exception&) {
     throw MalformedMessage();
--- a/packages/wire/tests/fleet_messages_test.cc
+++ b/packages/wire/tests/fleet_messages_test.cc
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include "cornelrelay/core/error.h"
+#include "cornelrelay/wire/rank_messages.h"
 
 namespace cornelrelay::wire {
 namespace {
@@ -31,6 +32,22 @@
   CHECK(DecodeItemsTransfer(Encode(transfer)) == transfer);
 }
 
+TEST_CASE("calls to ranks and their replies keep their values") {
+  RankCall call{7, 2, balance::PrepareMap{28673, {{{0, 2}, {1, 0}}}}, true};
+  CHECK(DecodeRankCall(Encode(call)) == call);
+  call.order = balance::ArmMap{28673, 812};
+  CHECK(DecodeRankCall(Encode(call)) == call);
+  RankReply reply;
+  reply.result = balance::OrderResult::kRefused;
+  reply.report.emplace();
+  reply.report->group = core::GroupId("g");
+  reply.report->rank = 3;
+  reply.report->state.armed = balance::ArmedMap{28673, 812};
+  reply.report->state.experts = {{0, 2}, {5}};
+  reply.picks = {1, 65535, 0};
+  CHECK(DecodeRankReply(Encode(reply)) == reply);
+}
+
 TEST_CASE("cut or changed messages are refused or decoded, never more") {
   CHECK(rc::check([] {
     std::string bytes = Encode(Sample());
@@ -38,11 +55,16 @@
     if (!bytes.empty()) {
       bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] = *rc::gen::arbitrary<char>();
     }
-    try {
-      DecodeBulletin(bytes);
-      DecodeItemsTransfer(bytes);
-    } catch (const core::Error&) {
-    }
+    const auto decode = [&](auto function) {
+      try {
+        function(bytes);
+      } catch (const core::Error&) {
+      }
+    };
+    decode(DecodeBulletin);
+    decode(DecodeItemsTransfer);
+    decode(DecodeRankCall);
+    decode(DecodeRankReply);
   }));
 }
 
