--- a/packages/balance/include/cornelrelay/balance/switch_leader.h
+++ b/packages/balance/include/cornelrelay/balance/switch_leader.h
@@ -69,6 +69,8 @@
   Fence fence() const { return m_fence; }
   /// \brief The map in use, if all ranks have told it and have the same.
   std::optional<LayerMap> MapInUse() const;
+  /// \brief No switch is under way or due, so that a map can be wanted.
+  bool Settled() const { return m_phase == Phase::kIdle && !AnyArmed() && AllOpen(); }
   /// \brief State of a rank in the present epoch; none before it is known.
   const std::optional<RankState>& state(RankIndex rank) const { return m_ranks[rank].state; }
   core::Duration pass_time() const { return m_pass_time; }
@@ -81,6 +83,7 @@
     core::Instant sent{};
     std::uint64_t sent_in = 0;               ///< number of the phase of the last order
     std::optional<OrderResult> last_result;  ///< of an order in the present phase
+    bool unanswered = false;                 ///< an order of the phase had no answer
     std::size_t sent_kind = 0;               ///< index of the last order
     std::bitset<std::variant_size_v<RankOrder>> accepted;  ///< kinds that began in the phase
   };
--- a/packages/balance/src/switch_leader.cc
+++ b/packages/balance/src/switch_leader.cc
@@ -57,12 +57,16 @@
   if (event.result == OrderResult::kUnknown) m_unanswered = now;
   if (rank.sent_in == m_phase_number) {
     rank.last_result = event.result;
+    rank.unanswered = rank.unanswered || event.result == OrderResult::kUnknown;
     if (event.result == OrderResult::kDone) rank.accepted.set(rank.sent_kind);
   }
   if (event.state) Observe(now, event.rank, *event.state, out);
 }
 
-void SwitchLeader::Apply(core::Instant, const MapWanted& event, Actions&) { m_wanted = event.map; }
+// A map is planned against the one in use, so it is of no use once another switch is under way.
+void SwitchLeader::Apply(core::Instant, const MapWanted& event, Actions&) {
+  if (Settled()) m_wanted = event.map;
+}
 void SwitchLeader::Apply(core::Instant, const SwitchTick&, Actions&) {}
 
 void SwitchLeader::Observe(core::Instant now, RankIndex index, const RankState& state,
@@ -99,6 +103,7 @@
   for (Rank& rank : m_ranks) {
     rank.last_result.reset();
     rank.accepted.reset();
+    rank.unanswered = false;
   }
 }
 
@@ -166,7 +171,7 @@
     m_switch_since = now;
     return Enter(now, Phase::kRecovering);
   }
-  if (!m_wanted || AnyArmed() || !AllOpen()) return;
+  if (!m_wanted || !Settled()) return;
   if (m_lease_until - now < m_config.least_lease) return;
   std::optional<LayerMap> former = MapInUse();
   if (!former) return;
@@ -183,8 +188,12 @@
   for (RankIndex index = 0; index < m_config.ranks; ++index) {
     const Rank& rank = m_ranks[index];
     if (rank.state && rank.state->prepared == m_version) continue;
+    const bool refused = rank.last_result == OrderResult::kRefused;
+    if (refused && !rank.unanswered && !rank.accepted.any()) {
+      return End(now, SwitchOutcome::kGivenUp, out);
+    }
     // A refusal can mean that an earlier order without an answer was accepted.
-    if (rank.accepted.test(kPrepareKind) || rank.last_result == OrderResult::kRefused) {
+    if (rank.accepted.test(kPrepareKind) || refused) {
       Poll(now, index, out);
     } else {
       Send(now, index, PrepareMap{m_version, m_map}, out);
--- a/packages/net/include/cornelrelay/net/http_client.h
+++ b/packages/net/include/cornelrelay/net/http_client.h
@@ -57,7 +57,8 @@
   /// \throws ConnectFailed, ExchangeBroken
   boost::asio::awaitable<HttpResponse> Fetch(core::Endpoint peer, HttpRequest request,
                                              std::chrono::milliseconds timeout,
-                                             std::size_t max_body = 4'194'304);
+                                             std::size_t max_body = 4'194'304,
+                                             ConnectionUse use = ConnectionUse::kFresh);
 
  private:
   class Impl;
--- a/packages/net/src/http_client.cc
+++ b/packages/net/src/http_client.cc
@@ -279,8 +279,8 @@
 
 asio::awaitable<HttpResponse> HttpClient::Fetch(core::Endpoint peer, HttpRequest request,
                                                 std::chrono::milliseconds timeout,
-                                                std::size_t max_body) {
-  auto exchange = co_await Open(peer, ConnectionUse::kFresh, timeout);
+                                                std::size_t max_body, ConnectionUse use) {
+  auto exchange = co_await Open(peer, use, timeout);
   co_await exchange->SendRequest(std::move(request));
   HttpResponseHead head = co_await exchange->ReadHead();
   HttpResponse response;
--- a/packages/ranks/src/engine_link.cc
+++ b/packages/ranks/src/engine_link.cc
@@ -11,6 +11,7 @@
 
 /// An engine answers these calls beside its passes, within a few milliseconds.
 constexpr std::chrono::milliseconds kCallTimeout{200};
+constexpr std::size_t kMaxAnswerBytes = 1'048'576;
 constexpr int kStatusOk = 200;
 
 }  // namespace
@@ -20,7 +21,8 @@
   std::optional<net::HttpResponse> response;
   const std::string target = request.target;
   try {
-    response = co_await m_client.Fetch(engine, std::move(request), kCallTimeout);
+    response = co_await m_client.Fetch(engine, std::move(request), kCallTimeout, kMaxAnswerBytes,
+                                       net::HttpClient::ConnectionUse::kReuse);
   } catch (const core::Error& error) {
     m_log.Warning("engine_call_failed", {{"engine", core::ToString(engine)},
                                          {"call", target},
--- a/packages/ranks/src/group_leader.cc
+++ b/packages/ranks/src/group_leader.cc
@@ -24,6 +24,7 @@
 constexpr milliseconds kAgentTimeout{120};
 /// The list of members is read again this often while one is missing.
 constexpr milliseconds kMembersRefresh{3'000};
+constexpr std::size_t kMaxReplyBytes = 1'048'576;
 constexpr int kStatusOk = 200;
 
 balance::SwitchLeaderConfig ConfigOf(const balance::RankReport& self) {
@@ -133,7 +134,7 @@
 void GroupLeader::Plan() {
   if (!m_demand) return;
   m_demand->EndWindow();
-  if (m_machine.phase() != balance::SwitchLeader::Phase::kIdle) return;
+  if (!m_machine.Settled()) return;
   const auto current = m_machine.MapInUse();
   if (!current) return;
   const auto proposal = m_demand->Propose(*current);
@@ -159,7 +160,9 @@
   request.body = wire::Encode(call);
   try {
     const net::HttpResponse response =
-        co_await m_services.client.Fetch(agent, std::move(request), kAgentTimeout);
+        co_await m_services.client.Fetch(
+            agent, std::move(request), kAgentTimeout, kMaxReplyBytes,
+            net::HttpClient::ConnectionUse::kReuse);
     if (response.status == kStatusOk) reply = wire::DecodeRankReply(response.body);
   } catch (const core::Error& error) {
     m_services.log.Debug("agent_call_failed",
