React to a shift of expert demand within half a second

Cause: with the old map a pass lasts longer than the pause that callers accept, and a switch took 0.65 to 0.87 s after up to 0.45 s of looking; most streams overlapped such a time. Now counts are taken each 120 ms, a rank loads three copies for a switch, and the pass of the switch is the next one; the hold makes that safe. Ruled out: counting noise (proposals predicted 1.05 to 1.10 for the old windows too).

--- a/packages/balance/include/cornelrelay/balance/switch_leader.h
+++ b/packages/balance/include/cornelrelay/balance/switch_leader.h
@@ -17,12 +17,12 @@
   RankIndex self = 0;  ///< rank of this process, where passes are held
   core::Duration order_timeout = std::chrono::milliseconds(150);  ///< then it counts as unanswered
   core::Duration resend_pause = std::chrono::milliseconds(30);
-  core::Duration poll_pause = std::chrono::milliseconds(60);  ///< while ranks load a map
+  core::Duration poll_pause = std::chrono::milliseconds(30);  ///< while ranks load a map
   core::Duration prepare_limit = std::chrono::seconds(4);
   core::Duration arm_limit = std::chrono::milliseconds(1'000);
   /// The pass of a switch lies this far ahead, so that all ranks are usually armed before it is
-  /// due.
-  core::Duration lead_time = std::chrono::milliseconds(250);
+  /// due. An order takes a round trip and a call to the engine.
+  core::Duration lead_time = std::chrono::milliseconds(30);
   /// The same while orders go unanswered.
   core::Duration careful_lead_time = std::chrono::milliseconds(700);
   core::Duration careful_for = std::chrono::seconds(8);
--- a/packages/balance/src/switch_leader.cc
+++ b/packages/balance/src/switch_leader.cc
@@ -10,7 +10,6 @@
 /// Versions that one leader may use; the fence makes those of different leaders differ.
 constexpr MapVersion kVersionsPerFence = 4'096;
 const std::size_t kPrepareKind = RankOrder(PrepareMap{}).index();
-constexpr StepIndex kLeastLead = 3;
 constexpr double kPassGain = 0.3;
 /// Pauses without work are no passes.
 constexpr core::Duration kLongestPass = std::chrono::seconds(1);
@@ -346,7 +345,7 @@
     const auto since = static_cast<StepIndex>((now - rank.observed) / m_pass_time);
     latest = std::max(latest, rank.state->step + since);
   }
-  return latest + std::max(kLeastLead, static_cast<StepIndex>(lead / m_pass_time) + 1);
+  return latest + 1 + static_cast<StepIndex>(lead / m_pass_time);
 }
 
 std::optional<StepIndex> SwitchLeader::UnfinishedStep() const {
--- a/packages/placement/include/cornelrelay/placement/expert_layout.h
+++ b/packages/placement/include/cornelrelay/placement/expert_layout.h
@@ -39,6 +39,9 @@
 /// \brief Load of each rank: that of an expert is split evenly over its copies.
 std::vector<double> RankLoads(const ExpertLayout& layout, const std::vector<double>& loads);
 
+/// \brief Copies that each rank must load for a change of the layout.
+std::vector<std::size_t> CopiesByRank(const ExpertLayout& from, const ExpertLayout& to);
+
 /// \brief Copies that are in `to` and not in `from`.
 std::size_t NewCopies(const ExpertLayout& from, const ExpertLayout& to);
 
--- a/packages/placement/include/cornelrelay/placement/layout_planner.h
+++ b/packages/placement/include/cornelrelay/placement/layout_planner.h
@@ -12,7 +12,7 @@
   std::size_t spares = 1;   ///< experts that are new to a rank in one plan at most
   std::size_t steps = 200;  ///< bounds the time of the search
   /// Gain in the load of the busiest rank, as a part of the mean, that one copy must bring.
-  double gain_per_copy = 0.003;
+  double gain_per_copy = 0.008;
 };
 
 /// \brief A layout and the load of its busiest rank over the mean, before and after.
@@ -29,7 +29,9 @@
 /// two experts. Copies go into free places, or replace experts that have another copy.
 ///
 /// \param loads expected load of each expert of the set
+/// \param rank_copies copies that each rank may still load, over all sets together; none is no
+/// bound
 LayoutPlan PlanLayout(const ExpertLayout& current, const std::vector<double>& loads,
-                      const LayoutLimits& limits);
+                      const LayoutLimits& limits, const std::vector<std::size_t>& rank_copies = {});
 
 }  // namespace cornelrelay::placement
--- a/packages/placement/src/expert_layout.cc
+++ b/packages/placement/src/expert_layout.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <numeric>
 #include <utility>
 
 namespace cornelrelay::placement {
@@ -52,12 +53,17 @@
   return sums;
 }
 
-std::size_t NewCopies(const ExpertLayout& from, const ExpertLayout& to) {
-  std::size_t count = 0;
-  for (std::size_t rank = 0; rank < to.ranks().size(); ++rank) {
-    for (const Expert expert : to.ranks()[rank]) count += from.Holds(rank, expert) ? 0 : 1;
+std::vector<std::size_t> CopiesByRank(const ExpertLayout& from, const ExpertLayout& to) {
+  std::vector<std::size_t> copies(to.ranks().size(), 0);
+  for (std::size_t rank = 0; rank < copies.size(); ++rank) {
+    for (const Expert expert : to.ranks()[rank]) copies[rank] += from.Holds(rank, expert) ? 0 : 1;
   }
-  return count;
+  return copies;
+}
+
+std::size_t NewCopies(const ExpertLayout& from, const ExpertLayout& to) {
+  const std::vector<std::size_t> copies = CopiesByRank(from, to);
+  return std::accumulate(copies.begin(), copies.end(), std::size_t{0});
 }
 
 }  // namespace cornelrelay::placement
--- a/packages/placement/src/layout_planner.cc
+++ b/packages/placement/src/layout_planner.cc
@@ -35,13 +35,18 @@
 
 class Search {
  public:
-  Search(const ExpertLayout& current, std::vector<double> loads, const LayoutLimits& limits)
+  Search(const ExpertLayout& current, std::vector<double> loads, const LayoutLimits& limits,
+         const std::vector<std::size_t>& rank_copies)
       : m_start(current),
         m_layout(current),
         m_loads(std::move(loads)),
         m_limits(limits),
         m_times(RankLoads(current, m_loads)),
         m_added(current.ranks().size(), 0) {
+    for (std::size_t rank = 0; rank < m_times.size(); ++rank) {
+      const std::size_t left = rank_copies.empty() ? limits.spares : rank_copies[rank];
+      m_spares.push_back(static_cast<int>(std::min(limits.spares, left)));
+    }
     for (const double time : m_times) m_sum += Power(time);
     m_holders.resize(current.experts());
     for (std::size_t rank = 0; rank < current.ranks().size(); ++rank) {
@@ -97,7 +102,7 @@
   bool WithinSpares(const Change& change) const {
     const auto fits = [&](std::size_t rank, std::optional<Expert> in, std::optional<Expert> out) {
       const int added = m_added[rank] + AddedBy(rank, in, out);
-      return added <= static_cast<int>(m_limits.spares);
+      return added <= m_spares[rank];
     };
     if (!fits(change.rank, change.in, change.out)) return false;
     return !change.other || fits(*change.other, change.out, change.in);
@@ -185,6 +190,7 @@
   LayoutLimits m_limits;
   std::vector<double> m_times;
   std::vector<int> m_added;
+  std::vector<int> m_spares;  ///< copies that each rank may load
   std::vector<std::vector<std::size_t>> m_holders;
   double m_sum = 0;
   std::optional<Change> m_best;
@@ -194,14 +200,14 @@
 }  // namespace
 
 LayoutPlan PlanLayout(const ExpertLayout& current, const std::vector<double>& loads,
-                      const LayoutLimits& limits) {
+                      const LayoutLimits& limits, const std::vector<std::size_t>& rank_copies) {
   assert(loads.size() == current.experts());
   const double total = std::accumulate(loads.begin(), loads.end(), 0.0);
   if (total <= 0 || current.ranks().empty()) return {current, 0, 1, 1};
   std::vector<double> shares(loads);
   for (double& share : shares) share *= static_cast<double>(current.ranks().size()) / total;
   const double before = Busiest(RankLoads(current, shares));
-  Search search(current, std::move(shares), limits);
+  Search search(current, std::move(shares), limits, rank_copies);
   search.Run();
   assert(search.layout().Complete() || !current.Complete());
   return {search.layout(), NewCopies(current, search.layout()), before, search.busiest()};
--- a/packages/ranks/include/cornelrelay/ranks/group_demand.h
+++ b/packages/ranks/include/cornelrelay/ranks/group_demand.h
@@ -18,7 +18,10 @@
   placement::LayoutLimits limits;
   /// Mean gain over the sets, in the load of the busiest rank over the mean, that a switch must
   /// bring.
-  double least_gain = 0.06;
+  double least_gain = 0.12;
+  /// Copies that a rank loads for one switch, over all sets. They come one after the other, and
+  /// until the last one the group goes on with the old map.
+  std::size_t copies_per_rank = 3;
 };
 
 /// \brief A map and what it is expected to bring.
--- a/packages/ranks/src/group_demand.cc
+++ b/packages/ranks/src/group_demand.cc
@@ -33,9 +33,13 @@
   if (current.size() != m_config.sets) return std::nullopt;
   MapProposal proposal;
   proposal.before = proposal.after = 0;
+  const std::size_t ranks = current.empty() ? 0 : current.front().size();
+  std::vector<std::size_t> left(ranks, m_config.copies_per_rank);
   for (std::size_t set = 0; set < m_config.sets; ++set) {
     const placement::ExpertLayout layout(m_config.experts, current[set]);
-    auto plan = placement::PlanLayout(layout, m_estimates[set].loads(), m_config.limits);
+    auto plan = placement::PlanLayout(layout, m_estimates[set].loads(), m_config.limits, left);
+    const auto copies = placement::CopiesByRank(layout, plan.layout);
+    for (std::size_t rank = 0; rank < ranks; ++rank) left[rank] -= copies[rank];
     proposal.copies += plan.copies;
     proposal.before += plan.before / static_cast<double>(m_config.sets);
     proposal.after += plan.after / static_cast<double>(m_config.sets);
--- a/packages/ranks/src/group_leader.cc
+++ b/packages/ranks/src/group_leader.cc
@@ -16,8 +16,8 @@
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
-/// Window of counts: some thousand choices of experts in each set at the usual load.
-constexpr milliseconds kRound{300};
+/// Window of counts. Shorter ones show a shift sooner, but hold fewer choices of experts.
+constexpr milliseconds kRound{120};
 /// Pause between two looks at a switch under way.
 constexpr milliseconds kSwitchTick{20};
 /// An agent answers within some milliseconds; it asks its engine first.
