Let a group's leader go on while its lease cannot be renewed

The gates, which refuse a leader once they know a newer fence, already keep two leaders apart, so the lease only decides who may take the seat. Holds therefore lie at a rank that depends on the fence, and a step that was released once is not held there again. Ruled out: renewing more often (the outage lasts longer than any lease that still changes hands in seconds).

--- a/packages/balance/include/cornelrelay/balance/rank_order.h
+++ b/packages/balance/include/cornelrelay/balance/rank_order.h
@@ -49,6 +49,7 @@
 enum class OrderResult {
   kDone,     ///< begun, done, or already so
   kRefused,  ///< does not fit the state of the rank
+  kFenced,   ///< the rank knows a newer leader
   kUnknown,  ///< no answer: it may have been carried out, or may be later, after newer orders
 };
 std::string_view ToString(OrderResult result);
--- a/packages/balance/include/cornelrelay/balance/switch_leader.h
+++ b/packages/balance/include/cornelrelay/balance/switch_leader.h
@@ -5,6 +5,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <set>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -14,7 +16,7 @@
 
 struct SwitchLeaderConfig {
   RankIndex ranks = 1;
-  RankIndex self = 0;  ///< rank of this process, where passes are held
+  RankIndex self = 0;                                             ///< rank of this process
   core::Duration order_timeout = std::chrono::milliseconds(150);  ///< then it counts as unanswered
   core::Duration resend_pause = std::chrono::milliseconds(30);
   core::Duration poll_pause = std::chrono::milliseconds(30);  ///< while ranks load a map
@@ -26,8 +28,6 @@
   /// The same while orders go unanswered.
   core::Duration careful_lead_time = std::chrono::milliseconds(700);
   core::Duration careful_for = std::chrono::seconds(8);
-  /// A switch begins only if the lease lasts this much longer.
-  core::Duration least_lease = std::chrono::milliseconds(700);
   core::Duration usual_pass = std::chrono::milliseconds(50);
 };
 
@@ -38,13 +38,18 @@
 /// rank can switch any more. Orders may be lost, carried out late, or doubled:
 ///
 /// - A version is never used for two maps, so that a late load cannot change what is armed.
+/// - A hold counts only if no release of that pass was ever sent to that rank, because the release
+///   may still be on its way.
 /// - Before a held pass is released after a failed switch, every rank has loaded a newer version of
 ///   the map in use; a late order to arm the failed version is then refused.
 /// - A state is used only if it was asked for after the last one had come. A state that overtakes a
 /// newer
 ///   one could show a hold that is released already.
-/// - A new leader first learns the state of all ranks and holds the pass at its own rank, so that a
-///   release by its predecessor has no effect.
+/// - A new leader first learns the state of all ranks, which makes their gates refuse its
+/// predecessor,
+///   and holds the pass at another rank than they did, so that a release by its predecessor has no
+///   effect. A leader may therefore go on when its lease has lapsed, until a rank tells it of a
+///   newer one.
 ///
 /// \code
 /// SwitchLeader leader(config);
@@ -54,8 +59,8 @@
 class SwitchLeader {
  public:
   enum class Phase {
-    kNoLease,
-    kSurvey,  ///< learns the state of all ranks
+    kFollowing,  ///< does not lead
+    kSurvey,     ///< learns the state of all ranks
     kIdle,
     kPreparing,  ///< ranks load the map
     kHolding,    ///< a pass ahead is held
@@ -94,7 +99,6 @@
   using Actions = std::vector<SwitchAction>;
 
   void Apply(core::Instant now, const LeadershipGained& event, Actions& out);
-  void Apply(core::Instant now, const LeadershipExtended& event, Actions& out);
   void Apply(core::Instant now, const LeadershipLost& event, Actions& out);
   void Apply(core::Instant now, const RankObserved& event, Actions& out);
   void Apply(core::Instant now, const OrderEnded& event, Actions& out);
@@ -123,6 +127,8 @@
   MapVersion NextVersion();
   StepIndex LatestStep() const;
   StepIndex StepAhead(core::Instant now) const;
+  /// \brief The pass that a rank holds and that has not begun.
+  std::optional<StepIndex> HeldAt(RankIndex rank) const;
   std::optional<StepIndex> UnfinishedStep() const;
   bool AllPrepared(MapVersion version) const;
   /// \brief The switch that all ranks are armed for, if it is the same.
@@ -131,9 +137,10 @@
   bool AllOpen() const;
 
   SwitchLeaderConfig m_config;
-  Phase m_phase = Phase::kNoLease;
+  Phase m_phase = Phase::kFollowing;
   Fence m_fence = 0;
-  core::Instant m_lease_until{};
+  RankIndex m_anchor = 0;  ///< rank at which passes are held; depends on the fence
+  std::set<std::pair<RankIndex, StepIndex>> m_released;  ///< passes released in this epoch
   std::uint64_t m_epoch = 0;
   std::vector<Rank> m_ranks;
   std::optional<LayerMap> m_wanted;
--- a/packages/balance/include/cornelrelay/balance/switch_messages.h
+++ b/packages/balance/include/cornelrelay/balance/switch_messages.h
@@ -10,13 +10,9 @@
 
 namespace cornelrelay::balance {
 
-/// \brief This process holds the group's lease, with a fence above all earlier ones.
+/// \brief This process leads the group, with a fence above all earlier ones.
 struct LeadershipGained {
   Fence fence = 0;
-  core::Instant until;  ///< the lease cannot end before
-};
-struct LeadershipExtended {
-  core::Instant until;
 };
 struct LeadershipLost {};
 /// \brief A state that a rank told outside of an order.
@@ -38,8 +34,8 @@
 };
 struct SwitchTick {};
 
-using SwitchEvent = std::variant<LeadershipGained, LeadershipExtended, LeadershipLost, RankObserved,
-                                 OrderEnded, MapWanted, SwitchTick>;
+using SwitchEvent =
+    std::variant<LeadershipGained, LeadershipLost, RankObserved, OrderEnded, MapWanted, SwitchTick>;
 
 /// \brief Send an order to a rank; it carries the epoch, so that it has no effect in another one.
 struct SendOrder {
@@ -54,7 +50,7 @@
   kGivenUp,    ///< not all ranks loaded the map in time; nothing was armed
   kAborted,    ///< no rank can switch to the map any more
   kEpochOver,  ///< the group formed anew
-  kLeaseOver,  ///< left to the next leader
+  kFenced,     ///< left to the next leader
 };
 std::string_view ToString(SwitchOutcome outcome);
 
--- a/packages/balance/src/rank_order.cc
+++ b/packages/balance/src/rank_order.cc
@@ -19,6 +19,8 @@
       return "done";
     case OrderResult::kRefused:
       return "refused";
+    case OrderResult::kFenced:
+      return "fenced";
     case OrderResult::kUnknown:
       return "unknown";
   }
@@ -36,8 +38,8 @@
       return "aborted";
     case SwitchOutcome::kEpochOver:
       return "epoch_over";
-    case SwitchOutcome::kLeaseOver:
-      return "lease_over";
+    case SwitchOutcome::kFenced:
+      return "fenced";
   }
   assert(false);
   return "unknown";
--- a/packages/balance/src/switch_leader.cc
+++ b/packages/balance/src/switch_leader.cc
@@ -30,20 +30,16 @@
 
 void SwitchLeader::Apply(core::Instant now, const LeadershipGained& event, Actions&) {
   m_fence = event.fence;
-  m_lease_until = event.until;
+  m_anchor = static_cast<RankIndex>((m_config.self + m_fence) % m_config.ranks);
   m_versions = 0;
   Enter(now, Phase::kSurvey);
 }
 
-void SwitchLeader::Apply(core::Instant, const LeadershipExtended& event, Actions&) {
-  m_lease_until = std::max(m_lease_until, event.until);
-}
-
 void SwitchLeader::Apply(core::Instant now, const LeadershipLost&, Actions& out) {
-  if (m_phase == Phase::kNoLease) return;
+  if (m_phase == Phase::kFollowing) return;
   const bool active = m_phase != Phase::kIdle && m_phase != Phase::kSurvey;
-  if (active) End(now, SwitchOutcome::kLeaseOver, out);
-  Enter(now, Phase::kNoLease);
+  if (active) End(now, SwitchOutcome::kFenced, out);
+  Enter(now, Phase::kFollowing);
 }
 
 void SwitchLeader::Apply(core::Instant now, const RankObserved& event, Actions& out) {
@@ -53,6 +49,7 @@
 void SwitchLeader::Apply(core::Instant now, const OrderEnded& event, Actions& out) {
   Rank& rank = m_ranks[event.rank];
   rank.outstanding = false;
+  if (event.result == OrderResult::kFenced) return Apply(now, LeadershipLost{}, out);
   if (event.result == OrderResult::kUnknown) m_unanswered = now;
   if (rank.sent_in == m_phase_number) {
     rank.last_result = event.result;
@@ -76,7 +73,8 @@
     m_epoch = state.epoch;
     for (Rank& rank : m_ranks) rank.state.reset();
     m_wanted.reset();
-    if (m_phase != Phase::kNoLease) {
+    m_released.clear();
+    if (m_phase != Phase::kFollowing) {
       const bool active = m_phase != Phase::kIdle && m_phase != Phase::kSurvey;
       if (active) End(now, SwitchOutcome::kEpochOver, out);
       Enter(now, Phase::kSurvey);
@@ -119,7 +117,7 @@
   do {
     before = m_phase_number;
     switch (m_phase) {
-      case Phase::kNoLease:
+      case Phase::kFollowing:
         return;
       case Phase::kSurvey:
         Survey(now, out);
@@ -172,7 +170,6 @@
     return Enter(now, Phase::kRecovering);
   }
   if (!m_wanted || !Settled()) return;
-  if (m_lease_until - now < m_config.least_lease) return;
   std::optional<LayerMap> former = MapInUse();
   if (!former) return;
   m_map = *std::exchange(m_wanted, std::nullopt);
@@ -200,28 +197,27 @@
     }
   }
   if (!AllPrepared(m_version)) return;
-  if (m_lease_until - now < m_config.least_lease) return;
   m_step = StepAhead(now);
   Enter(now, Phase::kHolding);
 }
 
 void SwitchLeader::Hold(core::Instant now, Actions& out) {
-  const Rank& self = m_ranks[m_config.self];
-  if (self.state && self.state->held && *self.state->held > self.state->step) {
-    m_step = *self.state->held;
-    return Enter(now, Phase::kArming);
+  if (const auto held = HeldAt(m_anchor)) {
+    m_step = *held;
+    m_forward = false;
+    // Nothing is armed yet, so a hold that may not last is simply given up.
+    return Enter(now, m_released.contains({m_anchor, m_step}) ? Phase::kReleasing : Phase::kArming);
   }
   if (now - m_phase_since > m_config.arm_limit) return End(now, SwitchOutcome::kGivenUp, out);
-  if (self.last_result == OrderResult::kRefused || LatestStep() >= m_step) {
+  if (m_ranks[m_anchor].last_result == OrderResult::kRefused || LatestStep() >= m_step) {
     m_step = StepAhead(now);
-    m_ranks[m_config.self].last_result.reset();
+    m_ranks[m_anchor].last_result.reset();
   }
-  Send(now, m_config.self, HoldPass{m_step}, out);
+  Send(now, m_anchor, HoldPass{m_step}, out);
 }
 
 void SwitchLeader::Arm(core::Instant now, Actions& out) {
-  const Rank& self = m_ranks[m_config.self];
-  if (!self.state || self.state->held != m_step) return Enter(now, Phase::kRecovering);
+  if (HeldAt(m_anchor) != m_step) return Enter(now, Phase::kRecovering);
   const ArmedMap target{m_version, m_step};
   for (RankIndex index = 0; index < m_config.ranks; ++index) {
     const Rank& rank = m_ranks[index];
@@ -237,15 +233,18 @@
 }
 
 void SwitchLeader::Recover(core::Instant now, Actions& out) {
-  const Rank& self = m_ranks[m_config.self];
-  const bool held = self.state && self.state->held && *self.state->held <= m_step &&
-                    *self.state->held > LatestStep();
-  if (!held) {
-    // The pass has begun, so the switch is over one way or the other.
-    if (self.last_result == OrderResult::kRefused || LatestStep() >= m_step) {
+  if (LatestStep() >= m_step) return Enter(now, Phase::kSurvey);
+  const auto held = HeldAt(m_anchor);
+  if (held != m_step || m_released.contains({m_anchor, m_step})) {
+    if (held || m_released.contains({m_anchor, m_step})) {
+      m_anchor = (m_anchor + 1) % m_config.ranks;
+    } else if (m_ranks[m_anchor].last_result == OrderResult::kRefused) {
+      // The pass has begun, so the switch is over one way or the other.
       return Enter(now, Phase::kSurvey);
+    } else {
+      Send(now, m_anchor, HoldPass{m_step}, out);
     }
-    return Send(now, m_config.self, HoldPass{m_step}, out);
+    return;
   }
   const auto armed = ArmedByAll();
   out.emplace_back(SwitchInherited{m_step, armed.has_value()});
@@ -294,18 +293,17 @@
 
 void SwitchLeader::Release(core::Instant now, Actions& out) {
   bool held = false;
-  const StepIndex latest = LatestStep();
   for (RankIndex index = 0; index < m_config.ranks; ++index) {
-    const auto& state = m_ranks[index].state;
-    if (!state || !state->held || *state->held <= latest) continue;
+    const auto step = HeldAt(index);
+    if (!step) continue;
     held = true;
-    Send(now, index, ReleasePass{*state->held}, out);
+    m_released.emplace(index, *step);
+    Send(now, index, ReleasePass{*step}, out);
   }
   if (!held) End(now, m_forward ? SwitchOutcome::kSwitched : SwitchOutcome::kAborted, out);
 }
 
 bool SwitchLeader::MaySend(core::Instant now, const Rank& rank, core::Duration pause) const {
-  if (now >= m_lease_until) return false;
   const core::Duration since = now - rank.sent;
   // An order of an earlier phase does not delay one of this phase.
   if (rank.sent_in != m_phase_number) return true;
@@ -345,7 +343,15 @@
     const auto since = static_cast<StepIndex>((now - rank.observed) / m_pass_time);
     latest = std::max(latest, rank.state->step + since);
   }
-  return latest + 1 + static_cast<StepIndex>(lead / m_pass_time);
+  latest += 1 + static_cast<StepIndex>(lead / m_pass_time);
+  while (m_released.contains({m_anchor, latest})) ++latest;
+  return latest;
+}
+
+std::optional<StepIndex> SwitchLeader::HeldAt(RankIndex rank) const {
+  const auto& state = m_ranks[rank].state;
+  if (!state || !state->held || *state->held <= LatestStep()) return std::nullopt;
+  return state->held;
 }
 
 std::optional<StepIndex> SwitchLeader::UnfinishedStep() const {
@@ -355,11 +361,13 @@
     if (at > latest) step = std::max(step.value_or(at), at);
   };
   bool held = false;
-  for (const Rank& rank : m_ranks) {
-    if (!rank.state) continue;
-    if (rank.state->held) consider(*rank.state->held);
-    held = held || (rank.state->held && *rank.state->held > latest);
-    if (rank.state->armed) consider(rank.state->armed->step);
+  for (RankIndex index = 0; index < m_config.ranks; ++index) {
+    const auto& state = m_ranks[index].state;
+    if (state && state->armed) consider(state->armed->step);
+    if (const auto hold = HeldAt(index)) {
+      held = true;
+      consider(*hold);
+    }
   }
   // A switch for which all are armed comes by itself.
   if (!held && ArmedByAll()) return std::nullopt;
--- a/packages/balance/tests/armed_world.h
+++ b/packages/balance/tests/armed_world.h
@@ -46,6 +46,7 @@
   kSkipAbort,           ///< releases a failed switch without making the ranks safe
   kReuseVersions,       ///< two leaders use the same versions for different maps
   kBelieveOldStates,    ///< takes every state for the newest
+  kIgnoreFence,         ///< the gates let orders of former leaders pass
 };
 
 struct ArmedWorldSettings {
@@ -54,6 +55,7 @@
   double late = 0;         ///< share of orders without an answer that are carried out later
   double answer_lost = 0;  ///< share of orders that are carried out at once without an answer
   double freeze = 0;       ///< chance per tick that the leader freezes
+  double lapse = 0;        ///< chance per tick that the lease of a live leader lapses
   double regroup = 0;      ///< chance per tick that the group forms anew
   SwitchFault fault = SwitchFault::kNone;
 };
--- a/packages/dispatch/include/cornelrelay/dispatch/dispatcher.h
+++ b/packages/dispatch/include/cornelrelay/dispatch/dispatcher.h
@@ -30,7 +30,7 @@
   core::Duration block_time = std::chrono::milliseconds(300);
   /// Retry-after while all upstreams wait for one that is away; members of a group take about this
   /// long to form it again.
-  core::Duration blocked_retry = std::chrono::milliseconds(1'500);
+  core::Duration blocked_retry = std::chrono::milliseconds(2'200);
 };
 
 /// \brief Decides for the requests of one service who waits, who is refused and where work goes.
--- a/packages/ranks/include/cornelrelay/ranks/group_leader.h
+++ b/packages/ranks/include/cornelrelay/ranks/group_leader.h
@@ -48,8 +48,7 @@
   GroupLeader(Services services, settings::RankSettings settings, balance::RankReport self,
               OwnAgent own_agent);
 
-  void Lead(balance::Fence fence, core::Instant until);
-  void Extend(core::Instant until);
+  void Lead(balance::Fence fence);
   void Stop();
 
  private:
--- a/packages/ranks/include/cornelrelay/ranks/group_lease.h
+++ b/packages/ranks/include/cornelrelay/ranks/group_lease.h
@@ -41,13 +41,12 @@
 /// \brief This process leads; the fence is above that of all former leaders.
 struct SeatTaken {
   balance::Fence fence = 0;
-  core::Instant until;
-};
-struct SeatExtended {
-  core::Instant until;
 };
+/// \brief The lease has lapsed, perhaps with the store. Nobody else is known to lead.
+struct SeatUnsure {};
+/// \brief Another process leads.
 struct SeatLost {};
-using LeaseAction = std::variant<CallForLease, SeatTaken, SeatExtended, SeatLost>;
+using LeaseAction = std::variant<CallForLease, SeatTaken, SeatUnsure, SeatLost>;
 
 /// \brief Takes and keeps the seat of a group's leader: one key of the store under a lease.
 ///
@@ -63,7 +62,8 @@
 
   std::vector<LeaseAction> Step(core::Instant now, const LeaseEvent& event);
 
-  bool leads(core::Instant now) const { return m_phase == Phase::kLeading && now < m_until; }
+  /// \brief The lease is sure to last at this time.
+  bool holds(core::Instant now) const { return m_phase == Phase::kLeading && now < m_until; }
   core::Instant NextWake(core::Instant now) const;
 
  private:
@@ -78,11 +78,13 @@
   void OnRenewal(core::Instant now, const store::StoreReply& reply, Actions& out);
   void Call(core::Instant now, store::StoreRequest request, Actions& out);
   void Wait(core::Instant now, core::Duration pause);
+  void BecomeUnsure(core::Instant now, Actions& out);
 
   GroupLeaseConfig m_config;
   Phase m_phase = Phase::kWaiting;
   bool m_calling = false;
   bool m_seen = false;
+  bool m_acting = false;  ///< has led, and nobody else is known to have led since
   std::optional<store::StoredValue> m_seat;
   core::Instant m_called_at{};
   core::Instant m_next{};
--- a/packages/ranks/include/cornelrelay/ranks/rank_process.h
+++ b/packages/ranks/include/cornelrelay/ranks/rank_process.h
@@ -51,7 +51,7 @@
   void StepLease(const LeaseEvent& event);
   void Perform(const CallForLease& action);
   void Perform(const SeatTaken& action);
-  void Perform(const SeatExtended& action);
+  void Perform(const SeatUnsure& action);
   void Perform(const SeatLost& action);
 
   boost::asio::io_context& m_context;
--- a/packages/ranks/src/group_leader.cc
+++ b/packages/ranks/src/group_leader.cc
@@ -48,17 +48,15 @@
       m_round_timer(services.context, services.clock, [this] { Round(); }),
       m_tick_timer(services.context, services.clock, [this] { Step(balance::SwitchTick{}); }) {}
 
-void GroupLeader::Lead(balance::Fence fence, core::Instant until) {
+void GroupLeader::Lead(balance::Fence fence) {
   m_leading = true;
   m_services.log.Info("group_lead_taken", {{"group", m_self.group}, {"fence", fence}});
   ReadConfiguration();
   ReadMembers("");
-  Step(balance::LeadershipGained{fence, until});
+  Step(balance::LeadershipGained{fence});
   Round();
 }
 
-void GroupLeader::Extend(core::Instant until) { Step(balance::LeadershipExtended{until}); }
-
 void GroupLeader::Stop() {
   if (!std::exchange(m_leading, false)) return;
   m_services.log.Warning("group_lead_lost",
@@ -246,13 +244,18 @@
 bool GroupLeader::Switching() const {
   const auto phase = m_machine.phase();
   return phase != balance::SwitchLeader::Phase::kIdle &&
-         phase != balance::SwitchLeader::Phase::kNoLease;
+         phase != balance::SwitchLeader::Phase::kFollowing;
 }
 
 void GroupLeader::Step(const balance::SwitchEvent& event) {
   for (const auto& action : m_machine.Step(m_services.clock.Now(), event)) {
     std::visit([this](const auto& a) { Perform(a); }, action);
   }
+  if (m_leading && m_machine.phase() == balance::SwitchLeader::Phase::kFollowing) {
+    m_leading = false;
+    m_services.log.Warning("group_lead_fenced",
+                           {{"group", m_self.group}, {"fence", m_machine.fence()}});
+  }
   if (Switching()) m_tick_timer.SetAt(m_services.clock.Now() + kSwitchTick);
 }
 
--- a/packages/ranks/src/group_lease.cc
+++ b/packages/ranks/src/group_lease.cc
@@ -12,11 +12,18 @@
   return out;
 }
 
-void GroupLease::Apply(core::Instant now, const SeatSeen& event, Actions&) {
+void GroupLease::Apply(core::Instant now, const SeatSeen& event, Actions& out) {
+  if (m_acting && event.seat && event.seat->value != m_config.value) {
+    m_acting = false;
+    out.emplace_back(SeatLost{});
+    Wait(now, m_config.stagger);
+  }
   const bool vacated = m_seen && m_seat && !event.seat;
   m_seen = true;
   m_seat = event.seat;
-  if (m_phase == Phase::kWaiting && vacated) m_next = std::min(m_next, now + m_config.stagger);
+  if (m_phase != Phase::kWaiting || !vacated) return;
+  // Who has led so far knows the group best.
+  m_next = m_acting ? now : std::min(m_next, now + m_config.stagger);
 }
 
 void GroupLease::Apply(core::Instant now, const LeaseReply& event, Actions& out) {
@@ -38,8 +45,7 @@
 
 void GroupLease::Apply(core::Instant now, const LeaseTick&, Actions& out) {
   if (m_phase == Phase::kLeading && now >= m_until) {
-    out.emplace_back(SeatLost{});
-    Wait(now, m_config.stagger);
+    BecomeUnsure(now, out);
   }
   if (m_calling || now < m_next) return;
   if (m_phase == Phase::kLeading) return Call(now, store::LeaseKeepAlive{m_lease}, out);
@@ -69,19 +75,18 @@
     return Wait(now, m_config.retry_pause + m_config.stagger);
   }
   m_phase = Phase::kLeading;
+  m_acting = true;
   m_next = now + m_config.renew_interval;
-  out.emplace_back(SeatTaken{static_cast<balance::Fence>(swapped->revision), m_until});
+  out.emplace_back(SeatTaken{static_cast<balance::Fence>(swapped->revision)});
 }
 
 void GroupLease::OnRenewal(core::Instant now, const store::StoreReply& reply, Actions& out) {
   if (const auto* granted = std::get_if<store::LeaseGranted>(&reply)) {
     m_until = std::max(m_until, m_called_at + granted->ttl);
     m_next = now + m_config.renew_interval;
-    out.emplace_back(SeatExtended{m_until});
   } else if (std::holds_alternative<store::LeaseExpired>(reply)) {
-    out.emplace_back(SeatLost{});
     m_seat.reset();
-    Wait(now, m_config.stagger);
+    BecomeUnsure(now, out);
   } else {
     m_next = now + m_config.renew_interval / 4;
   }
@@ -98,6 +103,11 @@
   m_next = now + pause;
 }
 
+void GroupLease::BecomeUnsure(core::Instant now, Actions& out) {
+  out.emplace_back(SeatUnsure{});
+  Wait(now, core::Duration::zero());
+}
+
 core::Instant GroupLease::NextWake(core::Instant now) const {
   if (m_phase == Phase::kLeading) return m_calling ? m_until : std::min(m_next, m_until);
   return std::max(m_next, now + m_config.retry_pause);
--- a/packages/ranks/src/rank_process.cc
+++ b/packages/ranks/src/rank_process.cc
@@ -150,7 +150,7 @@
     m_log.Warning("order_not_admitted", {{"order", KindName(call.order)},
                                          {"fence", call.fence},
                                          {"known_fence", m_gate.fence().value_or(0)}});
-    reply.result = balance::OrderResult::kRefused;
+    reply.result = balance::OrderResult::kFenced;
     co_return reply;
   }
   reply.result = co_await m_engines.Order(m_settings.engine, call.order, call.epoch, call.fence);
@@ -224,10 +224,14 @@
 
 void RankProcess::Perform(const SeatTaken& action) {
   m_gate.Learn(action.fence);
-  m_leader->Lead(action.fence, action.until);
+  m_leader->Lead(action.fence);
+}
+
+// The gates of the ranks, not the lease, keep two leaders apart, so the lead goes on meanwhile.
+void RankProcess::Perform(const SeatUnsure&) {
+  m_log.Warning("group_seat_unsure", {{"seat", m_seat_key}});
 }
 
-void RankProcess::Perform(const SeatExtended& action) { m_leader->Extend(action.until); }
 void RankProcess::Perform(const SeatLost&) { m_leader->Stop(); }
 
 }  // namespace cornelrelay::ranks
