Let a host stop just after it gave an order without stopping its group

Cause: the host that held a pass stopped for 4 s right after it had acted, and nobody else can release a pass at an engine whose host stands still; and an agent that had not read the store since its start counted as one that knows a newer leader, so after all hosts had lost power the new leader gave up its lead and kept its lease. Now a third host gives the order to hold, all ranks answer once more before any is armed, an order without an answer is given again after 40 ms, and a starting agent answers that it does not know.

--- a/packages/balance/include/cornelrelay/balance/switch_leader.h
+++ b/packages/balance/include/cornelrelay/balance/switch_leader.h
@@ -21,23 +21,26 @@
   core::Duration resend_pause = std::chrono::milliseconds(30);
   core::Duration poll_pause = std::chrono::milliseconds(30);  ///< while ranks load a map
   core::Duration prepare_limit = std::chrono::seconds(4);
+  core::Duration check_limit = std::chrono::milliseconds(150);
   core::Duration arm_limit = std::chrono::milliseconds(1'000);
   /// The pass of a switch lies this far ahead, so that all ranks are usually armed before it is
   /// due. An order takes a round trip and a call to the engine.
   core::Duration lead_time = std::chrono::milliseconds(30);
   /// The same while orders go unanswered.
-  core::Duration careful_lead_time = std::chrono::milliseconds(700);
+  core::Duration careful_lead_time = std::chrono::milliseconds(120);
   core::Duration careful_for = std::chrono::seconds(8);
   core::Duration usual_pass = std::chrono::milliseconds(50);
 };
 
 /// \brief Switches the expert map of a group so that no pass ever runs with two maps.
-///
-/// All ranks load the map. A pass ahead is held at one rank, and then all ranks are armed to switch
-/// as that pass begins. The pass is released only when every rank is known to be armed, or when no
-/// rank can switch any more. Orders may be lost, carried out late, or doubled:
+/// All ranks load the map. A pass ahead is held at one rank. If all ranks still answer, they are
+/// armed to switch as that pass begins. The pass is released only when every rank is known to be
+/// armed, or when no rank can switch any more. Orders may be lost, carried out late, or doubled:
 ///
 /// - A version is never used for two maps, so that a late load cannot change what is armed.
+/// - The order to hold is given by another host than those that are needed to release the pass, as
+/// a
+///   host may stop just after it has acted. No rank is armed before all have answered once more.
 /// - A hold counts only if no release of that pass was ever sent to that rank, because the release
 ///   may still be on its way.
 /// - Before a held pass is released after a failed switch, every rank has loaded a newer version of
@@ -64,6 +67,7 @@
     kIdle,
     kPreparing,  ///< ranks load the map
     kHolding,    ///< a pass ahead is held
+    kChecking,   ///< looks whether all ranks still answer
     kArming,
     kRecovering,  ///< holds the pass of an unfinished switch
     kAborting,    ///< makes sure that no rank can switch
@@ -112,6 +116,7 @@
   void BeginWanted(core::Instant now);
   void Prepare(core::Instant now, Actions& out);
   void Hold(core::Instant now, Actions& out);
+  void Check(core::Instant now, Actions& out);
   void Arm(core::Instant now, Actions& out);
   void Recover(core::Instant now, Actions& out);
   void Abort(core::Instant now, Actions& out);
@@ -124,6 +129,10 @@
   /// \brief Sends if an order may be sent to the rank now.
   void Send(core::Instant now, RankIndex index, RankOrder order, Actions& out);
   void Poll(core::Instant now, RankIndex index, Actions& out);
+  void Poll(core::Instant now, RankIndex index, Actions& out, core::Duration pause);
+  void Give(core::Instant now, RankIndex index, RankOrder order, Actions& out);
+  void SendHold(core::Instant now, Actions& out);
+  RankIndex HoldGiver() const;
   MapVersion NextVersion();
   StepIndex LatestStep() const;
   StepIndex StepAhead(core::Instant now) const;
--- a/packages/balance/include/cornelrelay/balance/switch_messages.h
+++ b/packages/balance/include/cornelrelay/balance/switch_messages.h
@@ -43,12 +43,14 @@
   RankOrder order;
   Fence fence = 0;
   std::uint64_t epoch = 0;
+  /// Rank whose agent gives the order instead of the rank's own.
+  std::optional<RankIndex> giver{};
 };
 
 enum class SwitchOutcome {
   kSwitched,   ///< the map is in force on all ranks
   kGivenUp,    ///< not all ranks loaded the map in time; nothing was armed
-  kAborted,    ///< no rank can switch to the map any more
+  kAborted,    ///< a pass was held, but no rank can switch to the map any more
   kEpochOver,  ///< the group formed anew
   kFenced,     ///< left to the next leader
 };
--- a/packages/balance/src/switch_leader.cc
+++ b/packages/balance/src/switch_leader.cc
@@ -10,6 +10,8 @@
 /// Versions that one leader may use; the fence makes those of different leaders differ.
 constexpr MapVersion kVersionsPerFence = 4'096;
 const std::size_t kPrepareKind = RankOrder(PrepareMap{}).index();
+const std::size_t kHoldKind = RankOrder(HoldPass{}).index();
+const std::size_t kObserveKind = RankOrder(ObserveRank{}).index();
 constexpr double kPassGain = 0.3;
 /// Pauses without work are no passes.
 constexpr core::Duration kLongestPass = std::chrono::seconds(1);
@@ -131,6 +133,9 @@
       case Phase::kHolding:
         Hold(now, out);
         break;
+      case Phase::kChecking:
+        Check(now, out);
+        break;
       case Phase::kArming:
         Arm(now, out);
         break;
@@ -206,14 +211,51 @@
     m_step = *held;
     m_forward = false;
     // Nothing is armed yet, so a hold that may not last is simply given up.
-    return Enter(now, m_released.contains({m_anchor, m_step}) ? Phase::kReleasing : Phase::kArming);
+    return Enter(now,
+                 m_released.contains({m_anchor, m_step}) ? Phase::kReleasing : Phase::kChecking);
   }
   if (now - m_phase_since > m_config.arm_limit) return End(now, SwitchOutcome::kGivenUp, out);
   if (m_ranks[m_anchor].last_result == OrderResult::kRefused || LatestStep() >= m_step) {
     m_step = StepAhead(now);
     m_ranks[m_anchor].last_result.reset();
+    m_ranks[m_anchor].accepted.reset();
+  }
+  SendHold(now, out);
+}
+
+// Its giver is not told the state of the rank, so that is asked for afterwards.
+void SwitchLeader::SendHold(core::Instant now, Actions& out) {
+  const Rank& anchor = m_ranks[m_anchor];
+  if (anchor.accepted.test(kHoldKind)) {
+    const bool first = anchor.sent_kind == kHoldKind && !anchor.outstanding;
+    return Poll(now, m_anchor, out, first ? core::Duration::zero() : m_config.poll_pause);
   }
+  const std::size_t before = out.size();
   Send(now, m_anchor, HoldPass{m_step}, out);
+  if (out.size() > before) std::get<SendOrder>(out.back()).giver = HoldGiver();
+}
+
+// Neither this process, which leads, nor the host of the rank, which must release the pass.
+RankIndex SwitchLeader::HoldGiver() const {
+  for (RankIndex step = 1; step < m_config.ranks; ++step) {
+    const RankIndex giver = (m_anchor + step) % m_config.ranks;
+    if (giver != m_config.self) return giver;
+  }
+  return m_anchor;
+}
+
+void SwitchLeader::Check(core::Instant now, Actions& out) {
+  if (HeldAt(m_anchor) != m_step) return Enter(now, Phase::kRecovering);
+  bool complete = true;
+  for (RankIndex index = 0; index < m_config.ranks; ++index) {
+    if (m_ranks[index].accepted.test(kObserveKind)) continue;
+    complete = false;
+    Poll(now, index, out);
+  }
+  if (complete) return Enter(now, Phase::kArming);
+  if (now - m_phase_since <= m_config.check_limit) return;
+  m_forward = false;
+  Enter(now, Phase::kReleasing);
 }
 
 void SwitchLeader::Arm(core::Instant now, Actions& out) {
@@ -242,7 +284,7 @@
       // The pass has begun, so the switch is over one way or the other.
       return Enter(now, Phase::kSurvey);
     } else {
-      Send(now, m_anchor, HoldPass{m_step}, out);
+      SendHold(now, out);
     }
     return;
   }
@@ -311,17 +353,26 @@
 }
 
 void SwitchLeader::Send(core::Instant now, RankIndex index, RankOrder order, Actions& out) {
+  if (MaySend(now, m_ranks[index], m_config.resend_pause)) {
+    Give(now, index, std::move(order), out);
+  }
+}
+
+void SwitchLeader::Poll(core::Instant now, RankIndex index, Actions& out) {
+  Poll(now, index, out, m_config.poll_pause);
+}
+
+void SwitchLeader::Poll(core::Instant now, RankIndex index, Actions& out, core::Duration pause) {
+  if (MaySend(now, m_ranks[index], pause)) Give(now, index, ObserveRank{}, out);
+}
+
+void SwitchLeader::Give(core::Instant now, RankIndex index, RankOrder order, Actions& out) {
   Rank& rank = m_ranks[index];
-  if (!MaySend(now, rank, m_config.resend_pause)) return;
   rank.outstanding = true;
   rank.sent = now;
   rank.sent_in = m_phase_number;
   rank.sent_kind = order.index();
-  out.emplace_back(SendOrder{index, std::move(order), m_fence, m_epoch});
-}
-
-void SwitchLeader::Poll(core::Instant now, RankIndex index, Actions& out) {
-  if (MaySend(now, m_ranks[index], m_config.poll_pause)) Send(now, index, ObserveRank{}, out);
+  out.emplace_back(SendOrder{index, std::move(order), m_fence, m_epoch, std::nullopt});
 }
 
 MapVersion SwitchLeader::NextVersion() { return m_fence * kVersionsPerFence + ++m_versions; }
--- a/packages/ranks/include/cornelrelay/ranks/engine_link.h
+++ b/packages/ranks/include/cornelrelay/ranks/engine_link.h
@@ -40,7 +40,8 @@
   };
 
   boost::asio::awaitable<std::optional<net::HttpResponse>> Fetch(core::Endpoint engine,
-                                                                 net::HttpRequest request);
+                                                                 net::HttpRequest request,
+                                                                 std::chrono::milliseconds timeout);
   boost::asio::awaitable<void> AddExperts(core::Endpoint engine, balance::RankReport& report);
 
   net::HttpClient& m_client;
--- a/packages/ranks/include/cornelrelay/ranks/group_leader.h
+++ b/packages/ranks/include/cornelrelay/ranks/group_leader.h
@@ -46,7 +46,7 @@
   using OwnAgent = std::function<boost::asio::awaitable<wire::RankReply>(wire::RankCall)>;
 
   GroupLeader(Services services, settings::RankSettings settings, balance::RankReport self,
-              OwnAgent own_agent);
+              OwnAgent own_agent, std::function<void()> on_fenced);
 
   void Lead(balance::Fence fence);
   void Stop();
@@ -81,6 +81,7 @@
   settings::RankSettings m_settings;
   balance::RankReport m_self;
   OwnAgent m_own_agent;
+  std::function<void()> m_on_fenced;  ///< a rank knows a newer leader
   balance::SwitchLeader m_machine;
   std::map<core::Endpoint, Member> m_members;  ///< by engine
   std::optional<GroupDemand> m_demand;
--- a/packages/ranks/include/cornelrelay/ranks/group_lease.h
+++ b/packages/ranks/include/cornelrelay/ranks/group_lease.h
@@ -32,8 +32,10 @@
 struct LeaseReply {
   store::StoreReply reply;
 };
+/// \brief A newer leader is known to exist, so the lease is kept no longer.
+struct SeatResigned {};
 struct LeaseTick {};
-using LeaseEvent = std::variant<SeatSeen, LeaseReply, LeaseTick>;
+using LeaseEvent = std::variant<SeatSeen, LeaseReply, SeatResigned, LeaseTick>;
 
 struct CallForLease {
   store::StoreRequest request;
@@ -72,6 +74,7 @@
 
   void Apply(core::Instant now, const SeatSeen& event, Actions& out);
   void Apply(core::Instant now, const LeaseReply& event, Actions& out);
+  void Apply(core::Instant now, const SeatResigned& event, Actions& out);
   void Apply(core::Instant now, const LeaseTick& event, Actions& out);
   void OnGrant(core::Instant now, const store::StoreReply& reply, Actions& out);
   void OnTake(core::Instant now, const store::StoreReply& reply, Actions& out);
--- a/packages/ranks/src/engine_link.cc
+++ b/packages/ranks/src/engine_link.cc
@@ -9,19 +9,21 @@
 
 namespace asio = boost::asio;
 
-/// An engine answers these calls beside its passes, within a few milliseconds.
+/// An engine answers beside its passes, within a few milliseconds and a round trip.
 constexpr std::chrono::milliseconds kCallTimeout{200};
+/// An order that got no answer by now is given again; the group may wait for it.
+constexpr std::chrono::milliseconds kOrderTimeout{40};
 constexpr std::size_t kMaxAnswerBytes = 1'048'576;
 constexpr int kStatusOk = 200;
 
 }  // namespace
 
-asio::awaitable<std::optional<net::HttpResponse>> EngineLink::Fetch(core::Endpoint engine,
-                                                                    net::HttpRequest request) {
+asio::awaitable<std::optional<net::HttpResponse>> EngineLink::Fetch(
+    core::Endpoint engine, net::HttpRequest request, std::chrono::milliseconds timeout) {
   std::optional<net::HttpResponse> response;
   const std::string target = request.target;
   try {
-    response = co_await m_client.Fetch(engine, std::move(request), kCallTimeout, kMaxAnswerBytes,
+    response = co_await m_client.Fetch(engine, std::move(request), timeout, kMaxAnswerBytes,
                                        net::HttpClient::ConnectionUse::kReuse);
   } catch (const core::Error& error) {
     m_log.Warning("engine_call_failed",
@@ -31,7 +33,7 @@
 }
 
 asio::awaitable<std::optional<balance::RankReport>> EngineLink::Report(core::Endpoint engine) {
-  const auto response = co_await Fetch(engine, m_protocol.AskReport());
+  const auto response = co_await Fetch(engine, m_protocol.AskReport(), kCallTimeout);
   std::optional<balance::RankReport> report;
   if (!response || response->status != kStatusOk) co_return report;
   try {
@@ -52,7 +54,7 @@
            known.epoch == report.state.epoch && known.map == report.state.map;
   };
   if (!current()) {
-    const auto response = co_await Fetch(engine, m_protocol.AskExperts());
+    const auto response = co_await Fetch(engine, m_protocol.AskExperts(), kCallTimeout);
     if (!response || response->status != kStatusOk) co_return;
     try {
       known.experts = m_protocol.DecodeExperts(response->body);
@@ -70,7 +72,7 @@
 }
 
 asio::awaitable<std::vector<std::uint64_t>> EngineLink::Picks(core::Endpoint engine) {
-  const auto response = co_await Fetch(engine, m_protocol.AskPicks());
+  const auto response = co_await Fetch(engine, m_protocol.AskPicks(), kCallTimeout);
   std::vector<std::uint64_t> picks;
   if (!response || response->status != kStatusOk) co_return picks;
   try {
@@ -87,7 +89,8 @@
                                                         balance::RankOrder order,
                                                         std::uint64_t epoch, balance::Fence fence) {
   if (std::holds_alternative<balance::ObserveRank>(order)) co_return balance::OrderResult::kDone;
-  const auto response = co_await Fetch(engine, m_protocol.Encode(order, epoch, fence));
+  const auto response =
+      co_await Fetch(engine, m_protocol.Encode(order, epoch, fence), kOrderTimeout);
   const auto result =
       response ? m_protocol.DecodeOrderStatus(response->status) : balance::OrderResult::kUnknown;
   m_log.Info("order_given", {{"engine", core::ToString(engine)},
--- a/packages/ranks/src/group_leader.cc
+++ b/packages/ranks/src/group_leader.cc
@@ -39,11 +39,13 @@
 }  // namespace
 
 GroupLeader::GroupLeader(Services services, settings::RankSettings settings,
-                         balance::RankReport self, OwnAgent own_agent)
+                         balance::RankReport self, OwnAgent own_agent,
+                         std::function<void()> on_fenced)
     : m_services(services),
       m_settings(std::move(settings)),
       m_self(std::move(self)),
       m_own_agent(std::move(own_agent)),
+      m_on_fenced(std::move(on_fenced)),
       m_machine(ConfigOf(m_self)),
       m_round_timer(services.context, services.clock, [this] { Round(); }),
       m_tick_timer(services.context, services.clock, [this] { Step(balance::SwitchTick{}); }) {}
@@ -217,8 +219,13 @@
     co_return;
   }
   const core::Endpoint engine = member->engine;
-  const core::Endpoint agent = member->agent;
+  core::Endpoint agent = member->agent;
   wire::RankCall call;
+  const Member* giver = order.giver ? MemberOf(*order.giver) : nullptr;
+  if (giver != nullptr) {
+    agent = giver->agent;
+    call.engine = engine;
+  }
   call.fence = order.fence;
   call.epoch = order.epoch;
   call.order = order.order;
@@ -253,6 +260,7 @@
   }
   if (m_leading && m_machine.phase() == balance::SwitchLeader::Phase::kFollowing) {
     m_leading = false;
+    m_on_fenced();
     m_services.log.Warning("group_lead_fenced",
                            {{"group", m_self.group}, {"fence", m_machine.fence()}});
   }
--- a/packages/ranks/src/group_lease.cc
+++ b/packages/ranks/src/group_lease.cc
@@ -43,6 +43,12 @@
   }
 }
 
+// A renewal that is under way still keeps the lease for its time; none follows.
+void GroupLease::Apply(core::Instant now, const SeatResigned&, Actions&) {
+  m_acting = false;
+  if (m_phase == Phase::kLeading) Wait(now, m_config.retry_pause + m_config.stagger);
+}
+
 void GroupLease::Apply(core::Instant now, const LeaseTick&, Actions& out) {
   if (m_phase == Phase::kLeading && now >= m_until) {
     BecomeUnsure(now, out);
--- a/packages/ranks/src/rank_process.cc
+++ b/packages/ranks/src/rank_process.cc
@@ -122,7 +122,8 @@
   m_leader = std::make_unique<GroupLeader>(
       GroupLeader::Services{m_context, m_clock, m_client, m_engines, *m_store, m_ports, m_log,
                             m_metrics},
-      m_settings, report, [this](wire::RankCall call) { return Handle(std::move(call)); });
+      m_settings, report, [this](wire::RankCall call) { return Handle(std::move(call)); },
+      [this] { StepLease(SeatResigned{}); });
   m_reader.emplace(m_seat_key, ReaderOptions(), m_seed + 2);
   RunReader(m_reader->Start(m_clock.Now()));
 }
@@ -149,11 +150,15 @@
   if (!m_gate.Admits(call.fence)) {
     m_log.Warning("order_not_admitted", {{"order", KindName(call.order)},
                                          {"fence", call.fence},
-                                         {"known_fence", m_gate.fence().value_or(0)}});
-    reply.result = balance::OrderResult::kFenced;
+                                         {"known_fence", m_gate.fence().value_or(0)},
+                                         {"fence_known", m_gate.fence().has_value()}});
+    // An agent that has not read the store since its start knows of no newer leader.
+    if (m_gate.fence()) reply.result = balance::OrderResult::kFenced;
     co_return reply;
   }
-  reply.result = co_await m_engines.Order(m_settings.engine, call.order, call.epoch, call.fence);
+  reply.result = co_await m_engines.Order(call.engine.value_or(m_settings.engine), call.order,
+                                          call.epoch, call.fence);
+  if (call.engine) co_return reply;
   reply.report = co_await m_engines.Report(m_settings.engine);
   if (call.want_picks) {
     for (const std::uint64_t count : co_await m_engines.Picks(m_settings.engine)) {
--- a/packages/wire/include/cornelrelay/wire/rank_messages.h
+++ b/packages/wire/include/cornelrelay/wire/rank_messages.h
@@ -8,6 +8,7 @@
 
 #include "cornelrelay/balance/rank_order.h"
 #include "cornelrelay/balance/rank_report.h"
+#include "cornelrelay/core/endpoint.h"
 
 namespace cornelrelay::wire {
 
@@ -17,6 +18,8 @@
   std::uint64_t epoch = 0;
   balance::RankOrder order = balance::ObserveRank{};
   bool want_picks = false;
+  /// Engine that gets the order, if it is not the agent's own; its state is not told then.
+  std::optional<core::Endpoint> engine{};
 
   friend bool operator==(const RankCall&, const RankCall&) = default;
 };
--- a/packages/wire/src/rank_messages.cc
+++ b/packages/wire/src/rank_messages.cc
@@ -39,6 +39,12 @@
 void Code(Ar& ar, Ref<Ar, RankCall> call) {
   ar.archive(call.fence, call.epoch);
   internal::Flag(ar, call.want_picks);
+  bool elsewhere = call.engine.has_value();
+  internal::Flag(ar, elsewhere);
+  if (elsewhere) {
+    if constexpr (Ar::kReads) call.engine.emplace();
+    internal::Address(ar, *call.engine);
+  }
   internal::Alternative(
       ar, call.order,
       core::Overloaded{[&](Ref<Ar, balance::PrepareMap> o) {
--- a/packages/wire/tests/fleet_messages_test.cc
+++ b/packages/wire/tests/fleet_messages_test.cc
@@ -36,6 +36,7 @@
   RankCall call{7, 2, balance::PrepareMap{28673, {{{0, 2}, {1, 0}}}}, true};
   CHECK(DecodeRankCall(Encode(call)) == call);
   call.order = balance::ArmMap{28673, 812};
+  call.engine = core::Endpoint{"10.1.0.43", 8228};
   CHECK(DecodeRankCall(Encode(call)) == call);
   RankReply reply;
   reply.result = balance::OrderResult::kRefused;
