--- a/packages/dispatch/include/cornelrelay/dispatch/dispatch_event.h
+++ b/packages/dispatch/include/cornelrelay/dispatch/dispatch_event.h
@@ -58,6 +58,7 @@
   kErrors,     ///< answered, but with a failure
   kRefused,    ///< not run, because the upstream is full
   kBlocked,    ///< not run, because of another upstream that it depends on
+  kGone,       ///< not run, because another upstream has the address
   kCancelled,  ///< ended from this side; says nothing about the upstream
 };
 
--- a/packages/dispatch/include/cornelrelay/dispatch/upstream_health.h
+++ b/packages/dispatch/include/cornelrelay/dispatch/upstream_health.h
@@ -40,6 +40,9 @@
   /// \brief It answered, but with a failure, as sound upstreams do at times.
   void AnsweredFailure(core::Instant now);
 
+  /// \brief It is not there any more, though its registration may be for a while.
+  void Gone(core::Instant now) { Eject(now); }
+
   /// \brief Whether it may get a request beside the `in_flight` ones of this process.
   bool Admits(core::Instant now, std::uint32_t in_flight) const;
 
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -168,6 +168,9 @@
     case AttemptEnd::kErrors:
       upstream.health.AnsweredFailure(now);
       break;
+    case AttemptEnd::kGone:
+      upstream.health.Gone(now);
+      break;
     case AttemptEnd::kBlocked:
       NoteBlocked(now, upstream, out);
       break;
--- a/packages/relay/include/cornelrelay/relay/answer_head.h
+++ b/packages/relay/include/cornelrelay/relay/answer_head.h
@@ -13,6 +13,7 @@
   net::HttpResponseHead forwarded;      ///< what the caller receives
   std::optional<core::RequestId> echo;  ///< request that the answer says it belongs to
   bool not_run = false;                 ///< the upstream has not run the request and never will
+  bool misdirected = false;             ///< another upstream than the expected one has the address
   bool has_signature = false;           ///< a success without one is not the upstream's answer
   bool event_stream = false;
   std::optional<core::UpstreamId> culprit;  ///< upstream because of which this one refused
--- a/packages/relay/src/relay_task.cc
+++ b/packages/relay/src/relay_task.cc
@@ -244,6 +244,7 @@
     case AttemptResult::kFailed:
       return dispatch::AttemptEnd::kErrors;
     case AttemptResult::kRefused: {
+      if (m_call->head()->misdirected) return dispatch::AttemptEnd::kGone;
       const auto& culprit = m_call->head()->culprit;
       return culprit && *culprit != action.upstream ? dispatch::AttemptEnd::kBlocked
                                                     : dispatch::AttemptEnd::kRefused;
