--- a/packages/balance/src/switch_leader.cc
+++ b/packages/balance/src/switch_leader.cc
@@ -312,16 +312,14 @@
 void SwitchLeader::Abort(core::Instant now, Actions& out) {
   for (RankIndex index = 0; index < m_config.ranks; ++index) {
     Rank& rank = m_ranks[index];
-    if (!rank.state) {
+    if (rank.state && rank.state->prepared == m_abort_version) continue;
+    const bool loading = rank.state && rank.accepted.test(kPrepareKind) && !rank.state->armed;
+    if (!rank.state || loading) {
       Poll(now, index, out);
-    } else if (rank.state->prepared == m_abort_version) {
-      continue;
     } else if (rank.last_result == OrderResult::kRefused) {
       // A late order may have armed the rank meanwhile; its state will tell.
       if (MaySend(now, rank, m_config.resend_pause)) rank.last_result.reset();
       Poll(now, index, out);
-    } else if (rank.accepted.test(kPrepareKind) && !rank.state->armed) {
-      Poll(now, index, out);
     } else if (rank.state->armed) {
       Send(now, index, DisarmMap{rank.state->armed->version}, out);
     } else {
--- a/packages/directory/src/upstream_directory.cc
+++ b/packages/directory/src/upstream_directory.cc
@@ -135,8 +135,8 @@
   std::optional<core::Instant> wake;
   if (m_store_lost) return wake;
   for (const auto& [id, record] : m_records) {
-    if (record.doubted_until)
-      wake = std::min(wake.value_or(*record.doubted_until), *record.doubted_until);
+    const auto& until = record.doubted_until;
+    if (until) wake = std::min(wake.value_or(*until), *until);
   }
   return wake;
 }
--- a/packages/net/src/bad_input.cc
+++ b/packages/net/src/bad_input.cc
@@ -1,6 +1,5 @@
 #include "bad_input.h"
 
-#include <boost/beast/core/error.hpp>
 #include <boost/beast/http/error.hpp>
 #include <string>
 
@@ -24,9 +23,6 @@
   if (reason == http::error::body_limit) {
     return TypedError(413, "body_too_large", "the request body exceeds its limit");
   }
-  if (reason == boost::beast::error::timeout) {
-    return TypedError(408, "request_timeout", "the request did not arrive in time");
-  }
   const bool parse_error =
       reason.category() == http::make_error_code(http::error::bad_method).category();
   if (!parse_error || reason == http::error::end_of_stream ||
--- a/packages/net/src/http_client.cc
+++ b/packages/net/src/http_client.cc
@@ -170,7 +170,9 @@
     if (!m_parser->get().keep_alive()) {
       throw ExchangeBroken(m_peer, "the connection ends with a response to another request");
     }
-    while (!m_parser->is_done()) co_await ReadBody();
+    while (!m_parser->is_done()) {
+      co_await ReadBody();
+    }
     ResetParser();
   }
 
--- a/packages/net/src/http_session.h
+++ b/packages/net/src/http_session.h
@@ -225,7 +225,7 @@
   asio::awaitable<void> AnswerBadInput(HttpResponse response) {
     m_keep_alive = false;
     try {
-      co_await SendWhole(std::move(response));
+      co_await SendWhole(response);
     } catch (const CallerGone&) {
       m_open = false;
     }
--- /dev/null
+++ b/packages/net/tests/http_loopback_test.cc
@@ -0,0 +1,212 @@
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "cornelrelay/net/errors.h"
+#include "cornelrelay/net/http_client.h"
+#include "cornelrelay/net/http_server.h"
+
+namespace cornelrelay::net {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// \brief A free port of the loopback address.
+std::uint16_t FreePort() {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  REQUIRE(bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+  socklen_t size = sizeof(address);
+  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
+  close(fd);
+  return ntohs(address.sin_port);
+}
+
+/// \brief A blocking connection that sends raw bytes and reads until the peer closes.
+class RawClient {
+ public:
+  explicit RawClient(std::uint16_t port) : m_fd(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    timeval limit{5, 0};
+    setsockopt(m_fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    REQUIRE(connect(m_fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+  }
+  ~RawClient() { close(m_fd); }
+  RawClient(const RawClient&) = delete;
+  RawClient& operator=(const RawClient&) = delete;
+
+  void Send(const std::string& bytes) {
+    REQUIRE(send(m_fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+            static_cast<ssize_t>(bytes.size()));
+  }
+  std::string ReadToEnd() {
+    std::string all;
+    char buffer[4096];
+    while (true) {
+      const ssize_t count = recv(m_fd, buffer, sizeof(buffer), 0);
+      if (count <= 0) return all;
+      all.append(buffer, static_cast<std::size_t>(count));
+    }
+  }
+
+ private:
+  int m_fd;
+};
+
+/// \brief A server that echoes the target, on a thread of its own.
+class EchoServer {
+ public:
+  explicit EchoServer(HttpServerLimits limits)
+      : m_port(FreePort()),
+        m_server(m_context, {"127.0.0.1", m_port}, limits, std::nullopt,
+                 [](HttpRequest request, ResponseStream& response) -> boost::asio::awaitable<void> {
+                   HttpResponse answer;
+                   answer.body = "echo " + request.target;
+                   co_await response.SendWhole(std::move(answer));
+                 }) {
+    m_server.Start();
+    m_thread = std::thread([this] { m_context.run(); });
+  }
+  ~EchoServer() {
+    m_context.stop();
+    m_thread.join();
+  }
+  std::uint16_t port() const { return m_port; }
+
+ private:
+  std::uint16_t m_port;
+  boost::asio::io_context m_context{1};
+  HttpServer m_server;
+  std::thread m_thread;
+};
+
+std::size_t Count(const std::string& text, const std::string& part) {
+  std::size_t count = 0;
+  for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) ++count;
+  return count;
+}
+
+}  // namespace
+
+TEST_CASE("a request hidden behind an unknown transfer coding gets no answer") {
+  for (const std::string& coding :
+       std::vector<std::string>{"xchunked", "gzip, chunked", "chunked, chunked", "identity"}) {
+    EchoServer server({});
+    RawClient client(server.port());
+    client.Send("POST /outer HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: " + coding +
+                "\r\n\r\nGET /inner HTTP/1.1\r\nHost: a\r\n\r\n");
+    const std::string answer = client.ReadToEnd();
+    CAPTURE(coding, answer);
+    CHECK(answer.find("echo /inner") == std::string::npos);
+    CHECK(Count(answer, "HTTP/1.1 ") == 1);
+    CHECK((answer.starts_with("HTTP/1.1 501") || answer.starts_with("HTTP/1.1 400")));
+  }
+}
+
+TEST_CASE("two lengths of a body are refused") {
+  EchoServer server({});
+  RawClient client(server.port());
+  client.Send(
+      "POST /outer HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked"
+      "\r\n\r\n0\r\n\r\nGET /inner HTTP/1.1\r\nHost: a\r\n\r\n");
+  const std::string answer = client.ReadToEnd();
+  CHECK(answer.find("echo /inner") == std::string::npos);
+}
+
+TEST_CASE("the connection of a head that does not end is closed in time") {
+  HttpServerLimits limits;
+  limits.head_timeout = milliseconds(200);
+  EchoServer server(limits);
+  RawClient client(server.port());
+  client.Send("GET /slow HTTP/1.1\r\nHost: a");
+  const auto started = std::chrono::steady_clock::now();
+  CHECK(client.ReadToEnd().empty());
+  CHECK(std::chrono::steady_clock::now() - started < seconds(4));
+}
+
+TEST_CASE("pipelined requests are answered in order") {
+  EchoServer server({});
+  RawClient client(server.port());
+  client.Send(
+      "GET /one HTTP/1.1\r\nHost: a\r\n\r\nGET /two HTTP/1.1\r\nHost: a\r\n"
+      "Connection: close\r\n\r\n");
+  const std::string answer = client.ReadToEnd();
+  CHECK(answer.find("echo /one") < answer.find("echo /two"));
+}
+
+TEST_CASE("a response to another request is skipped, a cut one is no answer") {
+  const std::uint16_t port = FreePort();
+  std::thread upstream([port] {
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    const int on = 1;
+    setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    listen(listener, 4);
+    for (const std::string& answers :
+         {std::string("HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 5\r\n\r\nother"
+                      "HTTP/1.1 200 OK\r\nX-Id: own\r\nContent-Length: 3\r\n\r\nown"),
+          std::string("HTTP/1.1 200 OK\r\nX-Id: own\r\nContent-Length: 30\r\n\r\ncut")}) {
+      const int fd = accept(listener, nullptr, nullptr);
+      char buffer[4096];
+      if (recv(fd, buffer, sizeof(buffer), 0) > 0) {
+        send(fd, answers.data(), answers.size(), MSG_NOSIGNAL);
+      }
+      close(fd);
+    }
+    close(listener);
+  });
+  std::this_thread::sleep_for(milliseconds(100));
+  boost::asio::io_context context(1);
+  HttpClient client(context, {});
+  std::string body;
+  bool broken = false;
+  const HttpRequest request{"GET", "/", {}, ""};
+  const auto ask = [&]() -> boost::asio::awaitable<void> {
+    const core::Endpoint peer{"127.0.0.1", port};
+    auto first = co_await client.Open(peer, HttpClient::ConnectionUse::kFresh, seconds(2));
+    co_await first->SendRequest(request);
+    const HttpResponseHead foreign = co_await first->ReadHead();
+    CHECK(foreign.headers.at("X-Id") == "other");
+    co_await first->SkipResponse();
+    const HttpResponseHead own = co_await first->ReadHead();
+    CHECK(own.headers.at("X-Id") == "own");
+    const auto piece = co_await first->ReadPiece();
+    body = piece.value_or("");
+    auto second = co_await client.Open(peer, HttpClient::ConnectionUse::kFresh, seconds(2));
+    co_await second->SendRequest(request);
+    co_await second->ReadHead();
+    try {
+      while (true) {
+        const auto next = co_await second->ReadPiece();
+        if (!next) break;
+      }
+    } catch (const ExchangeBroken&) {
+      broken = true;
+    }
+  };
+  boost::asio::co_spawn(context, ask, boost::asio::detached);
+  context.run_for(seconds(5));
+  upstream.join();
+  CHECK(body == "own");
+  CHECK(broken);
+}
+
+}  // namespace cornelrelay::net
--- a/packages/ranks/include/cornelrelay/ranks/group_leader.h
+++ b/packages/ranks/include/cornelrelay/ranks/group_leader.h
@@ -73,7 +73,7 @@
   void Perform(const balance::SendOrder& action);
   void Perform(const balance::SwitchEnded& action);
   void Perform(const balance::SwitchInherited& action);
-  void Learn(core::Endpoint engine, const balance::RankReport& report, core::Instant asked);
+  void Learn(const core::Endpoint& engine, const balance::RankReport& report, core::Instant asked);
   Member* MemberOf(balance::RankIndex rank);
   bool Switching() const;
 
--- a/packages/ranks/src/engine_link.cc
+++ b/packages/ranks/src/engine_link.cc
@@ -43,7 +43,9 @@
                                                {"reason", error.what()},
                                                {"body", response->body.substr(0, 400)}});
   }
-  if (report) co_await AddExperts(engine, *report);
+  if (report) {
+    co_await AddExperts(engine, *report);
+  }
   co_return report;
 }
 
--- a/packages/ranks/src/group_leader.cc
+++ b/packages/ranks/src/group_leader.cc
@@ -192,7 +192,7 @@
   Learn(engine, *reply->report, asked);
 }
 
-void GroupLeader::Learn(core::Endpoint engine, const balance::RankReport& report,
+void GroupLeader::Learn(const core::Endpoint& engine, const balance::RankReport& report,
                         core::Instant asked) {
   if (report.group != m_self.group || report.rank >= m_self.size || !m_leading) return;
   for (auto& [other, member] : m_members) {
--- a/packages/relay/src/fleet_view.cc
+++ b/packages/relay/src/fleet_view.cc
@@ -110,8 +110,9 @@
                                .GetCounter("cornelrelay_unreadable_items_total",
                                            "Items of the store that could not be read.")
                                .Add();
-                           if (item.upstream)
+                           if (item.upstream) {
                              entries.changes.push_back({*item.upstream, std::nullopt});
+                           }
                          },
                          [](const UnrelatedItem&) {}},
         decoded);
--- a/packages/relay/src/relay_gateway.cc
+++ b/packages/relay/src/relay_gateway.cc
@@ -35,7 +35,9 @@
     m_services.log.Warning("request_malformed", {{"reason", error.what()}});
   }
   if (!request) {
-    co_await Refuse({FailureKind::kMalformed, Execution::kNotRun, {}}, {}, response);
+    const Failure malformed{FailureKind::kMalformed, Execution::kNotRun, {}};
+    const core::RequestId unknown;
+    co_await Refuse(malformed, unknown, response);
     co_return;
   }
   const core::RequestId id = request->id;
--- a/packages/relay/src/relay_writer.cc
+++ b/packages/relay/src/relay_writer.cc
@@ -29,7 +29,9 @@
     const std::string pending = std::exchange(m_pending, {});
     co_await m_response.SendPiece(pending);
   }
-  if (std::exchange(m_finished, false)) co_await m_response.FinishStream();
+  if (std::exchange(m_finished, false)) {
+    co_await m_response.FinishStream();
+  }
 }
 
 boost::asio::awaitable<void> RelayWriter::FlushWhole() {
--- /dev/null
+++ b/tests/system/platform_stand_ins.py
@@ -0,0 +1,190 @@
+"""Stand-ins of the users' platform for tests: its store and a replica, as their protocol describes them."""
+
+import base64
+import http.server
+import json
+import socket
+import threading
+import time
+import urllib.parse
+
+
+class Server(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+    allow_reuse_address = True
+
+
+class Store:
+    """The platform's store: items with revisions, ranges, watches and conditional writes."""
+
+    def __init__(self, address):
+        self.changed = threading.Condition()
+        self.items = {}
+        self.log = []
+        self.revision = 1
+        self.down = False
+        store = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *args):
+                pass
+
+            def answer(self, status, body):
+                data = json.dumps(body).encode()
+                try:
+                    self.send_response(status)
+                    self.send_header("Content-Length", str(len(data)))
+                    self.end_headers()
+                    self.wfile.write(data)
+                except OSError:  # the process under test has ended while its watch was waiting
+                    self.close_connection = True
+
+            def do_GET(self):
+                if store.down:
+                    return self.answer(503, {})
+                url = urllib.parse.urlparse(self.path)
+                query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
+                if url.path == "/cornelrelay/kv-range":
+                    return self.answer(200, store.range(query["prefix"], query.get("after", "")))
+                if url.path == "/cornelrelay/kv-watch":
+                    return self.answer(200, store.watch(query))
+                return self.answer(404, {})
+
+            def do_POST(self):
+                body = json.loads(self.rfile.read(int(self.headers["Content-Length"] or 0)) or b"{}")
+                if store.down:
+                    return self.answer(503, {})
+                return self.answer(*store.transact(body))
+
+        self.server = Server(address, Handler)
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def stop(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+    def put(self, key, value):
+        text = value if isinstance(value, bytes) else json.dumps(value).encode()
+        with self.changed:
+            self.revision += 1
+            self.items[key] = {"key": key, "value": base64.b64encode(text).decode(), "revision": self.revision,
+                               "create_rev": self.revision, "lease": 0}
+            self.log.append(self.items[key])
+            self.changed.notify_all()
+
+    def remove(self, key):
+        with self.changed:
+            self.revision += 1
+            self.items.pop(key, None)
+            self.log.append({"key": key, "revision": self.revision, "deleted": True})
+            self.changed.notify_all()
+
+    def range(self, prefix, after):
+        with self.changed:
+            found = [self.items[k] for k in sorted(self.items) if k.startswith(prefix) and k > after]
+            return {"items": found[:3], "truncated": len(found) > 3, "current_rev": self.revision}
+
+    def watch(self, query):
+        until = time.monotonic() + int(query["wait_ms"]) / 1000
+        with self.changed:
+            while True:
+                events = [e for e in self.log if e["key"].startswith(query["prefix"])
+                          and e["revision"] > int(query["after"])]
+                left = until - time.monotonic()
+                if events or left <= 0:
+                    return {"events": events, "current_rev": self.revision}
+                self.changed.wait(left)
+
+    def transact(self, body):
+        with self.changed:
+            for row in body["precondition"]:
+                current = self.items.get(row["key"])
+                if (current["revision"] if current else 0) != row["revision"]:
+                    return 412, {"items": [current] if current else []}
+            for item in body["put_items"]:
+                self.put(item["key"], base64.b64decode(item["value"]))
+            return 200, {"revision": self.revision}
+
+
+class Replica:
+    """A replica that answers as its `plan` says: one entry for each request that it gets, the last one for all others."""
+
+    def __init__(self, name, address):
+        self.name = name
+        self.plan = ["ok"]
+        self.seen = []
+        replica = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *args):
+                pass
+
+            def head(self, status, length=None, **more):
+                self.send_response(status)
+                self.send_header("Attempt-Id", self.headers["Attempt-Id"])
+                for name, value in more.items():
+                    self.send_header(name.replace("_", "-"), value)
+                if length is not None:
+                    self.send_header("Content-Length", str(length))
+                self.end_headers()
+
+            def hang_up(self):
+                self.close_connection = True
+                self.connection.shutdown(socket.SHUT_RDWR)
+
+            def do_GET(self):
+                self.serve()
+
+            def do_POST(self):
+                self.serve()
+
+            def serve(self):
+                body = self.rfile.read(int(self.headers["Content-Length"] or 0))
+                step = replica.plan.pop(0) if len(replica.plan) > 1 else replica.plan[0]
+                replica.seen.append({"path": self.path, "body": body, "headers": dict(self.headers)})
+                if step == "refuse":
+                    return self.head(503, 0, Not_Executed="1")
+                if step == "fail":
+                    self.head(500, 4, Replica_Seal="seal-" + replica.name)
+                    return self.wfile.write(b"fail")
+                if step == "reset":
+                    return self.hang_up()
+                if step.startswith("stream"):
+                    return self.stream(step)
+                if step.startswith("slow"):
+                    time.sleep(float(step.split()[1]))
+                answer = b"answer of " + replica.name.encode()
+                self.head(200, len(answer), Replica_Seal="seal-" + replica.name)
+                return self.wfile.write(answer)
+
+            def stream(self, step):
+                """`stream N` sends events up to 6; with N it breaks off in the middle of event N."""
+                last = int(self.headers["Last-Event-Id"] or 0)
+                cut = int(step.split()[1]) if " " in step else None
+                self.head(200, Replica_Seal="seal-" + replica.name, Content_Type="text/event-stream",
+                          Transfer_Encoding="chunked")
+                for number in range(last + 1, 7):
+                    event = f"id: {number}\ndata: piece {number}\n\n".encode()
+                    if cut == number:
+                        event = event[: len(event) // 2]
+                    self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+                    self.wfile.flush()
+                    if cut == number:
+                        return self.hang_up()
+                return self.wfile.write(b"0\r\n\r\n")
+
+        self.server = Server(address, Handler)
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def stop(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+    def entry(self, service, state="ready"):
+        host, port = self.server.server_address
+        return {"service": service, "address": f"{host}:{port}", "zone": "a", "version": "v1", "slots": 4,
+                "state": state, "cold_remaining_ms": 0, "sequence": 0, "born": 1}
--- /dev/null
+++ b/tests/system/test_relay.py
@@ -0,0 +1,226 @@
+"""The entry process on the users' platform, against stand-ins of its store and replicas."""
+
+import http.client
+import pathlib
+import signal
+import socket
+import subprocess
+import tempfile
+import threading
+import time
+import unittest
+
+from platform_stand_ins import Replica, Store
+from system_case import BIN
+
+HOST = "127.0.9.1"
+
+
+def free_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for s in sockets:
+        s.bind((HOST, 0))
+    ports = [s.getsockname()[1] for s in sockets]
+    for s in sockets:
+        s.close()
+    return ports
+
+
+def route(name, kind, **more):
+    return {"name": name, "host": "shop.example", "prefix": f"/{name}/", "kind": kind, "timeout_ms": 3000,
+            "target_latency_ms": 1000, "priority": 1, "service": "svc", "max_attempts": 2, "public": False, **more}
+
+
+def configuration(version, routes, keys=("key-1",)):
+    return {"version": version, "routes": routes, "services": [{"name": "svc", "health_path": "/healthz"}],
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 100000, "header_timeout_ms": 1000,
+                       "idle_timeout_ms": 15000},
+            "tenants": [{"name": "acme", "api_keys": list(keys)}]}
+
+
+ROUTES = [route("look", "idempotent"), route("order", "non_idempotent"),
+          route("story", "streaming", stream_resume=True), route("tale", "streaming")]
+
+
+class RelayTest(unittest.TestCase):
+    def setUp(self):
+        ports = free_ports(7)
+        self.store = Store((HOST, ports[0]))
+        self.addCleanup(self.store.stop)
+        self.replicas = [Replica(f"i-{n}", (HOST, ports[1 + n])) for n in range(2)]
+        for replica in self.replicas:
+            self.addCleanup(replica.stop)
+            self.store.put("servers/" + replica.name, replica.entry("svc"))
+        self.store.put("servers/broken", b"\xff not JSON")
+        self.store.put("op/config", configuration(3, ROUTES))
+        self.callers, self.health = ports[3], ports[4]
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        settings = pathlib.Path(directory.name) / "relay.toml"
+        settings.write_text(f"""
+host_id = "relay-1"
+data_centre = "a"
+shutdown_limit_s = 6
+[listen]
+callers = "{HOST}:{ports[3]}"
+health = "{HOST}:{ports[4]}"
+peers = "{HOST}:{ports[5]}"
+metrics = "{HOST}:{ports[6]}"
+[store]
+endpoint = "{HOST}:{ports[0]}"
+[retries]
+ratio = 1.0
+slack = 200
+window_s = 10
+""")
+        self.log = open(pathlib.Path(directory.name) / "log", "wb")
+        self.addCleanup(self.log.close)
+        self.process = subprocess.Popen([f"{BIN}/cornelrelay", "relay", "--settings", str(settings)],
+                                        stdout=self.log)
+        self.addCleanup(self.end)
+        self.wait_for(lambda: self.ready() == 200)
+        # Requests earn the retries that the tests need.
+        for _ in range(20):
+            self.ask("GET", "/look/earn")
+        for replica in self.replicas:
+            replica.seen.clear()
+
+    def end(self):
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+
+    def wait_for(self, condition, limit=8.0):
+        until = time.monotonic() + limit
+        while not condition():
+            self.assertLess(time.monotonic(), until)
+            time.sleep(0.02)
+
+    def ready(self):
+        try:
+            connection = http.client.HTTPConnection(HOST, self.health, timeout=2)
+            connection.request("GET", "/")
+            return connection.getresponse().status
+        except OSError:
+            return 0
+
+    def ask(self, method, path, key="key-1", body=None, **headers):
+        connection = http.client.HTTPConnection(HOST, self.callers, timeout=6)
+        sent = {"Host": "shop.example", "Attempt-Id": "id-1", "Deadline-Ms": "3000", **headers}
+        if key:
+            sent["Api-Key"] = key
+        connection.request(method, path, body=body, headers=sent)
+        response = connection.getresponse()
+        try:
+            return response, response.read()
+        except http.client.IncompleteRead as error:
+            return response, error
+        finally:
+            connection.close()
+
+    def runs(self):
+        return sum(len(replica.seen) for replica in self.replicas)
+
+    def plan(self, *steps):
+        """The same steps for whichever replica is asked first."""
+        shared = list(steps)
+        for replica in self.replicas:
+            replica.plan = shared
+
+    def test_answer_and_headers(self):
+        response, body = self.ask("POST", "/order/7?x=1", body=b"payload", Tenant="forged")
+        self.assertEqual(response.status, 200)
+        self.assertRegex(body, b"answer of i-[01]")
+        self.assertTrue(response.getheader("Replica-Seal").startswith("seal-i-"))
+        seen = [s for replica in self.replicas for s in replica.seen][0]
+        self.assertEqual((seen["path"], seen["body"]), ("/order/7?x=1", b"payload"))
+        self.assertEqual(seen["headers"]["Tenant"], "acme")
+        self.assertNotIn("Api-Key", seen["headers"])
+        self.assertRegex(seen["headers"]["Expect-Replica"], "i-[01]")
+        self.assertLessEqual(int(seen["headers"]["Deadline-Ms"]), 3000)
+
+    def test_configuration_decides(self):
+        self.assertEqual(self.ask("GET", "/none/")[0].status, 404)
+        self.assertEqual(self.ask("GET", "/look/x", key="other")[0].status, 401)
+        self.store.put("op/config", configuration(5, ROUTES + [route("new", "idempotent")], ("key-2",)))
+        self.wait_for(lambda: self.ask("GET", "/new/x", key="key-2")[0].status == 200, 2.0)
+        self.assertEqual(self.ask("GET", "/look/x")[0].status, 401)
+        self.store.put("op/config", configuration(4, ROUTES))
+        time.sleep(0.3)
+        self.assertEqual(self.ask("GET", "/new/x", key="key-2")[0].status, 200)
+
+    def test_non_idempotent_runs_once(self):
+        self.plan("reset", "ok")
+        self.assertEqual(self.ask("POST", "/order/1", body=b"x")[0].status, 502)
+        self.assertEqual(self.runs(), 1)
+
+    def test_refusals_are_repeated_and_told_truly(self):
+        self.plan("refuse", "ok")
+        self.assertEqual(self.ask("POST", "/order/1", body=b"x")[0].status, 200)
+        self.plan("refuse")
+        response, _ = self.ask("POST", "/order/2", body=b"x")
+        self.assertEqual(response.status, 503)
+
+    def test_idempotent_is_repeated_once(self):
+        self.plan("fail", "ok")
+        self.assertEqual(self.ask("GET", "/look/1")[0].status, 200)
+        self.plan("fail")
+        response, body = self.ask("GET", "/look/2")
+        self.assertEqual((response.status, body), (500, b"fail"))
+        self.assertTrue(response.getheader("Replica-Seal").startswith("seal-i-"))
+
+    def test_stream_goes_on_elsewhere(self):
+        self.plan("stream 4", "stream")
+        response, body = self.ask("POST", "/story/1", body=b"x")
+        self.assertEqual(response.status, 200)
+        self.assertEqual(body, b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 7)))
+
+    def test_broken_stream_ends_as_broken(self):
+        self.plan("stream 4", "stream")
+        _, body = self.ask("POST", "/tale/1", body=b"x")
+        self.assertIsInstance(body, http.client.IncompleteRead)
+        self.assertEqual(self.runs(), 1)
+
+    def test_deadline_of_the_route(self):
+        self.plan("slow 5")
+        started = time.monotonic()
+        response, _ = self.ask("POST", "/order/1", body=b"x")
+        self.assertEqual(response.status, 504)
+        self.assertLess(time.monotonic() - started, 3.5)
+
+    def test_draining_replica_gets_nothing(self):
+        leaving = self.replicas[0]
+        self.store.put("servers/" + leaving.name, leaving.entry("svc", "draining"))
+        time.sleep(0.5)
+        leaving.seen.clear()
+        for _ in range(20):
+            self.assertEqual(self.ask("GET", "/look/1")[0].status, 200)
+        self.assertEqual(leaving.seen, [])
+
+    def test_serves_on_while_the_store_is_away(self):
+        self.store.down = True
+        time.sleep(2.5)
+        self.assertEqual(self.ready(), 200)
+        self.assertEqual(self.ask("GET", "/look/1")[0].status, 200)
+        self.assertEqual(self.ask("GET", "/none/1")[0].status, 503)
+        self.store.down = False
+        self.store.put("op/config", configuration(9, ROUTES + [route("late", "idempotent")]))
+        self.wait_for(lambda: self.ask("GET", "/late/1")[0].status == 200, 3.0)
+
+    def test_shutdown_cuts_nothing(self):
+        self.plan("slow 1.5")
+        results = []
+        running = threading.Thread(target=lambda: results.append(self.ask("POST", "/order/1", body=b"x")[0].status))
+        running.start()
+        self.wait_for(lambda: self.runs() == 1)
+        self.process.send_signal(signal.SIGTERM)
+        self.wait_for(lambda: self.ready() == 503, 1.0)
+        self.plan("ok")
+        self.assertEqual(self.ask("GET", "/look/1")[0].status, 200)
+        running.join()
+        self.assertEqual(results, [200])
+        self.assertEqual(self.process.wait(8), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
