--- a/packages/ranks/src/rank_process.cc
+++ b/packages/ranks/src/rank_process.cc
@@ -161,7 +161,8 @@
   if (call.engine) co_return reply;
   reply.report = co_await m_engines.Report(m_settings.engine);
   if (call.want_picks) {
-    for (const std::uint64_t count : co_await m_engines.Picks(m_settings.engine)) {
+    const std::vector<std::uint64_t> picks = co_await m_engines.Picks(m_settings.engine);
+    for (const std::uint64_t count : picks) {
       reply.picks.push_back(static_cast<std::uint16_t>(count));
     }
   }
--- a/packages/relay/src/relay_task.cc
+++ b/packages/relay/src/relay_task.cc
@@ -342,14 +342,14 @@
                   {{"service", service}})
       .Add(static_cast<std::uint64_t>(action.attempts));
   metrics
-      .GetLatency("cornelrelay_request_seconds", "Time from a request to the end of its answer.",
-                  {{"service", service}})
-      .Observe(now, action.elapsed);
+      .GetHistogram("cornelrelay_request_seconds", "Time from a request to the end of its answer.",
+                    {{"service", service}, {"outcome", outcome}})
+      .Observe(action.elapsed);
   if (!m_first_output) return;
   metrics
-      .GetLatency("cornelrelay_first_output_seconds", "Time from a request to its first output.",
-                  {{"service", service}})
-      .Observe(now, first_output);
+      .GetHistogram("cornelrelay_first_output_seconds", "Time from a request to its first output.",
+                    {{"service", service}})
+      .Observe(first_output);
 }
 
 boost::asio::awaitable<void> RelayTask::Flush() {
--- a/packages/telemetry/include/cornelrelay/telemetry/metric_registry.h
+++ b/packages/telemetry/include/cornelrelay/telemetry/metric_registry.h
@@ -10,6 +10,7 @@
 #include "cornelrelay/telemetry/counter.h"
 #include "cornelrelay/telemetry/gauge.h"
 #include "cornelrelay/telemetry/labels.h"
+#include "cornelrelay/telemetry/latency_histogram.h"
 #include "cornelrelay/telemetry/latency_summary.h"
 
 namespace cornelrelay::telemetry {
@@ -37,6 +38,10 @@
   LatencySummary& GetLatency(const std::string& name, const std::string& help,
                              const Labels& labels = {});
 
+  /// \param name ends in `_seconds`
+  LatencyHistogram& GetHistogram(const std::string& name, const std::string& help,
+                                 const Labels& labels = {});
+
   std::string Render(core::Instant now) const;
 
  private:
@@ -45,7 +50,8 @@
     std::string help;
     std::map<Labels, std::unique_ptr<Metric>> series;
   };
-  using AnyFamily = std::variant<Family<Counter>, Family<Gauge>, Family<LatencySummary>>;
+  using AnyFamily = std::variant<Family<Counter>, Family<Gauge>, Family<LatencySummary>,
+                                 Family<LatencyHistogram>>;
 
   template <class Metric>
   Metric& Get(const std::string& name, const std::string& help, const Labels& labels);
@@ -56,6 +62,8 @@
                            core::Instant now);
   static void RenderFamily(std::string& out, const std::string& name,
                            const Family<LatencySummary>& family, core::Instant now);
+  static void RenderFamily(std::string& out, const std::string& name,
+                           const Family<LatencyHistogram>& family, core::Instant now);
 
   std::size_t m_max_series;
   std::size_t m_series = 0;
--- a/packages/telemetry/src/metric_registry.cc
+++ b/packages/telemetry/src/metric_registry.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <nlohmann/json.hpp>
 #include <string_view>
 
 #include "cornelrelay/telemetry/metric_conflict.h"
@@ -100,6 +101,12 @@
   return Get<LatencySummary>(name, help, labels);
 }
 
+LatencyHistogram& MetricRegistry::GetHistogram(const std::string& name, const std::string& help,
+                                               const Labels& labels) {
+  assert(name.ends_with("_seconds"));
+  return Get<LatencyHistogram>(name, help, labels);
+}
+
 std::string MetricRegistry::Render(core::Instant now) const {
   std::string out;
   for (const auto& entry : m_families) {
@@ -142,4 +149,21 @@
   out += mean + max;
 }
 
+void MetricRegistry::RenderFamily(std::string& out, const std::string& name,
+                                  const Family<LatencyHistogram>& family, core::Instant) {
+  RenderHead(out, name, family.help, "histogram");
+  for (const auto& [labels, metric] : family.series) {
+    const auto& bounds = LatencyHistogram::kBounds;
+    for (std::size_t i = 0; i < bounds.size(); ++i) {
+      const std::string bound =
+          nlohmann::json(std::chrono::duration<double>(bounds[i]).count()).dump();
+      RenderLine(out, name + "_bucket", With(labels, "le", bound), metric->UpTo(i));
+    }
+    const std::uint64_t all = metric->UpTo(bounds.size());
+    RenderLine(out, name + "_bucket", With(labels, "le", "+Inf"), all);
+    RenderLine(out, name + "_sum", labels, metric->sum_seconds());
+    RenderLine(out, name + "_count", labels, all);
+  }
+}
+
 }  // namespace cornelrelay::telemetry
--- a/packages/telemetry/tests/metrics_test.cc
+++ b/packages/telemetry/tests/metrics_test.cc
@@ -91,4 +91,18 @@
   CHECK(summary.sum_seconds() == 15);
 }
 
+TEST_CASE("a histogram counts each latency in its bucket and all above") {
+  MetricRegistry registry;
+  LatencyHistogram& histogram = registry.GetHistogram("x_seconds", "Help.");
+  histogram.Observe(std::chrono::milliseconds(120));
+  histogram.Observe(std::chrono::milliseconds(121));
+  histogram.Observe(std::chrono::seconds(60));
+  const std::string text = registry.Render({});
+  CHECK(text.find("x_seconds_bucket{le=\"0.05\"} 0\n") != std::string::npos);
+  CHECK(text.find("x_seconds_bucket{le=\"0.12\"} 1\n") != std::string::npos);
+  CHECK(text.find("x_seconds_bucket{le=\"0.2\"} 2\n") != std::string::npos);
+  CHECK(text.find("x_seconds_bucket{le=\"+Inf\"} 3\n") != std::string::npos);
+  CHECK(text.find("x_seconds_count 3\n") != std::string::npos);
+}
+
 }  // namespace cornelrelay::telemetry
