Hold a map proposal back while the shift of demand is still growing

Cause: at a shift of demand the window in progress holds only its last part. The leader proposed a map for a load of the busiest rank of 1.2 to 1.3 times the mean; that switch took 0.3 to 0.45 s, and the proposal for the whole shift (2.0 to 3.6 times the mean) had to wait for its end.

Now a load that grew by more than 0.1 since the last window is not acted on below 1.8.

--- a/packages/ranks/include/cornelrelay/ranks/group_demand.h
+++ b/packages/ranks/include/cornelrelay/ranks/group_demand.h
@@ -22,6 +22,12 @@
   /// Copies that a rank loads for one switch, over all sets. They come one after the other, and
   /// until the last one the group goes on with the old map.
   std::size_t copies_per_rank = 3;
+  /// A load of the busiest rank over the mean that grew by more than this since the last window is
+  /// still growing: the window saw only a part of a shift.
+  double growing = 0.1;
+  /// From this load of the busiest rank over the mean on, a switch does not wait for the shift to
+  /// end: the growth up to here has shown most of it.
+  double urgent = 1.8;
 };
 
 /// \brief A map and what it is expected to bring.
@@ -46,8 +52,9 @@
   /// \brief Ends a window of counts.
   void EndWindow();
 
-  /// \brief A better map, if there is one worth its copies.
-  std::optional<MapProposal> Propose(const balance::LayerMap& current) const;
+  /// \brief A better map, if there is one worth its copies. Asked once for each window; while the
+  /// load still shifts there is none, since a switch holds back the next one.
+  std::optional<MapProposal> Propose(const balance::LayerMap& current);
 
  private:
   struct Baseline {
@@ -59,6 +66,7 @@
   std::map<std::uint32_t, Baseline> m_baselines;
   std::vector<std::vector<double>> m_window;
   std::vector<placement::DemandEstimate> m_estimates;
+  std::optional<double> m_last_before;  ///< MapProposal::before of the window before
 };
 
 }  // namespace cornelrelay::ranks
--- a/packages/ranks/src/group_demand.cc
+++ b/packages/ranks/src/group_demand.cc
@@ -1,6 +1,7 @@
 #include "cornelrelay/ranks/group_demand.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cornelrelay::ranks {
 
@@ -29,7 +30,7 @@
   }
 }
 
-std::optional<MapProposal> GroupDemand::Propose(const balance::LayerMap& current) const {
+std::optional<MapProposal> GroupDemand::Propose(const balance::LayerMap& current) {
   if (current.size() != m_config.sets) return std::nullopt;
   MapProposal proposal;
   proposal.before = proposal.after = 0;
@@ -45,6 +46,9 @@
     proposal.after += plan.after / static_cast<double>(m_config.sets);
     proposal.map.push_back(plan.layout.ranks());
   }
+  const std::optional<double> last = std::exchange(m_last_before, proposal.before);
+  const bool growing = last && proposal.before - *last > m_config.growing;
+  if (growing && proposal.before < m_config.urgent) return std::nullopt;
   if (proposal.before - proposal.after < m_config.least_gain) return std::nullopt;
   return proposal;
 }
