--- a/packages/bench/src/capacity/claims_world.cc
+++ b/packages/bench/src/capacity/claims_world.cc
@@ -176,8 +176,9 @@
                            }
                            After(m_options.store_delay, [this, host, a] {
                              const auto reply = m_store.Handle(m_now, ++m_transmissions, a.request);
-                             if (reply)
+                             if (reply) {
                                StepStore(host, store::ReplyReceived{a.transmission, *reply});
+                             }
                            });
                          },
                          [](const store::AbandonTransmission&) {},
