--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -12,6 +12,11 @@
 /// Upstreams whose load differs by less than this part of a place count as equal. Processes that
 /// choose at the same moment then spread over them.
 constexpr double kEqualLoad = 0.75;
+/// Share of the target latency that a request may wait even where the first output usually takes
+/// the whole target: a late answer is worth more to a caller than a refusal.
+constexpr double kLeastWaitShare = 0.1;
+/// A caller that is told less comes back within the round trip of its refusal.
+constexpr std::chrono::milliseconds kLeastRetryAfter{100};
 
 void Blend(core::Duration& mean, core::Duration sample) {
   mean += core::Duration(
@@ -93,7 +98,7 @@
   }
   const core::Duration slack = event.target_latency - m_first_output;
   const core::Duration patience =
-      std::max(Scale(slack, m_config.wait_share), Scale(event.target_latency, 0.1));
+      std::max(Scale(slack, m_config.wait_share), Scale(event.target_latency, kLeastWaitShare));
   Waiting waiting{event, now, std::min(now + patience, event.deadline)};
   const core::Duration wait = ExpectedWait(event);
   if (now + wait > waiting.start_by) {
@@ -266,7 +271,7 @@
 
 // Those who are refused together must not come back together.
 core::Duration Dispatcher::Spread(core::Duration least) {
-  const core::Duration base = std::max<core::Duration>(least, std::chrono::milliseconds(100));
+  const core::Duration base = std::max<core::Duration>(least, kLeastRetryAfter);
   return Scale(base, 1 + m_random.Unit());
 }
 
--- a/packages/placement/src/layout_planner.cc
+++ b/packages/placement/src/layout_planner.cc
@@ -12,13 +12,16 @@
 /// Steps that gain less than this are rounding.
 constexpr double kLeastGain = 1e-9;
 
+/// Exponent of Power, whose four squarings it counts.
+constexpr double kPower = 16;
+
 // A high power follows the busiest rank, but still falls when one of several equally busy ranks
 // improves.
 double Power(double x) {
   const double x2 = x * x, x4 = x2 * x2, x8 = x4 * x4;
   return x8 * x8;
 }
-double Root(double sum) { return std::pow(sum, 1.0 / 16); }
+double Root(double sum) { return std::pow(sum, 1 / kPower); }
 
 double Busiest(const std::vector<double>& times) {
   return times.empty() ? 1 : *std::max_element(times.begin(), times.end());
--- a/packages/ranks/src/rank_process.cc
+++ b/packages/ranks/src/rank_process.cc
@@ -24,6 +24,12 @@
 constexpr milliseconds kStaggerPerRank{15};
 constexpr milliseconds kLongestStagger{600};
 constexpr milliseconds kConnectTimeout{150};
+/// An answer of the store that is later counts as lost; the lease outlasts some such calls.
+constexpr milliseconds kStoreCallTimeout{800};
+/// Longest pause before the store is asked again, so that a leader is found soon after its return.
+constexpr milliseconds kStoreBackoffCeiling{500};
+/// Calls of this much time may be made at once after a pause.
+constexpr int kStoreBurstSeconds = 2;
 constexpr int kStatusBadRequest = 400;
 
 net::HttpClientLimits ClientLimits() {
@@ -35,11 +41,11 @@
 store::StoreClientOptions StoreOptions(const settings::RankSettings& settings) {
   store::StoreClientOptions options;
   options.calls_per_second = settings.store_calls_per_second;
-  options.burst = 2 * settings.store_calls_per_second;
-  options.call_timeout = milliseconds(800);
-  options.watch_timeout = kSeatWatch + milliseconds(800);
+  options.burst = kStoreBurstSeconds * settings.store_calls_per_second;
+  options.call_timeout = kStoreCallTimeout;
+  options.watch_timeout = kSeatWatch + kStoreCallTimeout;
   options.attempts = 1;  // the users of the link repeat
-  options.backoff_ceiling = milliseconds(500);
+  options.backoff_ceiling = kStoreBackoffCeiling;
   return options;
 }
 
--- a/packages/relay/src/relay_process.cc
+++ b/packages/relay/src/relay_process.cc
@@ -30,6 +30,16 @@
 /// An upstream that does not announce how long it keeps an idle connection keeps it for less than a
 /// second.
 constexpr milliseconds kUnannouncedIdle{250};
+/// The store stands in one data centre; a connection to it may need a retransmission.
+constexpr milliseconds kStoreConnectTimeout{500};
+/// An answer of the store that is later counts as lost.
+constexpr milliseconds kStoreCallTimeout{1'000};
+/// The wait of a watch plus a slow answer.
+constexpr milliseconds kStoreWatchTimeout{2'300};
+/// Longest pause before the store is asked again: entries must be back 2 s after its return.
+constexpr milliseconds kStoreBackoffCeiling{500};
+/// Calls of this much time may be made at once after a pause.
+constexpr int kStoreBurstSeconds = 2;
 /// Sockets for a request: caller, upstream, and one kept idle.
 constexpr std::uint32_t kDescriptorsPerCaller = 3;
 constexpr std::uint32_t kReservedDescriptors = 300;
@@ -46,19 +56,18 @@
 
 net::HttpClientLimits StoreClientLimits() {
   net::HttpClientLimits limits;
-  limits.connect_timeout = milliseconds(500);
+  limits.connect_timeout = kStoreConnectTimeout;
   return limits;
 }
 
 store::StoreClientOptions StoreOptions(const settings::RelaySettings& settings) {
   store::StoreClientOptions options;
   options.calls_per_second = settings.store_calls_per_second;
-  options.burst = 2 * settings.store_calls_per_second;
-  options.call_timeout = milliseconds(1'000);
-  // The wait of a watch plus a slow answer.
-  options.watch_timeout = milliseconds(2'300);
+  options.burst = kStoreBurstSeconds * settings.store_calls_per_second;
+  options.call_timeout = kStoreCallTimeout;
+  options.watch_timeout = kStoreWatchTimeout;
   options.attempts = 1;  // the users of the link repeat
-  options.backoff_ceiling = milliseconds(500);
+  options.backoff_ceiling = kStoreBackoffCeiling;
   return options;
 }
 
