--- a/apps/cornelrelay-agent.cc
+++ b/apps/cornelrelay-agent.cc
@@ -2,9 +2,7 @@
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <csignal>
-#include <functional>
 #include <iostream>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -13,6 +11,7 @@
 #include "cornelrelay/agent/agent_process.h"
 #include "cornelrelay/platform/rank_command.h"
 #include "cornelrelay/runtime/process_setup.h"
+#include "cornelrelay/runtime/signal_loop.h"
 #include "cornelrelay/settings/invalid_settings.h"
 
 namespace {
@@ -26,21 +25,16 @@
                          std::make_shared<spdlog::sinks::stderr_sink_mt>());
   boost::asio::io_context context(1);
   cornelrelay::agent::AgentProcess process(context, settings, log,
-                                           cornelrelay::runtime::SeedOf(settings.common));
+                                           cornelrelay::runtime::SeedOf(settings.common.seed));
   process.Start();
-  boost::asio::signal_set signals(context, SIGTERM, SIGINT, SIGUSR1);
-  std::function<void()> wait = [&] {
-    signals.async_wait([&](const boost::system::error_code& ec, int signal) {
-      if (ec) return;
-      if (signal == SIGUSR1) {
-        std::cout << process.Dump().dump() << std::endl;
-      } else {
-        process.Shutdown();
-      }
-      wait();
-    });
-  };
-  wait();
+  const cornelrelay::runtime::SignalLoop signals(
+      context, {SIGTERM, SIGINT, SIGUSR1}, [&](int signal) {
+        if (signal == SIGUSR1) {
+          std::cout << process.Dump().dump() << std::endl;
+        } else {
+          process.Shutdown();
+        }
+      });
   context.run();
   log.Flush();
   return 0;
@@ -52,11 +46,10 @@
   CLI::App app("Agent beside one upstream; SIGUSR1 prints its state, SIGTERM drains the upstream");
   std::string file;
   auto* settings = app.add_option("--settings", file, "TOML settings file");
-  int exit_code = 0;
   try {
-    cornelrelay::platform::AddRankCommand(app, exit_code);
+    cornelrelay::platform::AddRankCommand(app);
     app.parse(argc, argv);
-    if (!app.get_subcommands().empty()) return exit_code;
+    if (!app.get_subcommands().empty()) return 0;
     if (settings->count() == 0) throw CLI::RequiredError("--settings");
     return Run(file);
   } catch (const CLI::ParseError& error) {
--- a/apps/cornelrelay.cc
+++ b/apps/cornelrelay.cc
@@ -13,7 +13,7 @@
   app.require_subcommand(1);
   int exit_code = 0;
   entry::AddServeCommand(app, exit_code);
-  cornelrelay::platform::AddRelayCommand(app, exit_code);
+  cornelrelay::platform::AddRelayCommand(app);
   entry::AddCheckCommand(app, exit_code);
   entry::AddProfileCommands(app, exit_code);
   entry::AddInspectCommands(app, exit_code);
--- a/packages/balance/include/cornelrelay/balance/switch_leader.h
+++ b/packages/balance/include/cornelrelay/balance/switch_leader.h
@@ -1,34 +1,25 @@
 #pragma once
 
-#include <bitset>
 #include <chrono>
-#include <cstddef>
 #include <cstdint>
 #include <optional>
-#include <set>
-#include <utility>
-#include <variant>
 #include <vector>
 
+#include "cornelrelay/balance/order_book.h"
+#include "cornelrelay/balance/pass_picker.h"
+#include "cornelrelay/balance/rank_book.h"
 #include "cornelrelay/balance/switch_messages.h"
 
 namespace cornelrelay::balance {
 
 struct SwitchLeaderConfig {
   RankIndex ranks = 1;
-  RankIndex self = 0;                                             ///< rank of this process
-  core::Duration order_timeout = std::chrono::milliseconds(150);  ///< then it counts as unanswered
-  core::Duration resend_pause = std::chrono::milliseconds(30);
-  core::Duration poll_pause = std::chrono::milliseconds(30);  ///< while ranks load a map
+  RankIndex self = 0;  ///< rank of this process
+  OrderBookConfig orders;
   core::Duration prepare_limit = std::chrono::seconds(4);
   core::Duration check_limit = std::chrono::milliseconds(150);
   core::Duration arm_limit = std::chrono::milliseconds(1'000);
-  /// The pass of a switch lies this far ahead, so that all ranks are usually armed before it is
-  /// due. An order takes a round trip and a call to the engine.
-  core::Duration lead_time = std::chrono::milliseconds(30);
-  /// The same while orders go unanswered.
-  core::Duration careful_lead_time = std::chrono::milliseconds(120);
-  core::Duration careful_for = std::chrono::seconds(8);
+  PassPickerConfig passes;
   core::Duration usual_pass = std::chrono::milliseconds(50);
 };
 
@@ -38,21 +29,19 @@
 /// armed, or when no rank can switch any more. Orders may be lost, carried out late, or doubled:
 ///
 /// - A version is never used for two maps, so that a late load cannot change what is armed.
-/// - The order to hold is given by another host than those that are needed to release the pass, as
-/// a
-///   host may stop just after it has acted. No rank is armed before all have answered once more.
+/// - The order to hold is given by another host than those that are needed to release the pass (see
+///   HoldGiver), which may stop just after it has acted. No rank is armed before all have answered
+///   once more.
 /// - A hold counts only if no release of that pass was ever sent to that rank, because the release
 ///   may still be on its way.
 /// - Before a held pass is released after a failed switch, every rank has loaded a newer version of
 ///   the map in use; a late order to arm the failed version is then refused.
 /// - A state is used only if it was asked for after the last one had come. A state that overtakes a
-/// newer
-///   one could show a hold that is released already.
+///   newer one could show a hold that is released already.
 /// - A new leader first learns the state of all ranks, which makes their gates refuse its
-/// predecessor,
-///   and holds the pass at another rank than they did, so that a release by its predecessor has no
-///   effect. A leader may therefore go on when its lease has lapsed, until a rank tells it of a
-///   newer one.
+///   predecessor, and holds the pass at another rank than they did, so that a release by its
+///   predecessor has no effect. A leader may therefore go on when its lease has lapsed, until a
+///   rank tells it of a newer one.
 ///
 /// \code
 /// SwitchLeader leader(config);
@@ -81,27 +70,23 @@
   Phase phase() const { return m_phase; }
   Fence fence() const { return m_fence; }
   /// \brief The map in use, if all ranks have told it and have the same.
-  std::optional<LayerMap> MapInUse() const;
+  std::optional<LayerMap> MapInUse() const { return m_ranks.MapInUse(); }
+  /// \brief Something is asked of the ranks, so that SwitchTick is due soon.
+  bool Busy() const { return m_phase != Phase::kFollowing && m_phase != Phase::kIdle; }
   /// \brief No switch is under way or due, so that a map can be wanted.
-  bool Settled() const { return m_phase == Phase::kIdle && !AnyArmed() && AllOpen(); }
+  bool Settled() const {
+    return m_phase == Phase::kIdle && !m_ranks.AnyArmed() && m_ranks.AllOpen();
+  }
   /// \brief State of a rank in the present epoch; none before it is known.
-  const std::optional<RankState>& state(RankIndex rank) const { return m_ranks[rank].state; }
-  core::Duration pass_time() const { return m_pass_time; }
+  const std::optional<RankState>& state(RankIndex rank) const { return m_ranks.state(rank); }
+  core::Duration pass_time() const { return m_ranks.pass_time(); }
 
  private:
-  struct Rank {
-    std::optional<RankState> state;
-    core::Instant observed{};
-    bool outstanding = false;
-    core::Instant sent{};
-    std::uint64_t sent_in = 0;               ///< number of the phase of the last order
-    std::optional<OrderResult> last_result;  ///< of an order in the present phase
-    bool unanswered = false;                 ///< an order of the phase had no answer
-    std::size_t sent_kind = 0;               ///< index of the last order
-    std::bitset<std::variant_size_v<RankOrder>> accepted;  ///< kinds that began in the phase
-  };
   using Actions = std::vector<SwitchAction>;
 
+  /// Versions that one leader may use; the fence makes those of different leaders differ.
+  static constexpr MapVersion kVersionsPerFence = 4'096;
+
   void Apply(core::Instant now, const LeadershipGained& event, Actions& out);
   void Apply(core::Instant now, const LeadershipLost& event, Actions& out);
   void Apply(core::Instant now, const RankObserved& event, Actions& out);
@@ -112,6 +97,7 @@
   void Observe(core::Instant now, RankIndex rank, const RankState& state, core::Instant asked,
                Actions& out);
   void Advance(core::Instant now, Actions& out);
+  void Continue(core::Instant now, Actions& out);
   void Survey(core::Instant now, Actions& out);
   void BeginWanted(core::Instant now);
   void Prepare(core::Instant now, Actions& out);
@@ -122,36 +108,20 @@
   void Abort(core::Instant now, Actions& out);
   void Release(core::Instant now, Actions& out);
 
+  bool Switching() const { return Busy() && m_phase != Phase::kSurvey; }
   void Enter(core::Instant now, Phase phase);
   void End(core::Instant now, SwitchOutcome outcome, Actions& out);
   void BeginAbort(core::Instant now);
-  bool MaySend(core::Instant now, const Rank& rank, core::Duration pause) const;
-  /// \brief Sends if an order may be sent to the rank now.
-  void Send(core::Instant now, RankIndex index, RankOrder order, Actions& out);
-  void Poll(core::Instant now, RankIndex index, Actions& out);
-  void Poll(core::Instant now, RankIndex index, Actions& out, core::Duration pause);
-  void Give(core::Instant now, RankIndex index, RankOrder order, Actions& out);
   void SendHold(core::Instant now, Actions& out);
-  RankIndex HoldGiver() const;
-  MapVersion NextVersion();
-  StepIndex LatestStep() const;
-  StepIndex StepAhead(core::Instant now) const;
-  /// \brief The pass that a rank holds and that has not begun.
-  std::optional<StepIndex> HeldAt(RankIndex rank) const;
-  std::optional<StepIndex> UnfinishedStep() const;
-  bool AllPrepared(MapVersion version) const;
-  /// \brief The switch that all ranks are armed for, if it is the same.
-  std::optional<ArmedMap> ArmedByAll() const;
-  bool AnyArmed() const;
-  bool AllOpen() const;
+  MapVersion NextVersion() { return m_fence * kVersionsPerFence + ++m_versions; }
 
   SwitchLeaderConfig m_config;
   Phase m_phase = Phase::kFollowing;
   Fence m_fence = 0;
   RankIndex m_anchor = 0;  ///< rank at which passes are held; depends on the fence
-  std::set<std::pair<RankIndex, StepIndex>> m_released;  ///< passes released in this epoch
-  std::uint64_t m_epoch = 0;
-  std::vector<Rank> m_ranks;
+  RankBook m_ranks;
+  OrderBook m_orders;
+  PassPicker m_passes;
   std::optional<LayerMap> m_wanted;
   LayerMap m_former;  ///< map in use when the switch began
   LayerMap m_map;     ///< of the switch under way
@@ -160,11 +130,8 @@
   StepIndex m_step = 0;
   std::uint32_t m_versions = 0;  ///< used under this fence
   core::Instant m_phase_since{};
-  std::uint64_t m_phase_number = 0;
   core::Instant m_switch_since{};
   bool m_forward = true;  ///< the release completes the switch
-  std::optional<core::Instant> m_unanswered;
-  core::Duration m_pass_time;
 };
 
 }  // namespace cornelrelay::balance
--- a/packages/dispatch/include/cornelrelay/dispatch/dispatcher.h
+++ b/packages/dispatch/include/cornelrelay/dispatch/dispatcher.h
@@ -10,24 +10,20 @@
 #include "cornelrelay/core/random.h"
 #include "cornelrelay/dispatch/dispatch_action.h"
 #include "cornelrelay/dispatch/dispatch_event.h"
-#include "cornelrelay/dispatch/upstream_health.h"
+#include "cornelrelay/dispatch/upstream_pool.h"
 #include "cornelrelay/limits/fair_queue.h"
 
 namespace cornelrelay::dispatch {
 
 struct DispatcherConfig {
   std::uint64_t seed = 0;
-  HealthConfig health{};
+  UpstreamPoolConfig upstreams{};
   /// Assumed time of a request on its upstream before the first one ends.
   core::Duration usual_hold = std::chrono::milliseconds(100);
   /// Assumed time to the first output before the first one comes.
   core::Duration usual_first_output = std::chrono::milliseconds(50);
-  /// Prompt tokens that load an upstream as much as a generating request does.
-  double prompt_tokens_per_place = 800;
   /// Share of the time to the target that a request may wait for a place.
   double wait_share = 0.9;
-  /// How long an upstream that waits for another one gets nothing before it is tried again.
-  core::Duration block_time = std::chrono::milliseconds(300);
   /// Retry-after while all upstreams wait for one that is away; members of a group take about this
   /// long to form it again.
   core::Duration blocked_retry = std::chrono::milliseconds(2'200);
@@ -35,9 +31,8 @@
 
 /// \brief Decides for the requests of one service who waits, who is refused and where work goes.
 ///
-/// An upstream takes as many requests as it has slots, counting those of all entry processes. When
-/// all are full, requests wait in order of priority and account, as long as they can still start in
-/// time; others are refused at once with the time at which there will be room.
+/// When all upstreams are full, requests wait in order of priority and account, as long as they can
+/// still start in time; others are refused at once with the time at which there will be room.
 ///
 /// \code
 /// Dispatcher dispatcher(config);
@@ -53,25 +48,14 @@
   std::optional<core::Instant> NextWake() const;
 
   /// \brief Requests of this process on each upstream.
-  std::map<core::UpstreamId, std::uint32_t> InFlight() const;
+  std::map<core::UpstreamId, std::uint32_t> InFlight() const { return m_upstreams.InFlight(); }
   std::size_t waiting() const { return m_queue.size(); }
   core::Duration hold() const { return m_hold; }
   core::Duration first_output() const { return m_first_output; }
   /// \brief When some request of the service last gave output.
-  core::Instant last_output() const { return m_last_output; }
+  core::Instant last_output() const { return m_upstreams.last_output(); }
 
  private:
-  struct Upstream {
-    explicit Upstream(UpstreamSpec s, const HealthConfig& config)
-        : spec(std::move(s)), health(config) {}
-    UpstreamSpec spec;
-    UpstreamHealth health;
-    bool listed = true;
-    std::uint32_t own = 0;
-    std::uint32_t peers = 0;
-    double prompt_tokens = 0;                    ///< of own requests without output so far
-    std::optional<core::Instant> blocked_until;  ///< waits for another upstream; cleared by output
-  };
   struct Waiting {
     RequestArrived arrival;
     core::Instant arrived;
@@ -93,33 +77,24 @@
   void Apply(core::Instant now, const AttemptEnded& event, Actions& out);
   void Apply(core::Instant now, const DispatchTick& event, Actions& out);
 
-  Upstream* Choose(core::Instant now, const std::set<core::UpstreamId>& excluded);
-  bool HasRoom(const Upstream& upstream) const;
-  bool Admits(core::Instant now, const Upstream& upstream) const;
-  double Load(const Upstream& upstream) const;
-  bool AllBlocked(core::Instant now) const;
   core::Duration ExpectedWait(const RequestArrived& event) const;
   core::Duration Spread(core::Duration least);
-  void Assign(core::Instant now, Upstream& upstream, const Waiting& waiting, Actions& out);
+  void Assign(core::Instant now, const core::UpstreamId& upstream, const Waiting& waiting,
+              Actions& out);
   void Reject(const core::RequestId& request, RejectReason reason, core::Duration wait,
               core::Duration retry_after, Actions& out);
   void Pump(core::Instant now, Actions& out);
   void RejectOverdue(core::Instant now, Actions& out);
-  void NoteResult(core::Instant now, Upstream& upstream, AttemptEnd end, Actions& out);
-  void NoteBlocked(core::Instant now, Upstream& upstream, Actions& out);
-  void SetBlocked(bool blocked, Actions& out);
 
   DispatcherConfig m_config;
   core::Random m_random;
-  std::map<core::UpstreamId, Upstream> m_upstreams;
+  UpstreamPool m_upstreams;
   std::map<core::RequestId, Waiting> m_waiting;
   std::map<core::RequestId, Running> m_running;
   limits::FairQueue m_queue;
   std::uint32_t m_peers_waiting = 0;
   core::Duration m_hold;
   core::Duration m_first_output;
-  core::Instant m_last_output{};
-  bool m_blocked = false;
 };
 
 }  // namespace cornelrelay::dispatch
--- /dev/null
+++ b/packages/dispatch/src/upstream_pool.cc
@@ -0,0 +1,196 @@
+#include "cornelrelay/dispatch/upstream_pool.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace cornelrelay::dispatch {
+namespace {
+
+/// Upstreams whose load differs by less than this part of a place count as equal. Processes that
+/// choose at the same moment then spread over them.
+constexpr double kEqualLoad = 0.75;
+
+}  // namespace
+
+void UpstreamPool::Set(const std::vector<UpstreamSpec>& upstreams) {
+  for (auto& [id, upstream] : m_upstreams) upstream.listed = false;
+  for (const UpstreamSpec& spec : upstreams) {
+    const auto [found, added] = m_upstreams.try_emplace(spec.id, spec, m_config.health);
+    Upstream& upstream = found->second;
+    // Nothing that was learnt of an earlier start holds for this one.
+    if (upstream.spec.incarnation != spec.incarnation) {
+      upstream.health = UpstreamHealth(m_config.health);
+      upstream.blocked_until.reset();
+    }
+    upstream.spec = spec;
+    upstream.listed = true;
+  }
+  std::erase_if(m_upstreams,
+                [](const auto& entry) { return !entry.second.listed && entry.second.own == 0; });
+}
+
+void UpstreamPool::SetPeers(const std::map<core::UpstreamId, std::uint32_t>& in_flight) {
+  for (auto& [id, upstream] : m_upstreams) {
+    const auto found = in_flight.find(id);
+    upstream.peers = found == in_flight.end() ? 0 : found->second;
+  }
+}
+
+UpstreamPool::Load UpstreamPool::Begin(const core::UpstreamId& id, double prompt_tokens) {
+  Upstream& upstream = m_upstreams.at(id);
+  ++upstream.own;
+  upstream.prompt_tokens += prompt_tokens;
+  return {upstream.own, upstream.peers};
+}
+
+void UpstreamPool::FirstOutput(const core::UpstreamId& id, double prompt_tokens, Actions& out) {
+  const auto found = m_upstreams.find(id);
+  if (found == m_upstreams.end()) return;
+  found->second.prompt_tokens -= prompt_tokens;
+  // A group that one member was missing from works again as a whole.
+  if (found->second.blocked_until) {
+    for (auto& [other, upstream] : m_upstreams) upstream.blocked_until.reset();
+  }
+  SetBlocked(false, out);
+}
+
+void UpstreamPool::End(core::Instant now, const core::UpstreamId& id, double prompt_tokens,
+                       AttemptEnd end, Actions& out) {
+  const auto found = m_upstreams.find(id);
+  if (found == m_upstreams.end()) return;
+  Upstream& upstream = found->second;
+  assert(upstream.own > 0);
+  --upstream.own;
+  upstream.prompt_tokens -= prompt_tokens;
+  NoteResult(now, upstream, end, out);
+  if (!upstream.listed && upstream.own == 0) m_upstreams.erase(found);
+}
+
+bool UpstreamPool::AnyListed() const {
+  return std::any_of(m_upstreams.begin(), m_upstreams.end(),
+                     [](const auto& entry) { return entry.second.listed; });
+}
+
+UpstreamPool::Places UpstreamPool::CountPlaces() const {
+  Places places;
+  for (const auto& [id, upstream] : m_upstreams) {
+    if (!upstream.listed) continue;
+    places.all += upstream.spec.slots;
+    places.taken += std::min(upstream.own + upstream.peers, upstream.spec.slots);
+  }
+  return places;
+}
+
+std::optional<core::Instant> UpstreamPool::NextUnblock() const {
+  std::optional<core::Instant> next;
+  for (const auto& [id, upstream] : m_upstreams) {
+    if (!upstream.blocked_until) continue;
+    next = next ? std::min(*next, *upstream.blocked_until) : *upstream.blocked_until;
+  }
+  return next;
+}
+
+void UpstreamPool::NoteResult(core::Instant now, Upstream& upstream, AttemptEnd end, Actions& out) {
+  const HealthState before = upstream.health.state();
+  switch (end) {
+    case AttemptEnd::kCompleted:
+      upstream.health.Succeeded(now);
+      if (upstream.blocked_until) upstream.blocked_until.reset();
+      break;
+    case AttemptEnd::kFailed:
+      upstream.health.Failed(now);
+      break;
+    case AttemptEnd::kErrors:
+      upstream.health.AnsweredFailure(now);
+      break;
+    case AttemptEnd::kGone:
+      upstream.health.Gone(now);
+      break;
+    case AttemptEnd::kBlocked:
+      NoteBlocked(now, upstream, out);
+      break;
+    case AttemptEnd::kRefused:
+    case AttemptEnd::kCancelled:
+      break;
+  }
+  if (upstream.health.state() != before) {
+    out.emplace_back(
+        HealthChanged{upstream.spec.id, upstream.health.state(), upstream.health.failure_share()});
+  }
+}
+
+void UpstreamPool::NoteBlocked(core::Instant now, Upstream& upstream, Actions& out) {
+  const core::Instant until = now + m_config.block_time;
+  upstream.blocked_until = until;
+  // Two that refuse for a third one's sake, while none of the service gives output, are a group
+  // that stands still.
+  const auto blocked = std::count_if(m_upstreams.begin(), m_upstreams.end(), [](const auto& entry) {
+    return entry.second.blocked_until.has_value();
+  });
+  if (blocked < 2 || now - m_last_output < m_config.block_time) return;
+  for (auto& [id, other] : m_upstreams) other.blocked_until = until;
+  SetBlocked(true, out);
+}
+
+void UpstreamPool::SetBlocked(bool blocked, Actions& out) {
+  if (std::exchange(m_blocked, blocked) != blocked) out.emplace_back(ServiceBlocked{blocked});
+}
+
+// An upstream whose block time is over is tried by one request of this process at a time.
+bool UpstreamPool::Admits(core::Instant now, const Upstream& upstream) const {
+  if (!upstream.listed) return false;
+  if (!upstream.blocked_until) return upstream.health.Admits(now, upstream.own);
+  if (now < *upstream.blocked_until) return false;
+  return std::none_of(m_upstreams.begin(), m_upstreams.end(), [](const auto& entry) {
+    return entry.second.blocked_until && entry.second.own > 0;
+  });
+}
+
+bool UpstreamPool::AllBlocked(core::Instant now) const {
+  return std::all_of(m_upstreams.begin(), m_upstreams.end(), [&](const auto& entry) {
+    const Upstream& upstream = entry.second;
+    return !upstream.listed || (upstream.blocked_until && !Admits(now, upstream));
+  });
+}
+
+bool UpstreamPool::HasRoom(const Upstream& upstream) const {
+  return upstream.own + upstream.peers < upstream.spec.slots;
+}
+
+double UpstreamPool::LoadOf(const Upstream& upstream) const {
+  return static_cast<double>(upstream.own + upstream.peers) +
+         upstream.prompt_tokens / m_config.prompt_tokens_per_place;
+}
+
+std::optional<core::UpstreamId> UpstreamPool::Choose(core::Instant now,
+                                                     const std::set<core::UpstreamId>& excluded) {
+  std::vector<const Upstream*> admitted;
+  std::vector<const Upstream*> others;
+  for (const auto& [id, upstream] : m_upstreams) {
+    if (!upstream.listed || excluded.contains(id) || !HasRoom(upstream)) continue;
+    if (Admits(now, upstream)) {
+      admitted.push_back(&upstream);
+    } else if (!upstream.blocked_until) {
+      others.push_back(&upstream);
+    }
+  }
+  // When most upstreams seem to fail, the cause is rather this process or its network.
+  if (admitted.empty()) admitted = std::move(others);
+  if (admitted.empty()) return std::nullopt;
+  double least = LoadOf(*admitted.front());
+  for (const Upstream* upstream : admitted) least = std::min(least, LoadOf(*upstream));
+  std::erase_if(admitted,
+                [&](const Upstream* upstream) { return LoadOf(*upstream) > least + kEqualLoad; });
+  return admitted[m_random.Below(admitted.size())]->spec.id;
+}
+
+std::map<core::UpstreamId, std::uint32_t> UpstreamPool::InFlight() const {
+  std::map<core::UpstreamId, std::uint32_t> in_flight;
+  for (const auto& [id, upstream] : m_upstreams) {
+    if (upstream.own > 0) in_flight[id] = upstream.own;
+  }
+  return in_flight;
+}
+
+}  // namespace cornelrelay::dispatch
--- /dev/null
+++ b/packages/driver/include/cornelrelay/driver/attempt_call.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <string>
+
+#include "cornelrelay/core/endpoint.h"
+#include "cornelrelay/core/ids.h"
+#include "cornelrelay/driver/request_mailbox.h"
+#include "cornelrelay/net/http_client.h"
+
+namespace cornelrelay::driver {
+
+/// \brief Runs one attempt against an upstream and reports it to the request's mailbox.
+///
+/// Reading from the upstream waits until the task has taken the previous piece, so a slow caller
+/// slows the upstream down. What is sent and how the answer is judged is up to the derived class.
+class AttemptCall : public std::enable_shared_from_this<AttemptCall> {
+ public:
+  struct Target {
+    core::AttemptId attempt;
+    core::Endpoint upstream;
+    net::HttpClient::ConnectionUse use = net::HttpClient::ConnectionUse::kFresh;
+    std::chrono::milliseconds silence_limit{30'000};  ///< longest wait for the next bytes
+  };
+
+  virtual ~AttemptCall() = default;
+  AttemptCall(const AttemptCall&) = delete;
+  AttemptCall& operator=(const AttemptCall&) = delete;
+
+  void Start();
+
+  /// \brief Closes the connection; nothing is written or reported afterwards.
+  void Cancel();
+
+  const core::AttemptId& attempt() const { return m_target.attempt; }
+
+ protected:
+  AttemptCall(boost::asio::io_context& context, net::HttpClient& client, Target target,
+              std::shared_ptr<RequestMailbox> mailbox);
+
+  /// \brief Sends the request on the open connection and reports the answer.
+  /// \throws net::ExchangeBroken, request::SseEventTooLarge, which are reported as a broken attempt
+  virtual boost::asio::awaitable<void> Exchange() = 0;
+
+  void Report(request::RequestEvent event);
+
+  /// \brief Reads the rest of the answer. \throws net::ExchangeBroken beyond `limit` bytes
+  boost::asio::awaitable<std::string> ReadBody(std::size_t limit);
+
+  const core::Endpoint& upstream() const { return m_target.upstream; }
+  net::HttpExchange& exchange() { return *m_exchange; }
+  RequestMailbox& mailbox() { return *m_mailbox; }
+  bool cancelled() const { return m_cancelled; }
+
+ private:
+  boost::asio::awaitable<void> Run();
+
+  boost::asio::io_context& m_context;
+  net::HttpClient& m_client;
+  Target m_target;
+  std::shared_ptr<RequestMailbox> m_mailbox;
+  std::unique_ptr<net::HttpExchange> m_exchange;
+  bool m_cancelled = false;
+};
+
+}  // namespace cornelrelay::driver
--- /dev/null
+++ b/packages/driver/include/cornelrelay/driver/request_driver.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cstddef>
+#include <memory>
+#include <optional>
+
+#include "cornelrelay/driver/request_mailbox.h"
+#include "cornelrelay/net/response_stream.h"
+#include "cornelrelay/request/request_machine.h"
+#include "cornelrelay/runtime/process_clock.h"
+
+namespace cornelrelay::driver {
+
+/// \brief Drives the RequestMachine of one caller's request with the events of its mailbox.
+///
+/// The derived class performs the actions and calls Conclude for the outcome.
+/// \code
+/// co_await Drive();   // until the outcome is known
+/// co_await Finish();  // writes the rest of the answer
+/// \endcode
+class RequestDriver {
+ public:
+  RequestDriver(const RequestDriver&) = delete;
+  RequestDriver& operator=(const RequestDriver&) = delete;
+
+  /// \brief The limit of a graceful shutdown has passed.
+  void EndForShutdown();
+
+  request::RequestSnapshot snapshot() const { return m_machine.snapshot(); }
+
+ protected:
+  RequestDriver(boost::asio::io_context& context, const runtime::ProcessClock& clock,
+                net::ResponseStream& response, request::RequestMachine machine);
+  /// Drops what is still to be reported to the mailbox.
+  virtual ~RequestDriver();
+
+  virtual void Act(const request::RequestAction& action) = 0;
+  /// \brief Bytes of the answer that have not been written yet.
+  virtual std::size_t pending() const = 0;
+  /// \brief Writes what there is of the answer. \throws net::CallerGone
+  virtual boost::asio::awaitable<void> WriteAnswer() = 0;
+
+  /// \brief When Drive looks again without an event.
+  virtual core::Instant NextWake() const;
+  /// \brief Called in each turn, after the events that have come.
+  virtual void OnTurn() {}
+  /// \brief Takes an event away from the machine for now.
+  virtual bool HoldBack(const request::RequestEvent&) { return false; }
+
+  boost::asio::awaitable<void> Drive();
+  boost::asio::awaitable<void> Finish();
+  void Step(const request::RequestEvent& event);
+  void Conclude(const request::RecordOutcome& outcome) { m_outcome = outcome; }
+
+  const std::optional<request::RecordOutcome>& outcome() const { return m_outcome; }
+  const std::shared_ptr<RequestMailbox>& mailbox() const { return m_mailbox; }
+
+ private:
+  boost::asio::awaitable<void> Flush();
+
+  const runtime::ProcessClock& m_clock;
+  net::ResponseStream& m_response;
+  std::shared_ptr<RequestMailbox> m_mailbox;
+  request::RequestMachine m_machine;
+  std::optional<request::RecordOutcome> m_outcome;
+};
+
+}  // namespace cornelrelay::driver
--- /dev/null
+++ b/packages/driver/src/attempt_call.cc
@@ -0,0 +1,76 @@
+#include "cornelrelay/driver/attempt_call.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <optional>
+#include <utility>
+
+#include "cornelrelay/net/errors.h"
+#include "cornelrelay/request/sse_event_too_large.h"
+
+namespace cornelrelay::driver {
+
+namespace asio = boost::asio;
+
+AttemptCall::AttemptCall(asio::io_context& context, net::HttpClient& client, Target target,
+                         std::shared_ptr<RequestMailbox> mailbox)
+    : m_context(context),
+      m_client(client),
+      m_target(std::move(target)),
+      m_mailbox(std::move(mailbox)) {}
+
+void AttemptCall::Start() {
+  asio::co_spawn(
+      m_context, [self = shared_from_this()] { return self->Run(); }, asio::detached);
+}
+
+void AttemptCall::Cancel() {
+  m_cancelled = true;
+  if (m_exchange) m_exchange->Cancel();
+}
+
+void AttemptCall::Report(request::RequestEvent event) {
+  if (!m_cancelled) m_mailbox->Push(std::move(event));
+}
+
+asio::awaitable<void> AttemptCall::Run() {
+  bool connected = false;
+  try {
+    m_exchange = co_await m_client.Open(m_target.upstream, m_target.use, m_target.silence_limit);
+    connected = true;
+  } catch (const net::ConnectFailed&) {
+    connected = false;
+  }
+  if (m_cancelled) co_return;
+  if (!connected) {
+    Report(request::ConnectFailed{m_target.attempt});
+    co_return;
+  }
+  // The machine must know that bytes may be out before they are, so that it never reports not_run
+  // for a request that was on its way.
+  Report(request::BytesSent{m_target.attempt});
+  co_await m_mailbox->UntilTaken();
+  if (m_cancelled || m_mailbox->closed()) co_return;
+  bool broken = false;
+  try {
+    co_await Exchange();
+  } catch (const net::ExchangeBroken&) {
+    broken = true;
+  } catch (const request::SseEventTooLarge&) {
+    broken = true;
+  }
+  if (broken) Report(request::UpstreamClosed{m_target.attempt});
+}
+
+asio::awaitable<std::string> AttemptCall::ReadBody(std::size_t limit) {
+  std::string body;
+  while (std::optional<std::string> piece = co_await m_exchange->ReadPiece()) {
+    body += *piece;
+    if (body.size() > limit) {
+      throw net::ExchangeBroken(m_target.upstream, "the answer exceeds its limit");
+    }
+  }
+  co_return body;
+}
+
+}  // namespace cornelrelay::driver
--- a/packages/entry/include/cornelrelay/entry/replica_choice.h
+++ b/packages/entry/include/cornelrelay/entry/replica_choice.h
@@ -32,7 +32,7 @@
   /// \param query describes the request; its exclusions are set by Choose
   ReplicaChoice(RequestServices& services, ServiceRuntime& service, routing::RouteQuery query,
                 quarantine::Fingerprint fingerprint, const core::RequestId& internal_id,
-                core::Instant deadline, std::shared_ptr<RequestMailbox> mailbox);
+                core::Instant deadline, std::shared_ptr<driver::RequestMailbox> mailbox);
   ~ReplicaChoice();
   ReplicaChoice(const ReplicaChoice&) = delete;
   ReplicaChoice& operator=(const ReplicaChoice&) = delete;
@@ -64,7 +64,7 @@
   quarantine::Fingerprint m_fingerprint;
   core::RequestId m_internal_id;
   core::Instant m_deadline;
-  std::shared_ptr<RequestMailbox> m_mailbox;
+  std::shared_ptr<driver::RequestMailbox> m_mailbox;
   core::AttemptId m_run;  ///< the current wish to send, as the crash ledger knows it
   int m_runs = 0;
   bool m_run_open = false;
--- a/packages/entry/include/cornelrelay/entry/request_task.h
+++ b/packages/entry/include/cornelrelay/entry/request_task.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "cornelrelay/driver/request_driver.h"
 #include "cornelrelay/entry/answer_writer.h"
 #include "cornelrelay/entry/attempt_runner.h"
 #include "cornelrelay/entry/caller_request.h"
@@ -14,35 +15,30 @@
 #include "cornelrelay/entry/service_runtime.h"
 #include "cornelrelay/net/response_stream.h"
 #include "cornelrelay/profile/profile.h"
-#include "cornelrelay/request/request_machine.h"
 
 namespace cornelrelay::entry {
 
-/// \brief Serves one caller's request: runs its RequestMachine and performs the actions.
+/// \brief Serves one caller's request through the product's own entry process.
 ///
 /// \code
 /// const auto task = std::make_shared<RequestTask>(services, service, profile, request, id,
 /// response); co_await task->Run(); \endcode
-class RequestTask {
+class RequestTask : public driver::RequestDriver {
  public:
   /// \param internal_id unique over all processes and restarts; prefix of the attempt ids
   RequestTask(RequestServices& services, ServiceRuntime& service, const profile::Profile& profile,
               CallerRequest request, core::RequestId internal_id, net::ResponseStream& response);
 
-  ~RequestTask();
-  RequestTask(const RequestTask&) = delete;
-  RequestTask& operator=(const RequestTask&) = delete;
-
   boost::asio::awaitable<void> Run();
 
-  /// \brief The limit of a graceful shutdown has passed.
-  void EndForShutdown();
-
   const core::RequestId& id() const { return m_request.id; }
-  request::RequestSnapshot snapshot() const { return m_machine.snapshot(); }
 
  private:
-  void Step(const request::RequestEvent& event);
+  void Act(const request::RequestAction& action) override;
+  std::size_t pending() const override { return m_writer.pending().size(); }
+  boost::asio::awaitable<void> WriteAnswer() override { return m_writer.Flush(); }
+  bool HoldBack(const request::RequestEvent& event) override { return m_choice.HoldBack(event); }
+
   void Perform(const request::AskAdmission& action);
   void Perform(const request::RequestClaim& action);
   void Perform(const request::ChooseReplica& action);
@@ -58,23 +54,18 @@
   void Perform(const request::RecordOutcome& action);
 
   void CountOutcome(const request::RecordOutcome& action);
-  boost::asio::awaitable<void> Flush();
 
   RequestServices& m_services;
   ServiceRuntime& m_service;
   CallerRequest m_request;
   profile::Profile m_profile;
   core::RequestId m_internal_id;
-  net::ResponseStream& m_response;
   AnswerWriter m_writer;
-  std::shared_ptr<RequestMailbox> m_mailbox;
-  request::RequestMachine m_machine;
   core::Instant m_deadline;
   ReplicaChoice m_choice;
   request::AttemptResult m_last_result = request::AttemptResult::kCancelled;
   std::shared_ptr<AttemptRunner> m_attempt;
   core::AttemptId m_attempt_id;
-  std::optional<request::RecordOutcome> m_outcome;
   telemetry::DecisionRecord m_record;
   double m_output_events = 0;
   bool m_claim_requested = false;
--- a/packages/entry/src/admin_api.cc
+++ b/packages/entry/src/admin_api.cc
@@ -11,6 +11,7 @@
 #include "cornelrelay/entry/catalogue_edit.h"
 #include "cornelrelay/profile/dump.h"
 #include "cornelrelay/profile/invalid_profile_document.h"
+#include "cornelrelay/runtime/metrics_server.h"
 #include "cornelrelay/telemetry/log_levels.h"
 #include "cornelrelay/telemetry/to_json.h"
 #include "edit_json.h"
@@ -72,12 +73,7 @@
 net::HttpResponse AdminApi::Answer(const net::HttpRequest& request) {
   const std::string& target = request.target;
   if (target == "/healthz") return JsonAnswer(200, {{"status", "ok"}});
-  if (target == "/metrics") {
-    net::HttpResponse response;
-    response.headers["Content-Type"] = "text/plain; version=0.0.4";
-    response.body = m_services.metrics.Render(m_services.clock.Now());
-    return response;
-  }
+  if (target == "/metrics") return runtime::MetricsAnswer(m_services.metrics, m_services.clock);
   if (!Authorised(request)) {
     return ErrorAnswer(401, "unauthorised", "the operator's credential is required");
   }
--- a/packages/entry/src/replica_choice.cc
+++ b/packages/entry/src/replica_choice.cc
@@ -15,7 +15,7 @@
 ReplicaChoice::ReplicaChoice(RequestServices& services, ServiceRuntime& service,
                              routing::RouteQuery query, quarantine::Fingerprint fingerprint,
                              const core::RequestId& internal_id, core::Instant deadline,
-                             std::shared_ptr<RequestMailbox> mailbox)
+                             std::shared_ptr<driver::RequestMailbox> mailbox)
     : m_services(services),
       m_service(service),
       m_query(std::move(query)),
--- a/packages/entry/src/request_task.cc
+++ b/packages/entry/src/request_task.cc
@@ -8,7 +8,6 @@
 
 #include "cornelrelay/core/hash.h"
 #include "cornelrelay/entry/request_errors.h"
-#include "cornelrelay/net/errors.h"
 #include "cornelrelay/request/answer_id.h"
 #include "request_facts.h"
 
@@ -16,7 +15,6 @@
 namespace {
 
 constexpr std::size_t kMaxRecordedBytes = 512;
-constexpr std::size_t kFlushBytes = 16'384;
 constexpr int kStatusOk = 200;
 constexpr std::uint64_t kProgressEvents = 16;
 
@@ -25,19 +23,19 @@
 RequestTask::RequestTask(RequestServices& services, ServiceRuntime& service,
                          const profile::Profile& profile, CallerRequest request,
                          core::RequestId internal_id, net::ResponseStream& response)
-    : m_services(services),
+    : RequestDriver(
+          services.context, services.clock, response,
+          request::RequestMachine(internal::PolicyOf(request, profile),
+                                  internal::FactsOf(request, internal_id), services.clock.Now())),
+      m_services(services),
       m_service(service),
       m_request(std::move(request)),
       m_profile(profile),
       m_internal_id(std::move(internal_id)),
-      m_response(response),
       m_writer(response, m_request.id, m_request.stream),
-      m_mailbox(std::make_shared<RequestMailbox>(services.context)),
-      m_machine(internal::PolicyOf(m_request, m_profile),
-                internal::FactsOf(m_request, m_internal_id), services.clock.Now()),
       m_deadline(services.clock.Now() + internal::DeadlineOf(m_request, m_profile)),
       m_choice(services, service, internal::QueryOf(m_request, m_profile),
-               internal::FingerprintOf(m_request), m_internal_id, m_deadline, m_mailbox) {
+               internal::FingerprintOf(m_request), m_internal_id, m_deadline, mailbox()) {
   m_record.time = std::chrono::sys_time<std::chrono::milliseconds>(
       std::chrono::duration_cast<std::chrono::milliseconds>(
           services.clock.Now().time_since_epoch()));
@@ -46,28 +44,12 @@
   m_record.service = m_request.service;
 }
 
-RequestTask::~RequestTask() { m_mailbox->Close(); }
-
 boost::asio::awaitable<void> RequestTask::Run() {
-  m_response.NotifyGone([mailbox = m_mailbox] { mailbox->Push(request::CallerGone{}); });
   m_service.retry_budget().OnRequest();
-  Step(request::Started{});
-  while (!m_outcome) {
-    const auto wake = m_machine.WakeAt();
-    co_await m_mailbox->WaitUntil(m_services.clock.ToSteady(wake.value_or(core::Instant::max())));
-    while (m_writer.pending().size() < kFlushBytes) {
-      std::optional<request::RequestEvent> event = m_mailbox->Pop();
-      if (!event) break;
-      if (!m_choice.HoldBack(*event)) Step(*event);
-    }
-    Step(request::TimePassed{});
-    co_await Flush();
-    m_mailbox->MarkTaken();
-  }
-  co_await Flush();
-  m_response.NotifyGone(nullptr);
+  co_await Drive();
+  co_await Finish();
   if (m_claim_requested) m_services.claims.Abandon(m_internal_id);
-  if (m_outcome->error) {
+  if (outcome()->error) {
     // It may still be queued; a start that nobody takes would hold its permit for ever.
     m_services.admission.Cancel(m_internal_id);
   } else {
@@ -75,15 +57,10 @@
   }
   m_record.candidates = m_choice.candidates();
   m_services.decisions.Append(std::move(m_record));
-  m_mailbox->Close();
 }
 
-void RequestTask::EndForShutdown() { m_mailbox->Push(request::ShutdownLimit{}); }
-
-void RequestTask::Step(const request::RequestEvent& event) {
-  for (const auto& action : m_machine.Step(m_services.clock.Now(), event)) {
-    std::visit([this](const auto& a) { Perform(a); }, action);
-  }
+void RequestTask::Act(const request::RequestAction& action) {
+  std::visit([this](const auto& a) { Perform(a); }, action);
 }
 
 void RequestTask::Perform(const request::AskAdmission&) {
@@ -95,7 +72,7 @@
   arrival.deadline = m_deadline;
   arrival.work = m_request.size.prompt + m_request.size.output;
   m_services.admission.Arrive(
-      arrival, [mailbox = m_mailbox](const request::RequestEvent& event) { mailbox->Push(event); });
+      arrival, [mailbox = mailbox()](const request::RequestEvent& event) { mailbox->Push(event); });
 }
 
 void RequestTask::Perform(const request::RequestClaim& action) {
@@ -109,7 +86,7 @@
       m_request.upstream.method + ' ' + m_request.upstream.target + '\n' + m_request.upstream.body;
   order.deadline = std::min(action.answer_by, m_deadline);
   m_services.claims.Request(
-      order, [mailbox = m_mailbox](const request::RequestEvent& event) { mailbox->Push(event); });
+      order, [mailbox = mailbox()](const request::RequestEvent& event) { mailbox->Push(event); });
 }
 
 void RequestTask::Perform(const request::ChooseReplica& action) {
@@ -120,9 +97,9 @@
   // A refused connection cost no upstream any work, so only sent attempts use up the budget.
   const bool free = m_last_result == request::AttemptResult::kConnectFailed;
   if (free || m_service.retry_budget().TryRetry()) {
-    m_mailbox->Push(request::RetryGranted{});
+    mailbox()->Push(request::RetryGranted{});
   } else {
-    m_mailbox->Push(request::RetryDenied{});
+    mailbox()->Push(request::RetryDenied{});
   }
 }
 
@@ -155,7 +132,7 @@
   order.silence_limit = std::max(left, std::chrono::milliseconds(1));
   m_attempt_id = action.attempt;
   m_attempt = std::make_shared<AttemptRunner>(m_services.context, m_services.client,
-                                              std::move(order), m_mailbox);
+                                              std::move(order), mailbox());
   m_attempt->Start();
 }
 
@@ -229,7 +206,7 @@
 }
 
 void RequestTask::Perform(const request::RecordOutcome& action) {
-  m_outcome = action;
+  Conclude(action);
   m_record.outcome = action.error ? std::string(ToString(*action.error)) : "completed";
   m_record.execution = action.execution;
   m_record.elapsed = action.elapsed;
@@ -260,14 +237,4 @@
                                             {"elapsed_us", action.elapsed}});
 }
 
-boost::asio::awaitable<void> RequestTask::Flush() {
-  bool gone = false;
-  try {
-    co_await m_writer.Flush();
-  } catch (const net::CallerGone&) {
-    gone = true;
-  }
-  if (gone) m_mailbox->Push(request::CallerGone{});
-}
-
 }  // namespace cornelrelay::entry
--- a/packages/entry/src/serve_command.cc
+++ b/packages/entry/src/serve_command.cc
@@ -2,15 +2,14 @@
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <csignal>
-#include <functional>
 #include <memory>
 #include <string>
 
 #include "cornelrelay/entry/commands.h"
 #include "cornelrelay/entry/entry_process.h"
 #include "cornelrelay/runtime/process_setup.h"
+#include "cornelrelay/runtime/signal_loop.h"
 #include "cornelrelay/settings/entry_settings.h"
 
 namespace cornelrelay::entry {
@@ -21,17 +20,9 @@
   telemetry::JsonLog log(settings.common.host.value(), settings.common.log_level,
                          std::make_shared<spdlog::sinks::stderr_sink_mt>());
   boost::asio::io_context context(1);
-  EntryProcess process(context, settings, log, cornelrelay::runtime::SeedOf(settings.common));
+  EntryProcess process(context, settings, log, runtime::SeedOf(settings.common.seed));
   process.Start();
-  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
-  std::function<void()> wait = [&] {
-    signals.async_wait([&](const boost::system::error_code& ec, int) {
-      if (ec) return;
-      process.Shutdown();
-      wait();
-    });
-  };
-  wait();
+  const runtime::SignalLoop signals(context, {SIGTERM, SIGINT}, [&](int) { process.Shutdown(); });
   context.run();
   log.Flush();
   return 0;
--- /dev/null
+++ b/packages/net/src/connection_pool.cc
@@ -0,0 +1,50 @@
+#include "connection_pool.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <utility>
+
+namespace cornelrelay::net::internal {
+namespace {
+
+using SteadyClock = std::chrono::steady_clock;
+
+// An idle connection with readable bytes was closed by the peer or is out of step.
+bool IsQuiet(PooledConnection& connection) {
+  if (connection.buffer.size() != 0) return false;
+  boost::system::error_code ec;
+  auto& socket = connection.stream.socket();
+  socket.non_blocking(true, ec);
+  char byte = 0;
+  socket.receive(boost::asio::buffer(&byte, 1), boost::asio::ip::tcp::socket::message_peek, ec);
+  return ec == boost::asio::error::would_block;
+}
+
+}  // namespace
+
+ConnectionPtr ConnectionPool::Take(const core::Endpoint& peer, HttpClient::ConnectionUse use) {
+  auto& idle = m_idle[peer];
+  const auto now = SteadyClock::now();
+  while (!idle.empty()) {
+    ConnectionPtr connection = std::move(idle.back());
+    idle.pop_back();
+    if (now >= connection->usable_until || !IsQuiet(*connection)) continue;
+    const bool recent = now - connection->idle_since < m_limits.recent_idle_time;
+    if (use == HttpClient::ConnectionUse::kReuse || recent) return connection;
+  }
+  return nullptr;
+}
+
+void ConnectionPool::Return(const core::Endpoint& peer, ConnectionPtr connection,
+                            std::optional<std::chrono::milliseconds> announced) {
+  connection->idle_since = SteadyClock::now();
+  connection->usable_until = connection->idle_since + announced.value_or(m_limits.idle_time);
+  auto& idle = m_idle[peer];
+  std::erase_if(idle, [&](const ConnectionPtr& other) {
+    return connection->idle_since >= other->usable_until;
+  });
+  if (idle.size() < m_limits.idle_connections_per_peer) idle.push_back(std::move(connection));
+}
+
+}  // namespace cornelrelay::net::internal
--- /dev/null
+++ b/packages/net/src/pooled_exchange.cc
@@ -0,0 +1,141 @@
+#include "pooled_exchange.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <charconv>
+#include <string_view>
+#include <utility>
+
+#include "beast_convert.h"
+#include "cornelrelay/net/errors.h"
+
+namespace cornelrelay::net::internal {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+/// Share of the peer's announced idle time that is used, as the peer counts it from earlier on.
+constexpr double kIdleShare = 0.7;
+constexpr int kFirstFinalStatus = 200;
+
+auto Redirect(error_code& ec) { return asio::redirect_error(asio::use_awaitable, ec); }
+
+// The `timeout` parameter of a Keep-Alive header, in whole seconds.
+std::optional<std::chrono::milliseconds> AnnouncedIdleTime(std::string_view keep_alive) {
+  constexpr std::string_view kTimeout = "timeout=";
+  const auto at = keep_alive.find(kTimeout);
+  if (at == std::string_view::npos) return std::nullopt;
+  const std::string_view digits = keep_alive.substr(at + kTimeout.size());
+  std::uint32_t seconds = 0;
+  const auto [rest, status] =
+      std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  if (status != std::errc()) return std::nullopt;
+  return std::chrono::milliseconds(static_cast<std::int64_t>(seconds * 1000.0 * kIdleShare));
+}
+
+}  // namespace
+
+PooledExchange::PooledExchange(core::Endpoint peer, ConnectionPtr connection,
+                               std::shared_ptr<ConnectionPool> pool,
+                               std::chrono::milliseconds timeout, const HttpClientLimits& limits)
+    : m_peer(std::move(peer)),
+      m_connection(std::move(connection)),
+      m_pool(std::move(pool)),
+      m_timeout(timeout),
+      m_head_bytes(limits.head_bytes),
+      m_piece(limits.piece_bytes, '\0') {
+  ResetParser();
+}
+
+asio::awaitable<void> PooledExchange::SendRequest(HttpRequest request) {
+  http::request<http::string_body> message;
+  message.version(11);
+  message.method_string(request.method);
+  message.target(request.target);
+  CopyHeaders(request.headers, message);
+  if (message.find(http::field::host) == message.end()) {
+    message.set(http::field::host, core::ToString(m_peer));
+  }
+  message.body() = std::move(request.body);
+  message.prepare_payload();
+  m_head_only = request.method == "HEAD";
+  if (m_head_only) m_parser->skip(true);
+  error_code ec;
+  m_connection->stream.expires_after(m_timeout);
+  co_await http::async_write(m_connection->stream, message, Redirect(ec));
+  m_written = !ec;
+}
+
+asio::awaitable<HttpResponseHead> PooledExchange::ReadHead() {
+  while (true) {
+    error_code ec;
+    m_connection->stream.expires_after(m_timeout);
+    co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser,
+                                     Redirect(ec));
+    if (ec) throw ExchangeBroken(m_peer, ec.message());
+    if (m_parser->get().result_int() >= kFirstFinalStatus) break;
+    ResetParser();
+  }
+  co_return HttpResponseHead{static_cast<int>(m_parser->get().result_int()),
+                             ToHeaders(m_parser->get().base())};
+}
+
+asio::awaitable<std::optional<std::string>> PooledExchange::ReadPiece() {
+  while (!m_parser->is_done()) {
+    std::string piece = co_await ReadBody();
+    if (!piece.empty()) co_return piece;
+  }
+  Release();
+  co_return std::nullopt;
+}
+
+asio::awaitable<void> PooledExchange::SkipResponse() {
+  if (!m_parser->get().keep_alive()) {
+    throw ExchangeBroken(m_peer, "the connection ends with a response to another request");
+  }
+  while (!m_parser->is_done()) {
+    co_await ReadBody();
+  }
+  ResetParser();
+}
+
+void PooledExchange::Cancel() {
+  if (m_connection) m_connection->stream.close();
+}
+
+asio::awaitable<std::string> PooledExchange::ReadBody() {
+  auto& body = m_parser->get().body();
+  body.data = m_piece.data();
+  body.size = m_piece.size();
+  error_code ec;
+  m_connection->stream.expires_after(m_timeout);
+  co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser,
+                                 Redirect(ec));
+  if (ec == http::error::need_buffer) ec = {};
+  if (ec) throw ExchangeBroken(m_peer, ec.message());
+  co_return m_piece.substr(0, m_piece.size() - m_parser->get().body().size);
+}
+
+void PooledExchange::ResetParser() {
+  m_parser.emplace();
+  m_parser->header_limit(m_head_bytes);
+  m_parser->body_limit(boost::none);
+  if (m_head_only) m_parser->skip(true);
+}
+
+void PooledExchange::Release() {
+  // The rest of a request that is not fully written would be taken for the next one.
+  if (!m_connection || !m_written || !m_parser->get().keep_alive()) return;
+  m_connection->stream.expires_never();
+  const auto announced = m_parser->get().find(http::field::keep_alive);
+  const bool has = announced != m_parser->get().end();
+  m_pool->Return(m_peer, std::move(m_connection),
+                 has ? AnnouncedIdleTime(announced->value()) : std::nullopt);
+}
+
+}  // namespace cornelrelay::net::internal
--- a/packages/ranks/include/cornelrelay/ranks/group_leader.h
+++ b/packages/ranks/include/cornelrelay/ranks/group_leader.h
@@ -75,7 +75,6 @@
   void Perform(const balance::SwitchInherited& action);
   void Learn(const core::Endpoint& engine, const balance::RankReport& report, core::Instant asked);
   Member* MemberOf(balance::RankIndex rank);
-  bool Switching() const;
 
   Services m_services;
   settings::RankSettings m_settings;
--- a/packages/ranks/include/cornelrelay/ranks/rank_process.h
+++ b/packages/ranks/include/cornelrelay/ranks/rank_process.h
@@ -13,6 +13,7 @@
 #include "cornelrelay/ranks/group_leader.h"
 #include "cornelrelay/ranks/group_lease.h"
 #include "cornelrelay/ranks/rank_ports.h"
+#include "cornelrelay/runtime/metrics_server.h"
 #include "cornelrelay/runtime/process_clock.h"
 #include "cornelrelay/runtime/store_link.h"
 #include "cornelrelay/runtime/wake_timer.h"
@@ -44,7 +45,6 @@
   boost::asio::awaitable<void> FindGroup();
   void JoinGroup(const balance::RankReport& report);
   boost::asio::awaitable<void> Serve(net::HttpRequest request, net::ResponseStream& response);
-  boost::asio::awaitable<void> ServeMetrics(net::ResponseStream& response);
   boost::asio::awaitable<wire::RankReply> Handle(wire::RankCall call);
   void RunReader(const store::PrefixReader::Actions& actions);
   void SeeItems(const std::vector<store::ItemChange>& items, bool all);
@@ -66,7 +66,7 @@
   EngineLink m_engines;
   balance::OrderGate m_gate;
   net::HttpServer m_server;
-  net::HttpServer m_metrics_server;
+  runtime::MetricsServer m_metrics_server;
   std::string m_seat_key;
   std::optional<store::PrefixReader> m_reader;
   std::optional<GroupLease> m_lease;
--- a/packages/ranks/src/group_leader.cc
+++ b/packages/ranks/src/group_leader.cc
@@ -248,12 +248,6 @@
   Step(ended);
 }
 
-bool GroupLeader::Switching() const {
-  const auto phase = m_machine.phase();
-  return phase != balance::SwitchLeader::Phase::kIdle &&
-         phase != balance::SwitchLeader::Phase::kFollowing;
-}
-
 void GroupLeader::Step(const balance::SwitchEvent& event) {
   for (const auto& action : m_machine.Step(m_services.clock.Now(), event)) {
     std::visit([this](const auto& a) { Perform(a); }, action);
@@ -264,7 +258,7 @@
     m_services.log.Warning("group_lead_fenced",
                            {{"group", m_self.group}, {"fence", m_machine.fence()}});
   }
-  if (Switching()) m_tick_timer.SetAt(m_services.clock.Now() + kSwitchTick);
+  if (m_machine.Busy()) m_tick_timer.SetAt(m_services.clock.Now() + kSwitchTick);
 }
 
 void GroupLeader::Perform(const balance::SendOrder& action) {
--- a/packages/ranks/src/rank_process.cc
+++ b/packages/ranks/src/rank_process.cc
@@ -9,6 +9,7 @@
 #include "cornelrelay/core/error.h"
 #include "cornelrelay/core/overloaded.h"
 #include "cornelrelay/runtime/pause.h"
+#include "cornelrelay/runtime/store_options.h"
 
 namespace cornelrelay::ranks {
 namespace {
@@ -26,10 +27,6 @@
 constexpr milliseconds kConnectTimeout{150};
 /// An answer of the store that is later counts as lost; the lease outlasts some such calls.
 constexpr milliseconds kStoreCallTimeout{800};
-/// Longest pause before the store is asked again, so that a leader is found soon after its return.
-constexpr milliseconds kStoreBackoffCeiling{500};
-/// Calls of this much time may be made at once after a pause.
-constexpr int kStoreBurstSeconds = 2;
 constexpr int kStatusBadRequest = 400;
 
 net::HttpClientLimits ClientLimits() {
@@ -38,17 +35,6 @@
   return limits;
 }
 
-store::StoreClientOptions StoreOptions(const settings::RankSettings& settings) {
-  store::StoreClientOptions options;
-  options.calls_per_second = settings.store_calls_per_second;
-  options.burst = kStoreBurstSeconds * settings.store_calls_per_second;
-  options.call_timeout = kStoreCallTimeout;
-  options.watch_timeout = kSeatWatch + kStoreCallTimeout;
-  options.attempts = 1;  // the users of the link repeat
-  options.backoff_ceiling = kStoreBackoffCeiling;
-  return options;
-}
-
 store::PrefixReaderOptions ReaderOptions() {
   store::PrefixReaderOptions options;
   options.watch_wait = kSeatWatch;
@@ -65,18 +51,17 @@
       m_log(log),
       m_seed(seed),
       m_client(context, ClientLimits()),
-      m_store(std::make_shared<runtime::StoreLink>(context, m_clock, m_client, ports.store,
-                                                   m_settings.store, StoreOptions(m_settings),
-                                                   seed + 1)),
+      m_store(std::make_shared<runtime::StoreLink>(
+          context, m_clock, m_client, ports.store, m_settings.store,
+          runtime::UnrepeatedCalls(m_settings.store_calls_per_second, kStoreCallTimeout,
+                                   kSeatWatch + kStoreCallTimeout),
+          seed + 1)),
       m_engines(m_client, ports.engines, log),
       m_server(context, m_settings.agents, net::HttpServerLimits{}, std::nullopt,
                [this](net::HttpRequest request, net::ResponseStream& response) {
                  return Serve(std::move(request), response);
                }),
-      m_metrics_server(context, m_settings.metrics, net::HttpServerLimits{}, std::nullopt,
-                       [this](const net::HttpRequest&, net::ResponseStream& response) {
-                         return ServeMetrics(response);
-                       }),
+      m_metrics_server(context, m_clock, m_settings.metrics, m_metrics),
       m_reader_timer(context, m_clock, [this] { RunReader(m_reader->OnTick(m_clock.Now())); }),
       m_lease_timer(context, m_clock, [this] { StepLease(LeaseTick{}); }) {}
 
@@ -175,13 +160,6 @@
   co_return reply;
 }
 
-asio::awaitable<void> RankProcess::ServeMetrics(net::ResponseStream& response) {
-  net::HttpResponse answer;
-  answer.headers["Content-Type"] = "text/plain; version=0.0.4";
-  answer.body = m_metrics.Render(m_clock.Now());
-  co_await response.SendWhole(std::move(answer));
-}
-
 void RankProcess::RunReader(const store::PrefixReader::Actions& actions) {
   for (const auto& action : actions) {
     std::visit(core::Overloaded{
--- a/packages/relay/include/cornelrelay/relay/relay_process.h
+++ b/packages/relay/include/cornelrelay/relay/relay_process.h
@@ -13,6 +13,7 @@
 #include "cornelrelay/relay/platform_ports.h"
 #include "cornelrelay/relay/relay_gateway.h"
 #include "cornelrelay/relay/retry_budgets.h"
+#include "cornelrelay/runtime/metrics_server.h"
 #include "cornelrelay/runtime/process_clock.h"
 #include "cornelrelay/runtime/store_link.h"
 #include "cornelrelay/settings/relay_settings.h"
@@ -50,7 +51,6 @@
   bool Ready() const;
   void Fill(peers::Bulletin& bulletin) const;
   boost::asio::awaitable<void> ServeHealth(net::ResponseStream& response);
-  boost::asio::awaitable<void> ServeMetrics(net::ResponseStream& response);
   boost::asio::awaitable<void> DrainAndStop();
 
   boost::asio::io_context& m_context;
@@ -68,7 +68,7 @@
   RelayGateway m_gateway;
   net::HttpServer m_callers;
   net::HttpServer m_health;
-  net::HttpServer m_metrics_server;
+  runtime::MetricsServer m_metrics_server;
   runtime::WakeTimer m_register_timer;
   store::StoreRevision m_own_revision = 0;  ///< of the own registration; 0 if there is none
   std::string m_own_value;
--- a/packages/relay/include/cornelrelay/relay/upstream_call.h
+++ b/packages/relay/include/cornelrelay/relay/upstream_call.h
@@ -8,22 +8,17 @@
 #include <string>
 
 #include "cornelrelay/core/ids.h"
+#include "cornelrelay/driver/attempt_call.h"
 #include "cornelrelay/net/http_client.h"
 #include "cornelrelay/relay/upstream_order.h"
 #include "cornelrelay/relay/upstream_protocol.h"
 #include "cornelrelay/request/request_event.h"
-#include "cornelrelay/runtime/mailbox.h"
 #include "cornelrelay/runtime/process_clock.h"
 
 namespace cornelrelay::relay {
 
-using RequestMailbox = runtime::Mailbox<request::RequestEvent>;
-
-/// \brief Runs one attempt against an upstream and reports it to the request's mailbox.
-///
-/// Reading from the upstream waits until the task has taken the previous piece, so a slow caller
-/// slows the upstream down.
-class UpstreamCall : public std::enable_shared_from_this<UpstreamCall> {
+/// \brief Runs one attempt against an upstream whose messages an UpstreamProtocol translates.
+class UpstreamCall : public driver::AttemptCall {
  public:
   struct Io {
     boost::asio::io_context& context;
@@ -33,38 +28,25 @@
   };
 
   UpstreamCall(Io io, core::AttemptId attempt, UpstreamOrder order,
-               net::HttpClient::ConnectionUse use, std::shared_ptr<RequestMailbox> mailbox);
-
-  void Start();
-
-  /// \brief Closes the connection; nothing is written or reported afterwards.
-  void Cancel();
+               net::HttpClient::ConnectionUse use, std::shared_ptr<driver::RequestMailbox> mailbox);
 
-  const core::AttemptId& attempt() const { return m_attempt; }
   /// \brief Set before the first event that follows a head.
   const std::optional<AnswerHead>& head() const { return m_head; }
   /// \brief Body of an answer that was reported as AnswerFailed.
   const std::string& failure_body() const { return m_failure_body; }
 
  private:
-  boost::asio::awaitable<void> Run();
-  boost::asio::awaitable<void> Exchange();
+  boost::asio::awaitable<void> Exchange() override;
   boost::asio::awaitable<void> ReadOwnHead();
   boost::asio::awaitable<void> ReadStream();
-  boost::asio::awaitable<std::string> ReadBody();
   request::StreamVerdict Check(std::string_view event);
-  void Report(request::RequestEvent event);
 
-  Io m_io;
-  core::AttemptId m_attempt;
+  const runtime::ProcessClock& m_clock;
+  const UpstreamProtocol& m_protocol;
   UpstreamOrder m_order;
-  net::HttpClient::ConnectionUse m_use;
-  std::shared_ptr<RequestMailbox> m_mailbox;
-  std::unique_ptr<net::HttpExchange> m_exchange;
   std::optional<AnswerHead> m_head;
   std::string m_failure_body;
   std::optional<std::uint64_t> m_last_event;
-  bool m_cancelled = false;
 };
 
 }  // namespace cornelrelay::relay
--- a/packages/relay/src/dispatch_hub.cc
+++ b/packages/relay/src/dispatch_hub.cc
@@ -28,7 +28,8 @@
   const core::Duration pass = step * static_cast<std::int64_t>(engine.steps_per_pass);
   config.usual_hold = Scale(step, std::max(1.0, engine.usual_answer_tokens));
   config.usual_first_output = pass * 2;
-  config.prompt_tokens_per_place = std::max(1.0, engine.usual_prompt_tokens * kPromptsPerPlace);
+  config.upstreams.prompt_tokens_per_place =
+      std::max(1.0, engine.usual_prompt_tokens * kPromptsPerPlace);
   return config;
 }
 
--- a/packages/relay/src/relay_process.cc
+++ b/packages/relay/src/relay_process.cc
@@ -10,6 +10,7 @@
 #include "cornelrelay/relay/own_keys.h"
 #include "cornelrelay/runtime/pause.h"
 #include "cornelrelay/runtime/process_setup.h"
+#include "cornelrelay/runtime/store_options.h"
 
 namespace cornelrelay::relay {
 namespace {
@@ -36,10 +37,6 @@
 constexpr milliseconds kStoreCallTimeout{1'000};
 /// The wait of a watch plus a slow answer.
 constexpr milliseconds kStoreWatchTimeout{2'300};
-/// Longest pause before the store is asked again: entries must be back 2 s after its return.
-constexpr milliseconds kStoreBackoffCeiling{500};
-/// Calls of this much time may be made at once after a pause.
-constexpr int kStoreBurstSeconds = 2;
 /// Sockets for a request: caller, upstream, and one kept idle.
 constexpr std::uint32_t kDescriptorsPerCaller = 3;
 constexpr std::uint32_t kReservedDescriptors = 300;
@@ -60,17 +57,6 @@
   return limits;
 }
 
-store::StoreClientOptions StoreOptions(const settings::RelaySettings& settings) {
-  store::StoreClientOptions options;
-  options.calls_per_second = settings.store_calls_per_second;
-  options.burst = kStoreBurstSeconds * settings.store_calls_per_second;
-  options.call_timeout = kStoreCallTimeout;
-  options.watch_timeout = kStoreWatchTimeout;
-  options.attempts = 1;  // the users of the link repeat
-  options.backoff_ceiling = kStoreBackoffCeiling;
-  return options;
-}
-
 net::HttpServerLimits CallerLimitsOf(const routes::CallerLimits& limits,
                                      const settings::RelaySettings& settings) {
   net::HttpServerLimits server;
@@ -99,9 +85,11 @@
       m_log(log),
       m_upstream_client(context, UpstreamClientLimits()),
       m_store_client(context, StoreClientLimits()),
-      m_store(std::make_shared<runtime::StoreLink>(context, m_clock, m_store_client, ports.store,
-                                                   m_settings.store, StoreOptions(m_settings),
-                                                   seed + 1)),
+      m_store(std::make_shared<runtime::StoreLink>(
+          context, m_clock, m_store_client, ports.store, m_settings.store,
+          runtime::UnrepeatedCalls(m_settings.store_calls_per_second, kStoreCallTimeout,
+                                   kStoreWatchTimeout),
+          seed + 1)),
       m_retries(m_settings.retries),
       m_peers(context, m_clock, m_store_client, m_settings.host, m_settings.peers, seed + 2, log,
               m_metrics,
@@ -129,10 +117,7 @@
                [this](const net::HttpRequest&, net::ResponseStream& response) {
                  return ServeHealth(response);
                }),
-      m_metrics_server(context, m_settings.metrics, net::HttpServerLimits{}, std::nullopt,
-                       [this](const net::HttpRequest&, net::ResponseStream& response) {
-                         return ServeMetrics(response);
-                       }),
+      m_metrics_server(context, m_clock, m_settings.metrics, m_metrics),
       m_register_timer(context, m_clock, [this] { Register(); }) {}
 
 void RelayProcess::Start() {
@@ -232,13 +217,6 @@
   co_await response.SendWhole(std::move(answer));
 }
 
-asio::awaitable<void> RelayProcess::ServeMetrics(net::ResponseStream& response) {
-  net::HttpResponse answer;
-  answer.headers["Content-Type"] = "text/plain; version=0.0.4";
-  answer.body = m_metrics.Render(m_clock.Now());
-  co_await response.SendWhole(std::move(answer));
-}
-
 void RelayProcess::Shutdown() {
   if (std::exchange(m_draining, true)) {
     m_log.Warning("shutdown_forced", {{"requests", m_gateway.active()}});
--- a/packages/runtime/include/cornelrelay/runtime/process_setup.h
+++ b/packages/runtime/include/cornelrelay/runtime/process_setup.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 #include "cornelrelay/gossip/node_settings.h"
 #include "cornelrelay/runtime/process_clock.h"
@@ -10,7 +11,7 @@
 namespace cornelrelay::runtime {
 
 /// \brief The seed of the settings, else one from the system.
-std::uint64_t SeedOf(const settings::CommonSettings& common);
+std::uint64_t SeedOf(std::optional<std::uint64_t> configured);
 
 /// \brief A number that rises at each start of a process: its start time in microseconds.
 std::uint64_t IncarnationAt(const ProcessClock& clock);
--- a/packages/runtime/src/process_setup.cc
+++ b/packages/runtime/src/process_setup.cc
@@ -5,8 +5,8 @@
 
 namespace cornelrelay::runtime {
 
-std::uint64_t SeedOf(const settings::CommonSettings& common) {
-  if (common.seed) return *common.seed;
+std::uint64_t SeedOf(std::optional<std::uint64_t> configured) {
+  if (configured) return *configured;
   std::random_device device;
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
--- a/packages/wire/src/control_message.cc
+++ b/packages/wire/src/control_message.cc
@@ -2,6 +2,7 @@
 
 #include "claim_fields.h"
 #include "gossip_fields.h"
+#include "message_codec.h"
 
 namespace cornelrelay::wire {
 namespace internal {
@@ -42,24 +43,21 @@
 
 }  // namespace internal
 
+namespace {
+
+constexpr auto kCode = [](auto& ar, auto& message) {
+  internal::Alternative(ar, message, [&](auto& one) { internal::Code(ar, one); });
+};
+
+}  // namespace
+
 std::string Encode(const ControlMessage& message) {
-  std::string bytes;
-  internal::Writer writer(bytes);
-  internal::Alternative(writer, message, [&](const auto& one) { internal::Code(writer, one); });
-  return bytes;
+  return internal::EncodeMessage(message, kCode);
 }
 
 ControlMessage Decode(std::string_view bytes) {
   if (bytes.size() > kMaxMessage) throw MessageTooLarge();
-  try {
-    ControlMessage message;
-    internal::Reader reader(bytes);
-    internal::Alternative(reader, message, [&](auto& one) { internal::Code(reader, one); });
-    if (reader.source.Remaining() != 0) throw MalformedMessage();
-    return message;
-  } catch (const cereal::Exception&) {
-    throw MalformedMessage();  // cereal reports a short read this way
-  }
+  return internal::DecodeMessage<ControlMessage>(bytes, kCode);
 }
 
 }  // namespace cornelrelay::wire
--- a/packages/wire/src/fields.h
+++ b/packages/wire/src/fields.h
@@ -153,6 +153,16 @@
   for (auto& value : values) element(value);
 }
 
+/// \brief Whether there is a value, then `code(value)`.
+template <class Ar, class T, class CodeOne>
+void Optional(Ar& ar, T& value, CodeOne code) {
+  bool present = value.has_value();
+  Flag(ar, present);
+  if (!present) return;
+  if constexpr (Ar::kReads) value.emplace();
+  code(*value);
+}
+
 /// \brief The index of a variant, then `code(alternative)`.
 template <class Ar, class Variant, class CodeOne>
 void Alternative(Ar& ar, Variant& value, CodeOne code) {
--- a/packages/wire/src/fleet_messages.cc
+++ b/packages/wire/src/fleet_messages.cc
@@ -1,13 +1,11 @@
 #include "cornelrelay/wire/fleet_messages.h"
 
-#include "fields.h"
+#include "message_codec.h"
 
 namespace cornelrelay::wire {
 namespace {
 
-using internal::Reader;
 using internal::Ref;
-using internal::Writer;
 
 constexpr std::size_t kMaxLoads = 1024;
 constexpr std::size_t kMaxQueues = 64;
@@ -40,45 +38,30 @@
   internal::List<std::uint32_t>(ar, t.changes, kMaxItems, kItemBytes, [&](auto& change) {
     internal::Text(ar, change.key, kMaxKeyBytes);
     ar.archive(change.revision);
-    bool present = change.value.has_value();
-    internal::Flag(ar, present);
-    if (!present) return;
-    if constexpr (Ar::kReads) change.value.emplace();
-    internal::Bytes<std::uint32_t>(ar, *change.value, kMaxValueBytes);
+    internal::Optional(ar, change.value, [&](auto& value) {
+      internal::Bytes<std::uint32_t>(ar, value, kMaxValueBytes);
+    });
   });
 }
 
-template <class Message>
-std::string EncodeMessage(const Message& message) {
-  std::string bytes;
-  Writer writer(bytes);
-  Code(writer, message);
-  return bytes;
-}
-
-template <class Message>
-Message DecodeMessage(std::string_view bytes) {
-  Message message;
-  try {
-    Reader reader(bytes);
-    Code(reader, message);
-  } catch (const cereal::Exception&) {
-    throw MalformedMessage();
-  }
-  return message;
-}
+/// Passes the overloads of Code on as one function.
+constexpr auto kCode = [](auto& ar, auto& message) { Code(ar, message); };
 
 }  // namespace
 
-std::string Encode(const peers::Bulletin& bulletin) { return EncodeMessage(bulletin); }
-std::string Encode(const ItemsTransfer& transfer) { return EncodeMessage(transfer); }
+std::string Encode(const peers::Bulletin& bulletin) {
+  return internal::EncodeMessage(bulletin, kCode);
+}
+std::string Encode(const ItemsTransfer& transfer) {
+  return internal::EncodeMessage(transfer, kCode);
+}
 
 peers::Bulletin DecodeBulletin(std::string_view bytes) {
-  return DecodeMessage<peers::Bulletin>(bytes);
+  return internal::DecodeMessage<peers::Bulletin>(bytes, kCode);
 }
 
 ItemsTransfer DecodeItemsTransfer(std::string_view bytes) {
-  return DecodeMessage<ItemsTransfer>(bytes);
+  return internal::DecodeMessage<ItemsTransfer>(bytes, kCode);
 }
 
 }  // namespace cornelrelay::wire
--- a/packages/wire/src/rank_messages.cc
+++ b/packages/wire/src/rank_messages.cc
@@ -1,14 +1,12 @@
 #include "cornelrelay/wire/rank_messages.h"
 
 #include "cornelrelay/core/overloaded.h"
-#include "fields.h"
+#include "message_codec.h"
 
 namespace cornelrelay::wire {
 namespace {
 
-using internal::Reader;
 using internal::Ref;
-using internal::Writer;
 
 constexpr std::size_t kMaxSets = 256;
 constexpr std::size_t kMaxRanks = 1024;
@@ -39,12 +37,7 @@
 void Code(Ar& ar, Ref<Ar, RankCall> call) {
   ar.archive(call.fence, call.epoch);
   internal::Flag(ar, call.want_picks);
-  bool elsewhere = call.engine.has_value();
-  internal::Flag(ar, elsewhere);
-  if (elsewhere) {
-    if constexpr (Ar::kReads) call.engine.emplace();
-    internal::Address(ar, *call.engine);
-  }
+  internal::Optional(ar, call.engine, [&](auto& engine) { internal::Address(ar, engine); });
   internal::Alternative(
       ar, call.order,
       core::Overloaded{[&](Ref<Ar, balance::PrepareMap> o) {
@@ -63,21 +56,9 @@
   ar.archive(state.epoch, state.step, state.map);
   internal::Flag(ar, state.open);
   Sets(ar, state.experts);
-}
-
-// Presence and value of the optional fields are written apart, since reading creates the values.
-template <class Ar>
-void CodeOptionals(Ar& ar, Ref<Ar, balance::RankState> state) {
-  const auto field = [&](auto& value, auto code) {
-    bool present = value.has_value();
-    internal::Flag(ar, present);
-    if (!present) return;
-    if constexpr (Ar::kReads) value.emplace();
-    code(*value);
-  };
-  field(state.prepared, [&](auto& version) { ar.archive(version); });
-  field(state.armed, [&](auto& armed) { ar.archive(armed.version, armed.step); });
-  field(state.held, [&](auto& step) { ar.archive(step); });
+  internal::Optional(ar, state.prepared, [&](auto& version) { ar.archive(version); });
+  internal::Optional(ar, state.armed, [&](auto& armed) { ar.archive(armed.version, armed.step); });
+  internal::Optional(ar, state.held, [&](auto& step) { ar.archive(step); });
 }
 
 template <class Ar>
@@ -85,47 +66,28 @@
   internal::Identifier(ar, report.group);
   ar.archive(report.rank, report.size, report.incarnation);
   Code(ar, report.state);
-  CodeOptionals(ar, report.state);
 }
 
 template <class Ar>
 void Code(Ar& ar, Ref<Ar, RankReply> reply) {
   internal::Choice(ar, reply.result, balance::OrderResult::kUnknown);
-  bool present = reply.report.has_value();
-  internal::Flag(ar, present);
-  if (present) {
-    if constexpr (Ar::kReads) reply.report.emplace();
-    Code(ar, *reply.report);
-  }
+  internal::Optional(ar, reply.report, [&](auto& report) { Code(ar, report); });
   internal::List<std::uint32_t>(ar, reply.picks, kMaxPicks, sizeof(std::uint16_t),
                                 [&](auto& count) { ar.archive(count); });
 }
 
-template <class Message>
-std::string EncodeMessage(const Message& message) {
-  std::string bytes;
-  Writer writer(bytes);
-  Code(writer, message);
-  return bytes;
-}
-
-template <class Message>
-Message DecodeMessage(std::string_view bytes) {
-  Message message;
-  try {
-    Reader reader(bytes);
-    Code(reader, message);
-  } catch (const cereal::Exception&) {
-    throw MalformedMessage();
-  }
-  return message;
-}
+/// Passes the overloads of Code on as one function.
+constexpr auto kCode = [](auto& ar, auto& message) { Code(ar, message); };
 
 }  // namespace
 
-std::string Encode(const RankCall& call) { return EncodeMessage(call); }
-std::string Encode(const RankReply& reply) { return EncodeMessage(reply); }
-RankCall DecodeRankCall(std::string_view bytes) { return DecodeMessage<RankCall>(bytes); }
-RankReply DecodeRankReply(std::string_view bytes) { return DecodeMessage<RankReply>(bytes); }
+std::string Encode(const RankCall& call) { return internal::EncodeMessage(call, kCode); }
+std::string Encode(const RankReply& reply) { return internal::EncodeMessage(reply, kCode); }
+RankCall DecodeRankCall(std::string_view bytes) {
+  return internal::DecodeMessage<RankCall>(bytes, kCode);
+}
+RankReply DecodeRankReply(std::string_view bytes) {
+  return internal::DecodeMessage<RankReply>(bytes, kCode);
+}
 
 }  // namespace cornelrelay::wire
--- a/packages/wire/tests/fleet_messages_test.cc
+++ b/packages/wire/tests/fleet_messages_test.cc
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include "cornelrelay/core/error.h"
+#include "cornelrelay/wire/malformed_message.h"
 #include "cornelrelay/wire/rank_messages.h"
 
 namespace cornelrelay::wire {
@@ -69,4 +70,11 @@
   }));
 }
 
+TEST_CASE("bytes after a message make it malformed") {
+  CHECK_THROWS_AS(DecodeBulletin(Encode(Sample()) + 'x'), MalformedMessage);
+  CHECK_THROWS_AS(DecodeItemsTransfer(Encode(ItemsTransfer{}) + 'x'), MalformedMessage);
+  CHECK_THROWS_AS(DecodeRankCall(Encode(RankCall{}) + 'x'), MalformedMessage);
+  CHECK_THROWS_AS(DecodeRankReply(Encode(RankReply{}) + 'x'), MalformedMessage);
+}
+
 }  // namespace cornelrelay::wire
