Lead a group of 72 ranks within the memory and link of a small host

A trial with log lines of the resident size showed 14 MB before a proposal and 14.6 MB more with each round of 72 orders that carry the map: giving them took 200 ms of a 0.15 core, longer than the time-out after which the next round was given. Each order held four copies of the map. Besides, the counts of all ranks (3.5 KB each, every 120 ms) are 17 Mbit/s on a link of 8, and the planner ran in every round, for 19 to 31 ms of a whole core.

Ruled out: the resident size before a proposal does not grow (13 to 15 MB over all leaders), so polls, logs and the planner leak nothing.

- A map is sent to 16 ranks at once (OrderBook), and its copies are shared (SharedMap).
- Numbers of maps take 7 bits a byte on the wire: a call with a map of 72 ranks, 12 sets and 3 places takes under 4.2 KB, 8.6 KB before.
- Members of a large group are asked for their counts in turn (PollRota).
- No plan is made while no map could gain enough; after one, three times its duration passes.
The search compares powers instead of roots.
- Time-outs for agents grow with the group.
- A watch follows the last one by 400 ms at least, so that the start of 116 processes does not end every watch 120 times.

Tests seen to fail first: order_book (72 orders at once), fleet_messages (4,662 bytes with the first form of the code), prefix_reader (100 watches for a burst of 3 s). The other new tests came with their code.

--- a/packages/balance/include/cornelrelay/balance/order_book.h
+++ b/packages/balance/include/cornelrelay/balance/order_book.h
@@ -16,6 +16,8 @@
   core::Duration timeout = std::chrono::milliseconds(150);      ///< then it counts as unanswered
   core::Duration resend_pause = std::chrono::milliseconds(30);  ///< after an answer
   core::Duration poll_pause = std::chrono::milliseconds(30);    ///< while ranks load a map
+  /// Ranks that are sent a map at once. More would fill the link and the memory of a small host.
+  std::size_t maps_at_once = 16;
 };
 
 /// \brief Gives orders to the ranks of a group, and keeps what came of them in the present phase.
@@ -80,6 +82,8 @@
   };
 
   bool MaySend(core::Instant now, RankIndex rank, core::Duration pause) const;
+  /// \brief Ranks whose last order was of this kind and has neither ended nor timed out.
+  std::size_t Pending(core::Instant now, std::size_t kind) const;
   void Give(core::Instant now, RankIndex rank, RankOrder order, std::optional<RankIndex> giver,
             Actions& out);
 
--- a/packages/balance/include/cornelrelay/balance/rank_order.h
+++ b/packages/balance/include/cornelrelay/balance/rank_order.h
@@ -5,12 +5,13 @@
 #include <variant>
 
 #include "cornelrelay/balance/rank_state.h"
+#include "cornelrelay/balance/shared_map.h"
 
 namespace cornelrelay::balance {
 
 struct PrepareMap {
   MapVersion version = 0;
-  LayerMap map;
+  SharedMap map;
 
   friend bool operator==(const PrepareMap&, const PrepareMap&) = default;
 };
--- /dev/null
+++ b/packages/balance/include/cornelrelay/balance/shared_map.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <memory>
+#include <utility>
+
+#include "cornelrelay/balance/rank_state.h"
+
+namespace cornelrelay::balance {
+
+/// \brief An immutable map that its copies share. The map of a large group takes some ten thousand
+/// allocations, and every rank is sent the same one.
+class SharedMap {
+ public:
+  SharedMap() : SharedMap(LayerMap{}) {}
+  explicit SharedMap(LayerMap map) : m_map(std::make_shared<const LayerMap>(std::move(map))) {}
+
+  const LayerMap& layers() const { return *m_map; }
+
+  friend bool operator==(const SharedMap& a, const SharedMap& b) {
+    return a.m_map == b.m_map || *a.m_map == *b.m_map;
+  }
+
+ private:
+  std::shared_ptr<const LayerMap> m_map;
+};
+
+}  // namespace cornelrelay::balance
--- a/packages/balance/include/cornelrelay/balance/switch_leader.h
+++ b/packages/balance/include/cornelrelay/balance/switch_leader.h
@@ -122,9 +122,9 @@
   RankBook m_ranks;
   OrderBook m_orders;
   PassPicker m_passes;
-  std::optional<LayerMap> m_wanted;
-  LayerMap m_former;  ///< map in use when the switch began
-  LayerMap m_map;     ///< of the switch under way
+  std::optional<SharedMap> m_wanted;
+  SharedMap m_former;  ///< map in use when the switch began
+  SharedMap m_map;     ///< of the switch under way
   MapVersion m_version = 0;
   MapVersion m_abort_version = 0;
   StepIndex m_step = 0;
--- a/packages/balance/include/cornelrelay/balance/switch_messages.h
+++ b/packages/balance/include/cornelrelay/balance/switch_messages.h
@@ -61,7 +61,7 @@
   SwitchOutcome outcome = SwitchOutcome::kSwitched;
   StepIndex step = 0;
   core::Duration elapsed{};
-  LayerMap map;
+  SharedMap map;
 };
 /// \brief An unfinished switch of an earlier leader was found.
 struct SwitchInherited {
--- a/packages/balance/src/order_book.cc
+++ b/packages/balance/src/order_book.cc
@@ -1,5 +1,6 @@
 #include "cornelrelay/balance/order_book.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cornelrelay::balance {
@@ -22,7 +23,17 @@
 
 void OrderBook::Send(core::Instant now, RankIndex rank, RankOrder order, Actions& out,
                      std::optional<RankIndex> giver) {
-  if (MaySend(now, rank)) Give(now, rank, std::move(order), giver, out);
+  if (!MaySend(now, rank)) return;
+  const bool map = std::holds_alternative<PrepareMap>(order);
+  if (map && Pending(now, order.index()) >= m_config.maps_at_once) return;
+  Give(now, rank, std::move(order), giver, out);
+}
+
+std::size_t OrderBook::Pending(core::Instant now, std::size_t kind) const {
+  return static_cast<std::size_t>(
+      std::count_if(m_ranks.begin(), m_ranks.end(), [&](const Entry& entry) {
+        return entry.outstanding && entry.kind == kind && now - entry.sent < m_config.timeout;
+      }));
 }
 
 void OrderBook::Poll(core::Instant now, RankIndex rank, Actions& out) {
--- a/packages/balance/src/switch_leader.cc
+++ b/packages/balance/src/switch_leader.cc
@@ -46,7 +46,7 @@
 
 // A map is planned against the one in use, so it is of no use once another switch is under way.
 void SwitchLeader::Apply(core::Instant, const MapWanted& event, Actions&) {
-  if (Settled()) m_wanted = event.map;
+  if (Settled()) m_wanted.emplace(event.map);
 }
 void SwitchLeader::Apply(core::Instant, const SwitchTick&, Actions&) {}
 
@@ -130,7 +130,7 @@
   if (unfinished) {
     m_step = *unfinished;
     m_version = 0;
-    m_map.clear();
+    m_map = {};
     m_switch_since = now;
     return Enter(now, Phase::kRecovering);
   }
@@ -138,8 +138,8 @@
   std::optional<LayerMap> former = m_ranks.MapInUse();
   if (!former) return;
   m_map = *std::exchange(m_wanted, std::nullopt);
-  if (m_map == *former) return;
-  m_former = std::move(*former);
+  if (m_map.layers() == *former) return;
+  m_former = SharedMap(std::move(*former));
   m_version = NextVersion();
   m_switch_since = now;
   Enter(now, Phase::kPreparing);
@@ -246,9 +246,9 @@
     m_forward = true;
     return Enter(now, Phase::kReleasing);
   }
-  const auto former = m_ranks.MapInUse();
+  auto former = m_ranks.MapInUse();
   if (!former) return m_orders.PollAll(now, out);
-  m_former = *former;
+  m_former = SharedMap(std::move(*former));
   BeginAbort(now);
 }
 
--- a/packages/balance/tests/armed_world.cc
+++ b/packages/balance/tests/armed_world.cc
@@ -32,7 +32,7 @@
   if (order.version <= m_highest || m_state.armed) return OrderResult::kRefused;
   m_highest = order.version;
   m_state.prepared = order.version;
-  m_prepared_content = order.map;
+  m_prepared_content = order.map.layers();
   return OrderResult::kDone;
 }
 
--- a/packages/balance/tests/order_book_test.cc
+++ b/packages/balance/tests/order_book_test.cc
@@ -45,6 +45,28 @@
   CHECK_FALSE(orders.Unanswered(0));
 }
 
+// Load pattern: a shift of the demand in a group of many ranks.
+TEST_CASE("a map goes to a few ranks at once, other orders to all") {
+  OrderBook orders(72, {.maps_at_once = 12});
+  OrderBook::Actions out;
+  orders.BeginPhase();
+  const auto send_all = [&](const RankOrder& order, core::Instant now) {
+    out.clear();
+    for (RankIndex rank = 0; rank < 72; ++rank) orders.Send(now, rank, order, out);
+    return out.size();
+  };
+  const PrepareMap prepare{4, SharedMap({{{0, 1}, {2, 3}}})};
+  CHECK(send_all(prepare, kStart) == 12);
+  CHECK(send_all(prepare, kStart) == 0);
+  orders.Ended(3, OrderResult::kDone);
+  orders.Ended(5, OrderResult::kUnknown);
+  CHECK(send_all(prepare, kStart) == 2);
+  // The time-out of the first ones makes room, so that a lost answer stops nothing.
+  CHECK(send_all(prepare, kStart + std::chrono::seconds(1)) == 12);
+  orders.BeginPhase();
+  CHECK(send_all(ArmMap{4, 9}, kStart + std::chrono::seconds(1)) == 72);
+}
+
 TEST_CASE("orders carry the fence and the epoch") {
   OrderBook orders(1, {});
   OrderBook::Actions out;
--- a/packages/placement/src/layout_planner.cc
+++ b/packages/placement/src/layout_planner.cc
@@ -50,7 +50,7 @@
       const std::size_t left = rank_copies.empty() ? limits.spares : rank_copies[rank];
       m_spares.push_back(static_cast<int>(std::min(limits.spares, left)));
     }
-    for (const double time : m_times) m_sum += Power(time);
+    SumPowers();
     m_holders.resize(current.experts());
     for (std::size_t rank = 0; rank < current.ranks().size(); ++rank) {
       for (const Expert expert : current.ranks()[rank]) m_holders[expert].push_back(rank);
@@ -115,15 +115,19 @@
     if (!WithinSpares(change)) return;
     const int copies = AddedBy(change.rank, change.in, change.out) +
                        (change.other ? AddedBy(*change.other, change.out, change.in) : 0);
-    const double value = Root(SumAfter(change)) + m_limits.gain_per_copy * std::max(copies, 0);
-    if (value >= m_best_value) return;
-    m_best_value = value;
+    const double price = m_limits.gain_per_copy * std::max(copies, 0);
+    const double sum = SumAfter(change);
+    // Root(sum) + price < m_best_value without the root, which few changes need.
+    if (m_best_value <= price || sum >= Power(m_best_value - price)) return;
+    m_best_value = Root(sum) + price;
     m_best = change;
   }
 
-  /// Ranks whose time a change touches, with the difference.
-  std::vector<std::pair<std::size_t, double>> Differences(const Change& change) const {
-    std::vector<std::pair<std::size_t, double>> differences;
+  /// Ranks whose time a change without an exchange touches, with the difference. The next call
+  /// reuses the list.
+  const std::vector<std::pair<std::size_t, double>>& Differences(const Change& change) {
+    std::vector<std::pair<std::size_t, double>>& differences = m_differences;
+    differences.clear();
     const auto add = [&](std::size_t rank, double difference) {
       for (auto& [known, sum] : differences) {
         if (known != rank) continue;
@@ -132,14 +136,6 @@
       }
       differences.emplace_back(rank, difference);
     };
-    if (change.other) {
-      // An exchange leaves the numbers of copies as they are.
-      const double in = Part(*change.in, 0);
-      const double out = Part(*change.out, 0);
-      add(change.rank, in - out);
-      add(*change.other, out - in);
-      return differences;
-    }
     if (change.in) {
       for (const std::size_t holder : m_holders[*change.in]) {
         add(holder, Part(*change.in, 1) - Part(*change.in, 0));
@@ -154,10 +150,18 @@
     return differences;
   }
 
-  double SumAfter(const Change& change) const {
+  double SumAfter(const Change& change) {
     double sum = m_sum;
-    for (const auto& [rank, difference] : Differences(change)) {
-      sum += Power(m_times[rank] + difference) - Power(m_times[rank]);
+    const auto add = [&](std::size_t rank, double difference) {
+      sum += Power(m_times[rank] + difference) - m_powers[rank];
+    };
+    if (change.other) {
+      // An exchange leaves the numbers of copies as they are.
+      const double difference = Part(*change.in, 0) - Part(*change.out, 0);
+      add(change.rank, difference);
+      add(*change.other, -difference);
+    } else {
+      for (const auto& [rank, difference] : Differences(change)) add(rank, difference);
     }
     return std::max(sum, 0.0);
   }
@@ -183,8 +187,13 @@
     replace(change.rank, change.in, change.out);
     if (change.other) replace(*change.other, change.out, change.in);
     m_times = RankLoads(m_layout, m_loads);
-    m_sum = 0;
-    for (const double time : m_times) m_sum += Power(time);
+    SumPowers();
+  }
+
+  void SumPowers() {
+    m_powers.resize(m_times.size());
+    std::transform(m_times.begin(), m_times.end(), m_powers.begin(), Power);
+    m_sum = std::accumulate(m_powers.begin(), m_powers.end(), 0.0);
   }
 
   const ExpertLayout& m_start;
@@ -195,7 +204,9 @@
   std::vector<int> m_added;
   std::vector<int> m_spares;  ///< copies that each rank may load
   std::vector<std::vector<std::size_t>> m_holders;
-  double m_sum = 0;
+  std::vector<double> m_powers;  ///< Power of each time
+  double m_sum = 0;              ///< of the powers
+  std::vector<std::pair<std::size_t, double>> m_differences;
   std::optional<Change> m_best;
   double m_best_value = 0;
 };
--- a/packages/ranks/include/cornelrelay/ranks/group_demand.h
+++ b/packages/ranks/include/cornelrelay/ranks/group_demand.h
@@ -49,6 +49,9 @@
   void Count(std::uint32_t rank, std::uint64_t incarnation,
              const std::vector<std::uint16_t>& picks);
 
+  /// \brief Numbers in the counts of one rank.
+  std::size_t counts() const { return m_config.sets * m_config.experts; }
+
   /// \brief Ends a window of counts.
   void EndWindow();
 
@@ -57,6 +60,9 @@
   std::optional<MapProposal> Propose(const balance::LayerMap& current);
 
  private:
+  /// \brief Mean over the sets of the load of the busiest rank over the mean.
+  double BusiestRank(const balance::LayerMap& current) const;
+
   struct Baseline {
     std::uint64_t incarnation = 0;
     std::vector<std::uint16_t> picks;
--- a/packages/ranks/include/cornelrelay/ranks/group_leader.h
+++ b/packages/ranks/include/cornelrelay/ranks/group_leader.h
@@ -2,6 +2,8 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -13,6 +15,7 @@
 #include "cornelrelay/net/http_client.h"
 #include "cornelrelay/ranks/engine_link.h"
 #include "cornelrelay/ranks/group_demand.h"
+#include "cornelrelay/ranks/poll_rota.h"
 #include "cornelrelay/ranks/rank_ports.h"
 #include "cornelrelay/routes/engine_model.h"
 #include "cornelrelay/runtime/process_clock.h"
@@ -65,6 +68,8 @@
   void UseConfiguration(const std::string& value);
   void Round();
   void Plan();
+  /// \brief Members asked in one round, as the counts of a large group would fill the link.
+  std::size_t PollsPerRound() const;
   boost::asio::awaitable<void> Poll(core::Endpoint engine);
   boost::asio::awaitable<void> Deliver(balance::SendOrder order);
   boost::asio::awaitable<std::optional<wire::RankReply>> CallAgent(core::Endpoint agent,
@@ -82,11 +87,14 @@
   OwnAgent m_own_agent;
   std::function<void()> m_on_fenced;  ///< a rank knows a newer leader
   balance::SwitchLeader m_machine;
+  std::chrono::milliseconds m_agent_timeout;   ///< for one answer of an agent
   std::map<core::Endpoint, Member> m_members;  ///< by engine
+  PollRota m_rota;
   std::optional<GroupDemand> m_demand;
   runtime::WakeTimer m_round_timer;
   runtime::WakeTimer m_tick_timer;
   core::Instant m_members_read{};
+  core::Instant m_next_plan{};
   bool m_leading = false;
 };
 
--- /dev/null
+++ b/packages/ranks/include/cornelrelay/ranks/poll_rota.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstddef>
+#include <vector>
+
+#include "cornelrelay/core/endpoint.h"
+
+namespace cornelrelay::ranks {
+
+/// \brief Whom to ask in a round: all members in turn, so many at a time.
+///
+/// \code
+/// rota.Add(engine);
+/// for (const core::Endpoint& engine : rota.Next(12)) ...
+/// \endcode
+class PollRota {
+ public:
+  void Add(const core::Endpoint& member) { m_members.push_back(member); }
+
+  /// \brief The members whose turn it is, each at most once.
+  std::vector<core::Endpoint> Next(std::size_t most);
+
+ private:
+  std::vector<core::Endpoint> m_members;
+  std::size_t m_next = 0;
+};
+
+}  // namespace cornelrelay::ranks
--- a/packages/ranks/src/group_demand.cc
+++ b/packages/ranks/src/group_demand.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "cornelrelay/placement/placement.h"
+
 namespace cornelrelay::ranks {
 
 GroupDemand::GroupDemand(GroupDemandConfig config)
@@ -30,10 +32,25 @@
   }
 }
 
+double GroupDemand::BusiestRank(const balance::LayerMap& current) const {
+  double sum = 0;
+  for (std::size_t set = 0; set < m_config.sets; ++set) {
+    const placement::ExpertLayout layout(m_config.experts, current[set]);
+    sum += placement::Skew(placement::RankLoads(layout, m_estimates[set].loads()));
+  }
+  return m_config.sets == 0 ? 1 : sum / static_cast<double>(m_config.sets);
+}
+
 std::optional<MapProposal> GroupDemand::Propose(const balance::LayerMap& current) {
   if (current.size() != m_config.sets) return std::nullopt;
   MapProposal proposal;
-  proposal.before = proposal.after = 0;
+  proposal.before = BusiestRank(current);
+  proposal.after = 0;
+  const std::optional<double> last = std::exchange(m_last_before, proposal.before);
+  const bool growing = last && proposal.before - *last > m_config.growing;
+  if (growing && proposal.before < m_config.urgent) return std::nullopt;
+  // No map brings the busiest rank below the mean.
+  if (proposal.before - 1 < m_config.least_gain) return std::nullopt;
   const std::size_t ranks = current.empty() ? 0 : current.front().size();
   std::vector<std::size_t> left(ranks, m_config.copies_per_rank);
   for (std::size_t set = 0; set < m_config.sets; ++set) {
@@ -42,13 +59,9 @@
     const auto copies = placement::CopiesByRank(layout, plan.layout);
     for (std::size_t rank = 0; rank < ranks; ++rank) left[rank] -= copies[rank];
     proposal.copies += plan.copies;
-    proposal.before += plan.before / static_cast<double>(m_config.sets);
     proposal.after += plan.after / static_cast<double>(m_config.sets);
     proposal.map.push_back(plan.layout.ranks());
   }
-  const std::optional<double> last = std::exchange(m_last_before, proposal.before);
-  const bool growing = last && proposal.before - *last > m_config.growing;
-  if (growing && proposal.before < m_config.urgent) return std::nullopt;
   if (proposal.before - proposal.after < m_config.least_gain) return std::nullopt;
   return proposal;
 }
--- a/packages/ranks/src/group_leader.cc
+++ b/packages/ranks/src/group_leader.cc
@@ -14,25 +14,42 @@
 namespace {
 
 namespace asio = boost::asio;
+using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
 /// Window of counts. Shorter ones show a shift sooner, but hold fewer choices of experts.
 constexpr milliseconds kRound{120};
 /// Pause between two looks at a switch under way.
 constexpr milliseconds kSwitchTick{20};
-/// An agent answers within some milliseconds; it asks its engine first.
-constexpr milliseconds kAgentTimeout{120};
+/// An agent answers within some milliseconds; it asks its engine first. The leader has a small part
+/// of a processor, and takes up the answers of a large group one after the other.
+constexpr microseconds kAgentTimeout{100'000};
+constexpr microseconds kAgentTimeoutPerRank{1'250};
+/// Counts that are asked for in a round. One takes two bytes, and a round may use a third of a link
+/// of 1 MB/s.
+constexpr std::size_t kCountsPerRound = 20'000;
+/// Pause after a plan, in times of what the plan took, so that orders are not kept waiting.
+constexpr int kPlanRest = 3;
 /// What an engine tells other hosts of itself is older than its answer by less than this.
 constexpr milliseconds kRemoteLag{500};
 /// The list of members is read again this often while one is missing.
 constexpr milliseconds kMembersRefresh{3'000};
+/// An order that is sent past its agent, and the report after it, take less than this.
+constexpr milliseconds kPastAgent{30};
 constexpr std::size_t kMaxReplyBytes = 1'048'576;
 constexpr int kStatusOk = 200;
 
+core::Duration AgentTimeout(balance::RankIndex ranks) {
+  return kAgentTimeout + kAgentTimeoutPerRank * ranks;
+}
+
 balance::SwitchLeaderConfig ConfigOf(const balance::RankReport& self) {
   balance::SwitchLeaderConfig config;
   config.ranks = self.size;
   config.self = self.rank;
+  // Calls past an agent that does not answer follow its time-out.
+  config.orders.timeout = AgentTimeout(self.size) + kPastAgent;
+  config.check_limit = config.orders.timeout;
   return config;
 }
 
@@ -47,6 +64,7 @@
       m_own_agent(std::move(own_agent)),
       m_on_fenced(std::move(on_fenced)),
       m_machine(ConfigOf(m_self)),
+      m_agent_timeout(std::chrono::ceil<milliseconds>(AgentTimeout(m_self.size))),
       m_round_timer(services.context, services.clock, [this] { Round(); }),
       m_tick_timer(services.context, services.clock, [this] { Step(balance::SwitchTick{}); }) {}
 
@@ -84,7 +102,7 @@
     member.engine = upstream->entry->endpoint;
     // Agents listen on the same port on all hosts.
     member.agent = {member.engine.address, m_settings.agents.port};
-    m_members.try_emplace(member.engine, member);
+    if (m_members.try_emplace(member.engine, member).second) m_rota.Add(member.engine);
   }
   if (page.more && !page.items.empty()) ReadMembers(page.items.back().key);
   if (m_leading) Step(balance::SwitchTick{});
@@ -125,21 +143,29 @@
   }
   if (!m_demand) ReadConfiguration();
   Plan();
-  for (auto& [engine, member] : m_members) {
-    if (std::exchange(member.asked, true)) continue;
+  for (const core::Endpoint& engine : m_rota.Next(PollsPerRound())) {
+    if (std::exchange(m_members.at(engine).asked, true)) continue;
     asio::co_spawn(
-        m_services.context, [this, engine = engine] { return Poll(engine); }, asio::detached);
+        m_services.context, [this, engine] { return Poll(engine); }, asio::detached);
   }
   m_round_timer.SetAt(m_services.clock.Now() + kRound);
 }
 
+std::size_t GroupLeader::PollsPerRound() const {
+  const std::size_t counts = m_demand ? std::max<std::size_t>(m_demand->counts(), 1) : 1;
+  return std::max<std::size_t>(kCountsPerRound / counts, 1);
+}
+
 void GroupLeader::Plan() {
   if (!m_demand) return;
   m_demand->EndWindow();
-  if (!m_machine.Settled()) return;
+  const core::Instant begun = m_services.clock.Now();
+  if (!m_machine.Settled() || begun < m_next_plan) return;
   const auto current = m_machine.MapInUse();
   if (!current) return;
   const auto proposal = m_demand->Propose(*current);
+  const core::Instant planned = m_services.clock.Now();
+  m_next_plan = planned + kPlanRest * (planned - begun);
   if (!proposal) return;
   m_services.log.Info("map_proposed", {{"group", m_self.group},
                                        {"fence", m_machine.fence()},
@@ -162,7 +188,7 @@
   request.body = wire::Encode(call);
   try {
     const net::HttpResponse response =
-        co_await m_services.client.Fetch(agent, std::move(request), kAgentTimeout, kMaxReplyBytes,
+        co_await m_services.client.Fetch(agent, std::move(request), m_agent_timeout, kMaxReplyBytes,
                                          net::HttpClient::ConnectionUse::kReuse);
     if (response.status == kStatusOk) reply = wire::DecodeRankReply(response.body);
   } catch (const core::Error& error) {
--- a/packages/store/include/cornelrelay/store/prefix_reader.h
+++ b/packages/store/include/cornelrelay/store/prefix_reader.h
@@ -17,6 +17,10 @@
   /// How long the store holds a watch without a change. A silent loss of the connection shows no
   /// sooner than this.
   core::Duration watch_wait = std::chrono::milliseconds(1'500);
+  /// Least time between two watches. Each watch costs a call, and in a burst of changes, as when
+  /// many processes register, it would end at each of them. The first change of a burst does not
+  /// wait.
+  core::Duration watch_spacing = std::chrono::milliseconds(400);
   core::Duration retry_base = std::chrono::milliseconds(100);
   core::Duration retry_ceiling = std::chrono::seconds(1);
 };
@@ -72,7 +76,7 @@
 
  private:
   void ReadPage(Actions& out);
-  void Watch(Actions& out);
+  void Watch(core::Instant now, Actions& out);
   void ReadAll(Actions& out);
   void OnPage(core::Instant now, const PrefixRead& page, Actions& out);
   void OnChanges(core::Instant now, const PrefixChanged& changes, Actions& out);
@@ -88,7 +92,8 @@
   StoreRevision m_revision = 0;  ///< changes up to it are known; during a read, of its first page
   std::vector<ItemChange> m_items;  ///< pages read so far
   std::string m_after_key;
-  std::optional<core::Instant> m_retry_at;
+  std::optional<core::Instant> m_retry_at;  ///< or when the next watch may begin
+  core::Instant m_watched_at{};             ///< begin of the last watch
   core::Instant m_last_answer{};
 };
 
--- a/packages/store/src/prefix_reader.cc
+++ b/packages/store/src/prefix_reader.cc
@@ -43,7 +43,7 @@
   if (!m_retry_at || now < *m_retry_at) return out;
   m_retry_at.reset();
   if (m_watching) {
-    Watch(out);
+    Watch(now, out);
   } else {
     ReadAll(out);
   }
@@ -61,8 +61,9 @@
   out.emplace_back(CallStore{ReadPrefix{m_prefix, m_after_key}});
 }
 
-void PrefixReader::Watch(Actions& out) {
+void PrefixReader::Watch(core::Instant now, Actions& out) {
   m_watching = true;
+  m_watched_at = now;
   out.emplace_back(CallStore{WatchPrefix{m_prefix, m_revision, m_options.watch_wait}});
 }
 
@@ -77,14 +78,16 @@
     return ReadPage(out);
   }
   out.emplace_back(ItemsRead{std::exchange(m_items, {}), m_revision});
-  Watch(out);
+  Watch(now, out);
 }
 
 void PrefixReader::OnChanges(core::Instant now, const PrefixChanged& changes, Actions& out) {
   NoteAnswer(now, out);
   if (changes.revision > m_revision) m_revision = changes.revision;
   out.emplace_back(ItemsChanged{changes.changes, m_revision});
-  Watch(out);
+  const core::Instant next = m_watched_at + m_options.watch_spacing;
+  if (changes.changes.empty() || next <= now) return Watch(now, out);
+  m_retry_at = next;
 }
 
 void PrefixReader::OnFailure(core::Instant now, const StoreReply& reply, Actions& out) {
--- a/packages/store/tests/prefix_reader_test.cc
+++ b/packages/store/tests/prefix_reader_test.cc
@@ -41,6 +41,34 @@
   CHECK(Called<WatchPrefix>(actions)->after == 10);
 }
 
+// Load pattern: many processes register at the same time.
+TEST_CASE("a burst of changes costs a few watches, and its first change does not wait") {
+  PrefixReader reader("servers/", {}, 1);
+  reader.Start(At(0));
+  REQUIRE(Called<WatchPrefix>(reader.OnReply(At(1), PrefixRead{{}, false, 10})));
+  // A change every 30 ms for 3 s, as long as the store has a watch to answer.
+  bool watching = true;
+  int watches = 0;
+  StoreRevision known = 10;
+  for (std::int64_t ms = 1'000; ms < 4'000; ms += 30) {
+    const auto revision = static_cast<StoreRevision>(10 + ms);
+    PrefixReader::Actions actions;
+    if (watching) {
+      actions = reader.OnReply(At(ms), PrefixChanged{{{"servers/a", "1", revision}}, revision});
+      REQUIRE(Find<ItemsChanged>(actions));
+      known = revision;
+    } else if (reader.NextWake() && *reader.NextWake() <= At(ms)) {
+      actions = reader.OnTick(At(ms));
+    }
+    watching = Called<WatchPrefix>(actions) != nullptr;
+    if (!watching) continue;
+    ++watches;
+    CHECK(Called<WatchPrefix>(actions)->after == known);
+  }
+  CHECK(watches >= 2);
+  CHECK(watches <= 10);
+}
+
 TEST_CASE("lost history leads to a new read of everything") {
   PrefixReader reader("", {}, 1);
   reader.Start(At(0));
--- a/packages/wire/src/fields.h
+++ b/packages/wire/src/fields.h
@@ -54,6 +54,39 @@
   if constexpr (Ar::kReads) value = wire;
 }
 
+/// Bytes of the shortest number that Varint writes.
+constexpr std::size_t kLeastVarintBytes = 1;
+
+/// \brief An unsigned number in groups of seven bits, the lowest first; the top bit of a byte says
+/// that more follow. Small numbers take one byte.
+template <class Ar, class T>
+void Varint(Ar& ar, T& value) {
+  constexpr std::uint8_t kMore = 0x80;
+  constexpr int kBits = 7;
+  if constexpr (Ar::kReads) {
+    T read = 0;
+    for (int shift = 0; shift < std::numeric_limits<T>::digits; shift += kBits) {
+      std::uint8_t byte = 0;
+      ar.archive(byte);
+      const auto part = static_cast<std::uint64_t>(byte & (kMore - 1)) << shift;
+      if (part > std::numeric_limits<T>::max()) throw MalformedMessage();
+      read = static_cast<T>(read | part);
+      if ((byte & kMore) != 0) continue;
+      value = read;
+      return;
+    }
+    throw MalformedMessage();
+  } else {
+    std::uint64_t left = value;
+    for (; left >= kMore; left >>= kBits) {
+      const auto byte = static_cast<std::uint8_t>(left | kMore);
+      ar.archive(byte);
+    }
+    const auto byte = static_cast<std::uint8_t>(left);
+    ar.archive(byte);
+  }
+}
+
 /// \brief An enumeration with the values 0 to `last`.
 template <class Ar, class E>
 void Choice(Ar& ar, E& value, std::remove_const_t<E> last) {
@@ -135,16 +168,24 @@
   if constexpr (Ar::kReads) value = unit * static_cast<core::Duration::rep>(units);
 }
 
+/// \brief Stands for a count of List that Varint writes.
+struct VarintCount {};
+
 /// \brief A count of sizeof(Count) bytes and the elements; a count that the remaining bytes cannot
 /// hold is refused before allocation.
 template <class Count, class Ar, class T, class Element>
 void List(Ar& ar, T& values, std::size_t bound, std::size_t element_bytes, Element element) {
-  Count count = 0;
+  constexpr bool kVarint = std::is_same_v<Count, VarintCount>;
+  std::conditional_t<kVarint, std::uint32_t, Count> count = 0;
   if constexpr (!Ar::kReads) {
     if (values.size() > bound) throw MessageTooLarge();
-    count = static_cast<Count>(values.size());
+    count = static_cast<decltype(count)>(values.size());
+  }
+  if constexpr (kVarint) {
+    Varint(ar, count);
+  } else {
+    ar.archive(count);
   }
-  ar.archive(count);
   if constexpr (Ar::kReads) {
     if (count > bound) throw MessageTooLarge();
     if (count * element_bytes > ar.source.Remaining()) throw MalformedMessage();
--- a/packages/wire/src/rank_messages.cc
+++ b/packages/wire/src/rank_messages.cc
@@ -1,5 +1,7 @@
 #include "cornelrelay/wire/rank_messages.h"
 
+#include <utility>
+
 #include "cornelrelay/core/overloaded.h"
 #include "message_codec.h"
 
@@ -15,8 +17,8 @@
 
 template <class Ar, class List>
 void Experts(Ar& ar, List& experts) {
-  internal::List<std::uint16_t>(ar, experts, kMaxExperts, sizeof(std::uint16_t),
-                                [&](auto& expert) { ar.archive(expert); });
+  internal::List<internal::VarintCount>(ar, experts, kMaxExperts, internal::kLeastVarintBytes,
+                                        [&](auto& expert) { internal::Varint(ar, expert); });
 }
 
 template <class Ar, class List>
@@ -33,6 +35,17 @@
   });
 }
 
+template <class Ar>
+void CodeShared(Ar& ar, Ref<Ar, balance::SharedMap> map) {
+  if constexpr (Ar::kReads) {
+    balance::LayerMap layers;
+    CodeMap(ar, layers);
+    map = balance::SharedMap(std::move(layers));
+  } else {
+    CodeMap(ar, map.layers());
+  }
+}
+
 template <class Ar>
 void Code(Ar& ar, Ref<Ar, RankCall> call) {
   ar.archive(call.fence, call.epoch);
@@ -42,7 +55,7 @@
       ar, call.order,
       core::Overloaded{[&](Ref<Ar, balance::PrepareMap> o) {
                          ar.archive(o.version);
-                         CodeMap(ar, o.map);
+                         CodeShared(ar, o.map);
                        },
                        [&](Ref<Ar, balance::ArmMap> o) { ar.archive(o.version, o.step); },
                        [&](Ref<Ar, balance::DisarmMap> o) { ar.archive(o.version); },
--- a/packages/wire/tests/fleet_messages_test.cc
+++ b/packages/wire/tests/fleet_messages_test.cc
@@ -34,7 +34,7 @@
 }
 
 TEST_CASE("calls to ranks and their replies keep their values") {
-  RankCall call{7, 2, balance::PrepareMap{28673, {{{0, 2}, {1, 0}}}}, true};
+  RankCall call{7, 2, balance::PrepareMap{28673, balance::SharedMap({{{0, 2}, {1, 0}}})}, true};
   CHECK(DecodeRankCall(Encode(call)) == call);
   call.order = balance::ArmMap{28673, 812};
   call.engine = core::Endpoint{"10.1.0.43", 8228};
@@ -50,6 +50,29 @@
   CHECK(DecodeRankReply(Encode(reply)) == reply);
 }
 
+// Load pattern: a switch of the map in a group of many ranks on slow links.
+TEST_CASE("the map of a large group takes little more than a byte for each place") {
+  constexpr std::size_t kRanks = 72, kSets = 12, kPlaces = 3, kExperts = 144;
+  balance::LayerMap map(kSets, std::vector<std::vector<std::uint16_t>>(kRanks));
+  for (auto& set : map) {
+    for (std::size_t rank = 0; rank < kRanks; ++rank) {
+      for (std::size_t place = 0; place < kPlaces; ++place) {
+        set[rank].push_back(static_cast<std::uint16_t>((rank * 2 + place * 50) % kExperts));
+      }
+    }
+  }
+  const RankCall call{7, 2, balance::PrepareMap{28673, balance::SharedMap(map)}};
+  CHECK(DecodeRankCall(Encode(call)) == call);
+  // 72 copies have to pass a link of 1 MB/s within 0.3 s.
+  CHECK(Encode(call).size() <= 300'000 / kRanks);
+}
+
+TEST_CASE("numbers of lists keep their value up to the largest") {
+  balance::LayerMap map = {{{0, 127, 128, 16'383, 16'384, 65'535}}};
+  const RankCall call{7, 2, balance::PrepareMap{1, balance::SharedMap(map)}};
+  CHECK(DecodeRankCall(Encode(call)) == call);
+}
+
 TEST_CASE("cut or changed messages are refused or decoded, never more") {
   CHECK(rc::check([] {
     std::string bytes = Encode(Sample());
