Adopt a changed weight of prompts, test a caller that leaves, name statuses once

- DispatchHub::SetConfiguration passed over services that it knew, so that new engine figures of a configuration had no effect until a restart.
The weight of prompts now follows the configuration (PromptWeightChanged); the other figures only serve until the first measurement.
- A system test shows that a replica is freed within 0.5 s after a caller has left.

--- a/packages/dispatch/include/cornelrelay/dispatch/dispatch_event.h
+++ b/packages/dispatch/include/cornelrelay/dispatch/dispatch_event.h
@@ -33,6 +33,11 @@
   std::uint32_t waiting = 0;
 };
 
+/// \brief A new configuration knows other figures of the upstreams.
+struct PromptWeightChanged {
+  double prompt_tokens_per_place = 1;  ///< see UpstreamPoolConfig
+};
+
 /// \brief A request needs an upstream.
 struct RequestArrived {
   core::RequestId request;
@@ -71,7 +76,7 @@
 struct DispatchTick {};
 
 using DispatchEvent =
-    std::variant<UpstreamsChanged, PeerLoadChanged, RequestArrived, RequestWithdrawn,
-                 FirstOutputReceived, AttemptEnded, DispatchTick>;
+    std::variant<UpstreamsChanged, PeerLoadChanged, PromptWeightChanged, RequestArrived,
+                 RequestWithdrawn, FirstOutputReceived, AttemptEnded, DispatchTick>;
 
 }  // namespace cornelrelay::dispatch
--- a/packages/dispatch/include/cornelrelay/dispatch/dispatcher.h
+++ b/packages/dispatch/include/cornelrelay/dispatch/dispatcher.h
@@ -71,6 +71,7 @@
 
   void Apply(core::Instant now, const UpstreamsChanged& event, Actions& out);
   void Apply(core::Instant now, const PeerLoadChanged& event, Actions& out);
+  void Apply(core::Instant now, const PromptWeightChanged& event, Actions& out);
   void Apply(core::Instant now, const RequestArrived& event, Actions& out);
   void Apply(core::Instant now, const RequestWithdrawn& event, Actions& out);
   void Apply(core::Instant now, const FirstOutputReceived& event, Actions& out);
--- a/packages/dispatch/include/cornelrelay/dispatch/upstream_pool.h
+++ b/packages/dispatch/include/cornelrelay/dispatch/upstream_pool.h
@@ -43,6 +43,10 @@
   void Set(const std::vector<UpstreamSpec>& upstreams);
   void SetPeers(const std::map<core::UpstreamId, std::uint32_t>& in_flight);
 
+  void SetPromptWeight(double prompt_tokens_per_place) {
+    m_config.prompt_tokens_per_place = prompt_tokens_per_place;
+  }
+
   /// \brief One of the least loaded upstreams with room; none if there is no such.
   std::optional<core::UpstreamId> Choose(core::Instant now,
                                          const std::set<core::UpstreamId>& excluded);
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -67,6 +67,10 @@
   m_upstreams.SetPeers(event.in_flight);
 }
 
+void Dispatcher::Apply(core::Instant, const PromptWeightChanged& event, Actions&) {
+  m_upstreams.SetPromptWeight(event.prompt_tokens_per_place);
+}
+
 void Dispatcher::Apply(core::Instant now, const RequestArrived& event, Actions& out) {
   assert(!m_waiting.contains(event.request) && !m_running.contains(event.request));
   if (!m_upstreams.AnyListed()) {
--- a/packages/entry/src/admin_client.cc
+++ b/packages/entry/src/admin_client.cc
@@ -9,6 +9,7 @@
 #include <iostream>
 #include <utility>
 
+#include "cornelrelay/core/http_status.h"
 #include "cornelrelay/entry/command_errors.h"
 #include "cornelrelay/entry/commands.h"
 #include "cornelrelay/net/http_client.h"
@@ -18,7 +19,6 @@
 namespace {
 
 constexpr std::chrono::seconds kTimeout{20};
-constexpr int kStatusConflict = 409;
 
 std::string CredentialOf(const AdminAccess& access) {
   std::string credential;
@@ -66,7 +66,7 @@
 
 int PrintError(const AdminAnswer& answer) {
   std::cerr << answer.body.dump(2) << '\n';
-  return answer.status == kStatusConflict ? kExitConflict : kExitFailure;
+  return answer.status == core::kStatusConflict ? kExitConflict : kExitFailure;
 }
 
 }  // namespace cornelrelay::entry::internal
--- a/packages/entry/src/answer_writer.cc
+++ b/packages/entry/src/answer_writer.cc
@@ -2,19 +2,16 @@
 
 #include <utility>
 
-namespace cornelrelay::entry {
-namespace {
-
-constexpr int kStatusOk = 200;
+#include "cornelrelay/core/http_status.h"
 
-}  // namespace
+namespace cornelrelay::entry {
 
 AnswerWriter::AnswerWriter(net::ResponseStream& response, core::RequestId request, bool stream)
     : m_response(response), m_request(std::move(request)), m_stream(stream) {}
 
 // An error status or a recorded answer is passed on whole, also to a caller that asked for events.
 bool AnswerWriter::IsEventStream() const {
-  return m_stream && m_head && m_head->status == kStatusOk;
+  return m_stream && m_head && m_head->status == core::kStatusOk;
 }
 
 void AnswerWriter::Append(const std::string& payload) {
@@ -76,7 +73,7 @@
 
 net::HttpResponseHead AnswerWriter::Head() const {
   net::HttpResponseHead head;
-  head.status = m_head ? m_head->status : kStatusOk;
+  head.status = m_head ? m_head->status : core::kStatusOk;
   const auto type = m_head ? net::FindHeader(m_head->headers, "Content-Type") : std::nullopt;
   head.headers["Content-Type"] = type.value_or("application/json");
   head.headers["X-Request-Id"] = m_request.value();
--- a/packages/entry/src/attempt_runner.cc
+++ b/packages/entry/src/attempt_runner.cc
@@ -4,6 +4,7 @@
 #include <string_view>
 #include <utility>
 
+#include "cornelrelay/core/http_status.h"
 #include "cornelrelay/request/answer_verifier.h"
 #include "cornelrelay/request/sse_parser.h"
 #include "cornelrelay/request/stream_verifier.h"
@@ -13,8 +14,6 @@
 
 namespace asio = boost::asio;
 
-constexpr int kFirstClientError = 400;
-
 std::optional<std::uint64_t> AnnouncedLength(const net::HttpResponseHead& head) {
   const auto text = net::FindHeader(head.headers, "Content-Length");
   if (!text) return std::nullopt;
@@ -91,8 +90,8 @@
 
 void AttemptRunner::ReportAnswer(std::string body) {
   const auto announced = AnnouncedLength(*m_head);
-  const bool completion =
-      m_order.kind == settings::ServiceKind::kModel && m_head->status < kFirstClientError;
+  const bool completion = m_order.kind == settings::ServiceKind::kModel &&
+                          m_head->status < core::kFirstClientErrorStatus;
   request::ChunkChecked answer;
   answer.attempt = m_order.attempt;
   if (completion) {
--- a/packages/entry/src/request_task.cc
+++ b/packages/entry/src/request_task.cc
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "cornelrelay/core/hash.h"
+#include "cornelrelay/core/http_status.h"
 #include "cornelrelay/entry/request_errors.h"
 #include "cornelrelay/request/answer_id.h"
 #include "request_facts.h"
@@ -15,7 +16,6 @@
 namespace {
 
 constexpr std::size_t kMaxRecordedBytes = 512;
-constexpr int kStatusOk = 200;
 constexpr std::uint64_t kProgressEvents = 16;
 
 }  // namespace
@@ -152,7 +152,7 @@
   }
   // A recorded answer has no attempt, and only completions carry their id in the body.
   const bool completion = m_request.kind == settings::ServiceKind::kModel && m_attempt &&
-                          m_attempt->head() && m_attempt->head()->status == kStatusOk;
+                          m_attempt->head() && m_attempt->head()->status == core::kStatusOk;
   if (m_attempt) m_writer.SetHead(m_attempt->head());
   m_writer.Append(completion ? request::ReplaceAnswerId(action.payload, m_attempt_id, m_request.id)
                              : action.payload);
--- a/packages/ranks/src/engine_link.cc
+++ b/packages/ranks/src/engine_link.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "cornelrelay/core/http_status.h"
 #include "cornelrelay/net/errors.h"
 
 namespace cornelrelay::ranks {
@@ -14,7 +15,6 @@
 /// An order that got no answer by now is given again; the group may wait for it.
 constexpr std::chrono::milliseconds kOrderTimeout{40};
 constexpr std::size_t kMaxAnswerBytes = 1'048'576;
-constexpr int kStatusOk = 200;
 
 }  // namespace
 
@@ -35,7 +35,7 @@
 asio::awaitable<std::optional<balance::RankReport>> EngineLink::Report(core::Endpoint engine) {
   const auto response = co_await Fetch(engine, m_protocol.AskReport(), kCallTimeout);
   std::optional<balance::RankReport> report;
-  if (!response || response->status != kStatusOk) co_return report;
+  if (!response || response->status != core::kStatusOk) co_return report;
   try {
     report = m_protocol.DecodeReport(response->body);
   } catch (const core::Error& error) {
@@ -57,7 +57,7 @@
   };
   if (!current()) {
     const auto response = co_await Fetch(engine, m_protocol.AskExperts(), kCallTimeout);
-    if (!response || response->status != kStatusOk) co_return;
+    if (!response || response->status != core::kStatusOk) co_return;
     try {
       known.experts = m_protocol.DecodeExperts(response->body);
       known.incarnation = report.incarnation;
@@ -76,7 +76,7 @@
 asio::awaitable<std::vector<std::uint64_t>> EngineLink::Picks(core::Endpoint engine) {
   const auto response = co_await Fetch(engine, m_protocol.AskPicks(), kCallTimeout);
   std::vector<std::uint64_t> picks;
-  if (!response || response->status != kStatusOk) co_return picks;
+  if (!response || response->status != core::kStatusOk) co_return picks;
   try {
     picks = m_protocol.DecodePicks(response->body);
   } catch (const core::Error& error) {
--- a/packages/ranks/src/group_leader.cc
+++ b/packages/ranks/src/group_leader.cc
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "cornelrelay/core/error.h"
+#include "cornelrelay/core/http_status.h"
 #include "cornelrelay/core/overloaded.h"
 #include "cornelrelay/net/errors.h"
 
@@ -39,7 +40,6 @@
 /// An order that is sent past its agent, and the report after it, take less than this.
 constexpr milliseconds kPastAgent{30};
 constexpr std::size_t kMaxReplyBytes = 1'048'576;
-constexpr int kStatusOk = 200;
 
 core::Duration AgentTimeout(balance::RankIndex ranks) {
   return kAgentTimeout + kAgentTimeoutPerRank * ranks;
@@ -197,7 +197,7 @@
     const net::HttpResponse response =
         co_await m_services.client.Fetch(agent, std::move(request), m_agent_timeout, kMaxReplyBytes,
                                          net::HttpClient::ConnectionUse::kReuse);
-    if (response.status == kStatusOk) reply = wire::DecodeRankReply(response.body);
+    if (response.status == core::kStatusOk) reply = wire::DecodeRankReply(response.body);
   } catch (const core::Error& error) {
     m_services.log.Debug("agent_call_failed",
                          {{"agent", core::ToString(agent)}, {"reason", error.what()}});
--- a/packages/ranks/src/rank_process.cc
+++ b/packages/ranks/src/rank_process.cc
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "cornelrelay/core/error.h"
+#include "cornelrelay/core/http_status.h"
 #include "cornelrelay/core/overloaded.h"
 #include "cornelrelay/runtime/pause.h"
 #include "cornelrelay/runtime/store_options.h"
@@ -27,7 +28,6 @@
 constexpr milliseconds kConnectTimeout{150};
 /// An answer of the store that is later counts as lost; the lease outlasts some such calls.
 constexpr milliseconds kStoreCallTimeout{800};
-constexpr int kStatusBadRequest = 400;
 
 net::HttpClientLimits ClientLimits() {
   net::HttpClientLimits limits;
@@ -131,7 +131,7 @@
     const wire::RankReply reply = co_await Handle(std::move(*call));
     answer.body = wire::Encode(reply);
   } else {
-    answer.status = kStatusBadRequest;
+    answer.status = core::kStatusBadRequest;
   }
   co_await response.SendWhole(std::move(answer));
 }
--- a/packages/relay/src/dispatch_hub.cc
+++ b/packages/relay/src/dispatch_hub.cc
@@ -47,12 +47,15 @@
 
 void DispatchHub::SetConfiguration(const routes::Configuration& configuration) {
   for (const auto& [id, spec] : configuration.services) {
-    if (m_services.contains(id)) continue;
+    const dispatch::DispatcherConfig config = ConfigOf(spec, m_seed);
+    if (Service* found = Get(id)) {
+      Step(id, *found, dispatch::PromptWeightChanged{config.upstreams.prompt_tokens_per_place});
+      continue;
+    }
     const auto on_wake = [this, service = id] {
       if (Service* found = Get(service)) Step(service, *found, dispatch::DispatchTick{});
     };
-    m_services.emplace(
-        id, std::make_unique<Service>(m_context, m_clock, ConfigOf(spec, m_seed), on_wake));
+    m_services.emplace(id, std::make_unique<Service>(m_context, m_clock, config, on_wake));
   }
 }
 
--- a/packages/relay/src/peer_hub.cc
+++ b/packages/relay/src/peer_hub.cc
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "cornelrelay/core/error.h"
+#include "cornelrelay/core/http_status.h"
 #include "cornelrelay/net/errors.h"
 #include "cornelrelay/runtime/process_setup.h"
 #include "cornelrelay/wire/malformed_message.h"
@@ -21,8 +22,6 @@
 constexpr std::chrono::milliseconds kFetchTimeout{500};
 /// All items of a large fleet: 1,000 registrations and a configuration with thousands of routes.
 constexpr std::size_t kMaxTransferBytes = 8'388'608;
-constexpr int kStatusOk = 200;
-constexpr int kStatusBadRequest = 400;
 
 peers::PeerTableConfig ConfigOf(core::HostId self, std::uint64_t seed) {
   peers::PeerTableConfig config;
@@ -126,7 +125,7 @@
   try {
     const net::HttpResponse response = co_await m_client.Fetch(action.endpoint, std::move(request),
                                                                kFetchTimeout, kMaxTransferBytes);
-    if (response.status == kStatusOk) {
+    if (response.status == core::kStatusOk) {
       m_callbacks.on_items(wire::DecodeItemsTransfer(response.body));
     } else {
       failure = "status " + std::to_string(response.status);
@@ -146,7 +145,7 @@
   if (since) {
     answer.body = wire::Encode(m_callbacks.items_since(*since));
   } else {
-    answer.status = kStatusBadRequest;
+    answer.status = core::kStatusBadRequest;
   }
   co_await response.SendWhole(std::move(answer));
 }
--- a/packages/relay/src/relay_process.cc
+++ b/packages/relay/src/relay_process.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "cornelrelay/core/error.h"
+#include "cornelrelay/core/http_status.h"
 #include "cornelrelay/relay/own_keys.h"
 #include "cornelrelay/runtime/pause.h"
 #include "cornelrelay/runtime/process_setup.h"
@@ -42,7 +43,6 @@
 constexpr std::uint32_t kReservedDescriptors = 300;
 /// Part of the memory that the bodies of requests in progress may take.
 constexpr std::size_t kBodyMemoryDivisor = 4;
-constexpr int kStatusUnavailable = 503;
 
 net::HttpClientLimits UpstreamClientLimits() {
   net::HttpClientLimits limits;
@@ -213,7 +213,7 @@
     m_log.Info("readiness_changed", {{"ready", ready}, {"draining", m_draining}});
   }
   net::HttpResponse answer;
-  if (!ready) answer.status = kStatusUnavailable;
+  if (!ready) answer.status = core::kStatusUnavailable;
   co_await response.SendWhole(std::move(answer));
 }
 
--- a/packages/relay/src/upstream_call.cc
+++ b/packages/relay/src/upstream_call.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "cornelrelay/core/http_status.h"
 #include "cornelrelay/net/errors.h"
 #include "cornelrelay/request/sse_splitter.h"
 
@@ -10,9 +11,6 @@
 
 namespace asio = boost::asio;
 
-constexpr int kTooManyRequests = 429;
-constexpr int kFirstServerError = 500;
-constexpr int kFirstRedirect = 300;
 constexpr std::size_t kMaxEventBytes = 1'048'576;
 /// An answer is held whole, so that one that breaks off never looks complete.
 constexpr std::size_t kMaxAnswerBytes = 16'777'216;
@@ -21,7 +19,9 @@
 /// Added to the request's own deadline, which ends the call first.
 constexpr std::chrono::milliseconds kReadGrace{1'000};
 
-bool IsFailure(int status) { return status == kTooManyRequests || status >= kFirstServerError; }
+bool IsFailure(int status) {
+  return status == core::kStatusTooManyRequests || status >= core::kFirstServerErrorStatus;
+}
 
 }  // namespace
 
@@ -50,7 +50,7 @@
     co_await ReadBody(kMaxAnswerBytes);
     co_return;
   }
-  if (!m_head->has_signature && status < kFirstRedirect) {
+  if (!m_head->has_signature && status < core::kFirstRedirectStatus) {
     throw net::ExchangeBroken(upstream(), "a success without a signature");
   }
   if (IsFailure(status)) {
--- a/packages/request/src/request_machine.cc
+++ b/packages/request/src/request_machine.cc
@@ -4,6 +4,7 @@
 #include <type_traits>
 #include <utility>
 
+#include "cornelrelay/core/http_status.h"
 #include "cornelrelay/core/overloaded.h"
 #include "request_core.h"
 #include "request_table.h"
@@ -17,11 +18,8 @@
 using internal::ChunkAccepted;
 using internal::Stopped;
 
-constexpr int kTooManyRequests = 429;
-constexpr int kFirstServerError = 500;
-
 bool MayDifferElsewhere(int status) {
-  return status == kTooManyRequests || status >= kFirstServerError;
+  return status == core::kStatusTooManyRequests || status >= core::kFirstServerErrorStatus;
 }
 
 template <class Event>
--- a/tests/system/platform_stand_ins.py
+++ b/tests/system/platform_stand_ins.py
@@ -115,6 +115,7 @@
         self.name = name
         self.plan = ["ok"]
         self.seen = []
+        self.left_at = None  # when the caller of the last `until left` was gone
         replica = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -155,12 +156,27 @@
                     return self.hang_up()
                 if step.startswith("stream"):
                     return self.stream(step)
+                if step == "until left":
+                    replica.left_at = self.wait_for_close()
+                    return self.hang_up()
                 if step.startswith("slow"):
                     time.sleep(float(step.split()[1]))
                 answer = b"answer of " + replica.name.encode()
                 self.head(200, len(answer), Replica_Seal="seal-" + replica.name)
                 return self.wfile.write(answer)
 
+            def wait_for_close(self):
+                """Works on the request until the other side closes. Returns when it did, or none after 5 s."""
+                self.connection.settimeout(5)
+                try:
+                    while self.connection.recv(1):
+                        pass
+                except TimeoutError:
+                    return None
+                except ConnectionError:
+                    pass
+                return time.monotonic()
+
             def stream(self, step):
                 """`stream N` sends events up to 6; with N it breaks off in the middle of event N."""
                 last = int(self.headers["Last-Event-Id"] or 0)
--- a/tests/system/test_relay.py
+++ b/tests/system/test_relay.py
@@ -188,6 +188,23 @@
         self.assertEqual(response.status, 504)
         self.assertLess(time.monotonic() - started, 3.5)
 
+    def test_caller_that_leaves_ends_the_run(self):
+        for path in ("/look/1", "/order/1"):
+            self.plan("until left")
+            for replica in self.replicas:
+                replica.seen.clear()
+                replica.left_at = None
+            caller = socket.create_connection((HOST, self.callers), timeout=6)
+            method = "GET" if "look" in path else "POST"
+            caller.sendall(f"{method} {path} HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: id-1\r\nApi-Key: key-1\r\n"
+                           "Content-Length: 0\r\n\r\n".encode())
+            self.wait_for(lambda: self.runs() == 1)
+            left = time.monotonic()
+            caller.close()
+            self.wait_for(lambda: any(replica.left_at for replica in self.replicas))
+            self.assertLess(max(replica.left_at or 0 for replica in self.replicas) - left, 0.5)
+            self.assertEqual(self.runs(), 1)
+
     def test_draining_replica_gets_nothing(self):
         leaving = self.replicas[0]
         self.store.put("servers/" + leaving.name, leaving.entry("svc", "draining"))
