--- a/packages/relay/src/relay_process.cc
+++ b/packages/relay/src/relay_process.cc
@@ -37,7 +37,7 @@
 /// An answer of the store that is later counts as lost.
 constexpr milliseconds kStoreCallTimeout{1'000};
 /// The wait of a watch plus a slow answer.
-constexpr milliseconds kStoreWatchTimeout{3'300};
+constexpr milliseconds kStoreWatchTimeout{2'600};
 /// Sockets for a request: caller, upstream, and one kept idle.
 constexpr std::uint32_t kDescriptorsPerCaller = 3;
 constexpr std::uint32_t kReservedDescriptors = 300;
--- a/packages/store/include/cornelrelay/store/prefix_reader.h
+++ b/packages/store/include/cornelrelay/store/prefix_reader.h
@@ -16,7 +16,7 @@
 struct PrefixReaderOptions {
   /// How long the store holds a watch without a change. A silent loss of the connection shows no
   /// sooner than this.
-  core::Duration watch_wait = std::chrono::milliseconds(2'500);
+  core::Duration watch_wait = std::chrono::milliseconds(1'900);
   /// Least time between two watches. Each watch costs a call, and in a burst of changes, as when
   /// many processes register, it would end at each of them. The first change of a burst does not
   /// wait.
