--- a/packages/balance/include/cornelrelay/balance/coordinator_events.h
+++ b/packages/balance/include/cornelrelay/balance/coordinator_events.h
@@ -33,7 +33,7 @@
 };
 
 /// \brief A rank's last step and whether it is alive.
-struct RankReport {
+struct RankProgress {
   RankIndex rank = 0;
   bool live = false;
   StepIndex step = 0;
@@ -42,7 +42,7 @@
 struct CoordinatorTick {};
 
 using CoordinatorEvent =
-    std::variant<LeaseAcquired, LeaseLost, SwitchWanted, PlanConfirmed, RankReport, PlanRead,
+    std::variant<LeaseAcquired, LeaseLost, SwitchWanted, PlanConfirmed, RankProgress, PlanRead,
                  PlanSwapped, PlanCallLost, CoordinatorTick>;
 
 /// \brief Order to a rank gate: load the experts of the proposed plan, then confirm.
@@ -68,12 +68,12 @@
   std::set<ExpertIndex> unserved;
 };
 
-struct SwitchEnded {
+struct PlanEnded {
   std::uint64_t plan = 0;
   bool committed = false;
 };
 
 using CoordinatorAction =
-    std::variant<ReadPlan, SwapPlan, SendPrepare, SendDecision, ReportHealth, SwitchEnded>;
+    std::variant<ReadPlan, SwapPlan, SendPrepare, SendDecision, ReportHealth, PlanEnded>;
 
 }  // namespace cornelrelay::balance
--- a/packages/balance/include/cornelrelay/balance/map_switch_coordinator.h
+++ b/packages/balance/include/cornelrelay/balance/map_switch_coordinator.h
@@ -55,7 +55,7 @@
   void On(core::Instant now, const LeaseLost& event, Actions& out);
   void On(core::Instant now, const SwitchWanted& event, Actions& out);
   void On(core::Instant now, const PlanConfirmed& event, Actions& out);
-  void On(core::Instant now, const RankReport& event, Actions& out);
+  void On(core::Instant now, const RankProgress& event, Actions& out);
   void On(core::Instant now, const PlanRead& event, Actions& out);
   void On(core::Instant now, const PlanSwapped& event, Actions& out);
   void On(core::Instant now, const PlanCallLost& event, Actions& out);
--- a/packages/balance/include/cornelrelay/balance/switch_messages.h
+++ b/packages/balance/include/cornelrelay/balance/switch_messages.h
@@ -69,6 +69,10 @@
   bool forward = false;  ///< all ranks are armed alike, so it is completed
 };
 
-using SwitchAction = std::variant<SendOrder, SwitchEnded, SwitchInherited>;
+/// \brief All ranks have a new map, which the next one is planned against; ask them for their
+/// state.
+struct StatesWanted {};
+
+using SwitchAction = std::variant<SendOrder, SwitchEnded, SwitchInherited, StatesWanted>;
 
 }  // namespace cornelrelay::balance
--- a/packages/balance/src/map_switch_coordinator.cc
+++ b/packages/balance/src/map_switch_coordinator.cc
@@ -58,7 +58,7 @@
   if (m_confirmed.size() >= quorum) Decide(true, out);
 }
 
-void MapSwitchCoordinator::On(core::Instant /*now*/, const RankReport& event, Actions& out) {
+void MapSwitchCoordinator::On(core::Instant /*now*/, const RankProgress& event, Actions& out) {
   if (event.live) {
     m_live.insert(event.rank);
   } else {
@@ -156,7 +156,7 @@
       out.emplace_back(SendDecision{rank, record});
     }
     if (record.number == m_own_plan) {
-      out.emplace_back(SwitchEnded{record.number, record.state == PlanState::kCommitted});
+      out.emplace_back(PlanEnded{record.number, record.state == PlanState::kCommitted});
     }
     return;
   }
--- a/packages/balance/src/switch_leader.cc
+++ b/packages/balance/src/switch_leader.cc
@@ -75,7 +75,10 @@
 
 void SwitchLeader::End(core::Instant now, SwitchOutcome outcome, Actions& out) {
   out.emplace_back(SwitchEnded{m_version, outcome, m_step, now - m_switch_since, m_map});
-  if (outcome == SwitchOutcome::kSwitched) m_wanted.reset();
+  if (outcome == SwitchOutcome::kSwitched) {
+    m_wanted.reset();
+    out.emplace_back(StatesWanted{});
+  }
   Enter(now, Phase::kIdle);
 }
 
--- a/packages/balance/tests/armed_world.cc
+++ b/packages/balance/tests/armed_world.cc
@@ -197,6 +197,8 @@
         }
       } else if (const auto* ended = std::get_if<SwitchEnded>(&action)) {
         if (ended->outcome == SwitchOutcome::kSwitched) ++m_switches;
+      } else if (std::holds_alternative<StatesWanted>(action)) {
+        ++m_state_reads;
       }
     }
   }
--- a/packages/balance/tests/armed_world.h
+++ b/packages/balance/tests/armed_world.h
@@ -70,6 +70,8 @@
   /// \brief Rules that were broken.
   const std::set<std::string>& violations() const { return m_violations; }
   std::uint64_t switches() const { return m_switches; }
+  /// \brief Times that a leader wanted the states of all ranks.
+  std::uint64_t state_reads() const { return m_state_reads; }
   std::uint64_t passes() const { return m_passes; }
   /// \brief The longest time for which a pass was held.
   int longest_hold() const { return m_longest_hold; }
@@ -115,6 +117,7 @@
   int m_blocked = 0;           ///< passes in a row that were held
   int m_longest_hold = 0;
   std::uint64_t m_switches = 0;
+  std::uint64_t m_state_reads = 0;
   std::set<std::string> m_violations;
 };
 
--- a/packages/balance/tests/group_world.cc
+++ b/packages/balance/tests/group_world.cc
@@ -93,7 +93,7 @@
             [&](const SendPrepare& a) { ToGate(a.rank, 0, a.message, true); },
             [&](const SendDecision& a) { ToGate(a.rank, 0, DecisionReceived{a.record}, true); },
             [](const ReportHealth&) {},
-            [&](const SwitchEnded& a) { m_committed += a.committed ? 1 : 0; }},
+            [&](const PlanEnded& a) { m_committed += a.committed ? 1 : 0; }},
         action);
   }
 }
@@ -101,7 +101,7 @@
 void GroupWorld::KillRank(RankIndex rank) {
   m_ranks[rank].alive = false;
   for (int c = 0; c < 2; ++c) {
-    StepCoordinator(c, RankReport{rank, false, m_ranks[rank].last_step});
+    StepCoordinator(c, RankProgress{rank, false, m_ranks[rank].last_step});
   }
 }
 
--- a/packages/balance/tests/group_world_ranks.cc
+++ b/packages/balance/tests/group_world_ranks.cc
@@ -103,7 +103,7 @@
 
 void GroupWorld::Report(RankIndex r) {
   for (int c = 0; c < 2; ++c) {
-    ToCoordinator(c, RankReport{r, m_ranks[r].alive, m_ranks[r].last_step});
+    ToCoordinator(c, RankProgress{r, m_ranks[r].alive, m_ranks[r].last_step});
   }
 }
 
--- a/packages/balance/tests/switch_leader_test.cc
+++ b/packages/balance/tests/switch_leader_test.cc
@@ -47,6 +47,15 @@
   }));
 }
 
+// Load pattern: the demand shifts while hosts freeze and groups form anew.
+TEST_CASE("all states are read after a switch, and not after one that failed or was taken over") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    ArmedWorld world(kTroubled, seed);
+    world.Run(3000);
+    CHECK(world.state_reads() == world.switches());
+  }
+}
+
 TEST_CASE("the troubled world still switches and never stands still for good") {
   std::uint64_t switches = 0;
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
--- a/packages/bench/src/gossip_cost/cost_network.cc
+++ b/packages/bench/src/gossip_cost/cost_network.cc
@@ -67,7 +67,7 @@
   settings.role = IsEntry(host) ? gossip::Role::kEntry : gossip::Role::kAgent;
   settings.data_centre = core::DataCentreId("dc-" + std::to_string(DataCentre(host)));
   settings.control = Address(host);
-  state.incarnation = static_cast<std::uint64_t>(m_now.time_since_epoch().count()) + 1;
+  state.incarnation = static_cast<std::uint64_t>(now().time_since_epoch().count()) + 1;
   settings.incarnation = state.incarnation;
   for (int seed = DataCentre(host); seed < m_options.entries && settings.seeds.size() < 3;
        seed += m_options.data_centres) {
@@ -90,7 +90,7 @@
   for (int host = 0; host < size(); ++host) {
     if (!IsEntry(host)) Report(host);
     Send(host, gossip::Tick{});
-    const auto own = node(host).Snapshot(m_now, gossip::SnapshotPart::kNear);
+    const auto own = node(host).Snapshot(now(), gossip::SnapshotPart::kNear);
     records.insert(records.end(), own.begin(), own.end());
   }
   for (int host = 0; host < size(); ++host) Send(host, gossip::SnapshotReceived{records});
@@ -99,19 +99,11 @@
 
 void CostNetwork::Schedule(core::Duration delay, Kind kind, int host,
                            std::shared_ptr<const std::string> bytes) {
-  m_events.push(
-      {m_now + delay, m_order++, kind, host, m_hosts[host].incarnation, std::move(bytes)});
+  m_events.Push(now() + delay, {kind, host, m_hosts[host].incarnation, std::move(bytes)});
 }
 
 void CostNetwork::Run(core::Duration duration) {
-  const core::Instant end = m_now + duration;
-  while (!m_events.empty() && m_events.top().time <= end) {
-    const Event event = m_events.top();
-    m_events.pop();
-    m_now = event.time;
-    Handle(event);
-  }
-  m_now = end;
+  m_events.RunUntil(now() + duration, [this](const Event& event) { Handle(event); });
 }
 
 void CostNetwork::Handle(const Event& event) {
@@ -142,7 +134,7 @@
 
 void CostNetwork::Tick(int host) {
   Host& state = m_hosts[host];
-  if (!IsEntry(host) && m_now >= state.next_report) Report(host);
+  if (!IsEntry(host) && now() >= state.next_report) Report(host);
   CpuTimer timer(state.tally);
   Send(host, gossip::Tick{});
 }
@@ -150,7 +142,7 @@
 // Load that wanders from report to report, so that most reports differ from the last.
 void CostNetwork::Report(int host) {
   Host& state = m_hosts[host];
-  state.next_report = m_now + std::chrono::microseconds(static_cast<std::int64_t>(
+  state.next_report = now() + std::chrono::microseconds(static_cast<std::int64_t>(
                                   (m_options.report_interval - 0.125) * 1e6));
   const auto wander = [&](double& value, double step, double low, double high) {
     value = std::clamp(value + (state.random.Unit() - 0.5) * step, low, high);
@@ -169,7 +161,7 @@
   const auto* stored =
       state.node->table().Find({gossip::RecordKind::kUpstream, Upstream(host).value()});
   if (stored->record.version.sequence >= state.issued.size()) {
-    state.issued.resize(stored->record.version.sequence + 1, m_now);
+    state.issued.resize(stored->record.version.sequence + 1, now());
   }
 }
 
@@ -202,7 +194,7 @@
   std::string bytes;
   {
     CpuTimer timer(server.tally);
-    bytes = wire::Encode(wire::TableTransfer{server.node->Snapshot(m_now, part)});
+    bytes = wire::Encode(wire::TableTransfer{server.node->Snapshot(now(), part)});
   }
   server.tally.bytes_sent += bytes.size() + kTcpOverhead;
   m_hosts[host].tally.bytes_received += bytes.size() + kTcpOverhead;
@@ -211,7 +203,7 @@
 }
 
 void CostNetwork::Send(int host, const gossip::NodeEvent& event) {
-  if (Running(host)) Perform(host, m_hosts[host].node->Step(m_now, event));
+  if (Running(host)) Perform(host, m_hosts[host].node->Step(now(), event));
 }
 
 void CostNetwork::Perform(int host, const std::vector<gossip::Action>& actions) {
@@ -256,7 +248,7 @@
 }
 
 void CostNetwork::ResetTallies() {
-  m_reset = m_now;
+  m_reset = now();
   for (Host& host : m_hosts) host.tally = {};
 }
 
@@ -283,7 +275,7 @@
   const bool known = stored != nullptr && Running(agent) &&
                      stored->record.version.incarnation == m_hosts[agent].incarnation &&
                      stored->record.version.sequence < issued.size();
-  return known ? m_now - issued[stored->record.version.sequence] : core::Duration(-1);
+  return known ? now() - issued[stored->record.version.sequence] : core::Duration(-1);
 }
 
 std::size_t CostNetwork::MemoryBytes(int host) const {
--- a/packages/bench/src/gossip_cost/cost_network.h
+++ b/packages/bench/src/gossip_cost/cost_network.h
@@ -2,11 +2,11 @@
 
 #include <cstdint>
 #include <memory>
-#include <queue>
 #include <string>
 #include <vector>
 
 #include "cornelrelay/core/random.h"
+#include "cornelrelay/core/timed_queue.h"
 #include "cornelrelay/gossip/gossip_node.h"
 #include "cornelrelay/wire/control_message.h"
 #include "cornelrelay/wire/replay_guard.h"
@@ -43,8 +43,8 @@
   void Send(int host, const gossip::NodeEvent& event);
 
   Tally TallyOf(gossip::Role role) const;
-  core::Duration SinceReset() const { return m_now - m_reset; }
-  core::Instant now() const { return m_now; }
+  core::Duration SinceReset() const { return now() - m_reset; }
+  core::Instant now() const { return m_events.now(); }
   int size() const { return static_cast<int>(m_hosts.size()); }
   bool IsEntry(int host) const { return host < m_options.entries; }
   bool Running(int host) const { return m_hosts[host].node != nullptr; }
@@ -74,16 +74,10 @@
   };
   enum class Kind { kTick, kDatagram, kNearSnapshot, kFarSnapshot, kRevision };
   struct Event {
-    core::Instant time;
-    std::uint64_t order = 0;
     Kind kind = Kind::kTick;
     int host = 0;
     std::uint64_t incarnation = 0;  // of the receiver, for timers
     std::shared_ptr<const std::string> bytes;
-
-    friend bool operator<(const Event& a, const Event& b) {
-      return std::tie(a.time, a.order) > std::tie(b.time, b.order);
-    }
   };
 
   void Start(int host);
@@ -103,12 +97,10 @@
   Options m_options;
   core::Random m_random;
   wire::MacKey m_key;
-  core::Instant m_now{};
   core::Instant m_reset{};
-  std::uint64_t m_order = 0;
   std::vector<Host> m_hosts;
   std::vector<int> m_sides;
-  std::priority_queue<Event> m_events;
+  core::TimedQueue<Event> m_events;
 };
 
 }  // namespace cornelrelay::bench
--- a/packages/driver/include/cornelrelay/driver/request_driver.h
+++ b/packages/driver/include/cornelrelay/driver/request_driver.h
@@ -15,7 +15,8 @@
 
 /// \brief Drives the RequestMachine of one caller's request with the events of its mailbox.
 ///
-/// The derived class performs the actions and calls Conclude for the outcome.
+/// The derived class performs the actions and calls Conclude for the outcome. The actions that not
+/// every path has, claims and forwarded failures, are refused unless it overrides them.
 /// \code
 /// co_await Drive();   // until the outcome is known
 /// co_await Finish();  // writes the rest of the answer
@@ -36,7 +37,19 @@
   /// Drops what is still to be reported to the mailbox.
   virtual ~RequestDriver();
 
-  virtual void Act(const request::RequestAction& action) = 0;
+  virtual void Perform(const request::AskAdmission& action) = 0;
+  virtual void Perform(const request::RequestClaim& action);
+  virtual void Perform(const request::ChooseReplica& action) = 0;
+  virtual void Perform(const request::AskRetryToken& action) = 0;
+  virtual void Perform(const request::OpenAttempt& action) = 0;
+  virtual void Perform(const request::CancelAttempt& action) = 0;
+  virtual void Perform(const request::ForwardChunk& action) = 0;
+  virtual void Perform(const request::FinishAnswer& action) = 0;
+  virtual void Perform(const request::ForwardFailure& action);
+  virtual void Perform(const request::SendError& action) = 0;
+  virtual void Perform(const request::FinishClaim& action);
+  virtual void Perform(const request::RecordAttempt& action) = 0;
+  virtual void Perform(const request::RecordOutcome& action) = 0;
   /// \brief Bytes of the answer that have not been written yet.
   virtual std::size_t pending() const = 0;
   /// \brief Writes what there is of the answer. \throws net::CallerGone
--- a/packages/driver/src/request_driver.cc
+++ b/packages/driver/src/request_driver.cc
@@ -1,6 +1,8 @@
 #include "cornelrelay/driver/request_driver.h"
 
+#include <cassert>
 #include <utility>
+#include <variant>
 
 #include "cornelrelay/net/errors.h"
 
@@ -28,9 +30,15 @@
 }
 
 void RequestDriver::Step(const request::RequestEvent& event) {
-  for (const request::RequestAction& action : m_machine.Step(m_clock.Now(), event)) Act(action);
+  for (const request::RequestAction& action : m_machine.Step(m_clock.Now(), event)) {
+    std::visit([this](const auto& a) { Perform(a); }, action);
+  }
 }
 
+void RequestDriver::Perform(const request::RequestClaim&) { assert(false); }
+void RequestDriver::Perform(const request::FinishClaim&) { assert(false); }
+void RequestDriver::Perform(const request::ForwardFailure&) { assert(false); }
+
 boost::asio::awaitable<void> RequestDriver::Drive() {
   m_response.NotifyGone([mailbox = m_mailbox] { mailbox->Push(request::CallerGone{}); });
   Step(request::Started{});
--- a/packages/entry/include/cornelrelay/entry/request_task.h
+++ b/packages/entry/include/cornelrelay/entry/request_task.h
@@ -34,24 +34,22 @@
   const core::RequestId& id() const { return m_request.id; }
 
  private:
-  void Act(const request::RequestAction& action) override;
   std::size_t pending() const override { return m_writer.pending().size(); }
   boost::asio::awaitable<void> WriteAnswer() override { return m_writer.Flush(); }
   bool HoldBack(const request::RequestEvent& event) override { return m_choice.HoldBack(event); }
 
-  void Perform(const request::AskAdmission& action);
-  void Perform(const request::RequestClaim& action);
-  void Perform(const request::ChooseReplica& action);
-  void Perform(const request::AskRetryToken& action);
-  void Perform(const request::OpenAttempt& action);
-  void Perform(const request::CancelAttempt& action);
-  void Perform(const request::ForwardChunk& action);
-  void Perform(const request::FinishAnswer& action);
-  void Perform(const request::ForwardFailure& action);
-  void Perform(const request::SendError& action);
-  void Perform(const request::FinishClaim& action);
-  void Perform(const request::RecordAttempt& action);
-  void Perform(const request::RecordOutcome& action);
+  void Perform(const request::AskAdmission& action) override;
+  void Perform(const request::RequestClaim& action) override;
+  void Perform(const request::ChooseReplica& action) override;
+  void Perform(const request::AskRetryToken& action) override;
+  void Perform(const request::OpenAttempt& action) override;
+  void Perform(const request::CancelAttempt& action) override;
+  void Perform(const request::ForwardChunk& action) override;
+  void Perform(const request::FinishAnswer& action) override;
+  void Perform(const request::SendError& action) override;
+  void Perform(const request::FinishClaim& action) override;
+  void Perform(const request::RecordAttempt& action) override;
+  void Perform(const request::RecordOutcome& action) override;
 
   void CountOutcome(const request::RecordOutcome& action);
 
--- a/packages/entry/src/catalogue_service.cc
+++ b/packages/entry/src/catalogue_service.cc
@@ -81,14 +81,8 @@
 void CatalogueService::Perform(const profile::ConfirmRevision& action) {
   wire::CatalogueConfirm confirm;
   confirm.revision = action.revision;
-  const auto& settings = m_control.node().settings();
-  for (const auto& [key, stored] : m_control.node().table().records()) {
-    const auto* member = std::get_if<gossip::MemberState>(&stored.record.payload);
-    const bool receives = member != nullptr && member->role == gossip::Role::kEntry &&
-                          member->life == gossip::Life::kAlive &&
-                          member->data_centre == settings.data_centre &&
-                          key.subject != settings.self.value();
-    if (receives) m_control.Send(core::HostId(key.subject), wire::ControlMessage(confirm));
+  for (const core::HostId& entry : m_control.NearEntries()) {
+    m_control.Send(entry, wire::ControlMessage(confirm));
   }
 }
 
--- a/packages/entry/src/request_task.cc
+++ b/packages/entry/src/request_task.cc
@@ -59,10 +59,6 @@
   m_services.decisions.Append(std::move(m_record));
 }
 
-void RequestTask::Act(const request::RequestAction& action) {
-  std::visit([this](const auto& a) { Perform(a); }, action);
-}
-
 void RequestTask::Perform(const request::AskAdmission&) {
   limits::RequestArrived arrival;
   arrival.request = m_internal_id;
@@ -163,9 +159,6 @@
   m_writer.Finish();
 }
 
-// This driver forwards failures as ordinary answers and reports none as AnswerFailed.
-void RequestTask::Perform(const request::ForwardFailure&) { assert(false); }
-
 void RequestTask::Perform(const request::SendError& action) { m_writer.Fail(ToTypedError(action)); }
 
 void RequestTask::Perform(const request::FinishClaim& action) {
@@ -225,7 +218,12 @@
                   {{"service", service}})
       .Add(static_cast<std::uint64_t>(action.attempts));
   metrics
-      .GetLatency("cornelrelay_request_seconds", "Time from a request to the end of its answer.",
+      .GetHistogram("cornelrelay_request_seconds", "Time from a request to the end of its answer.",
+                    {{"service", service}})
+      .Observe(action.elapsed);
+  metrics
+      .GetLatency("cornelrelay_request_recent_seconds",
+                  "Time from a request to the end of its answer, of recent requests.",
                   {{"service", service}})
       .Observe(m_services.clock.Now(), action.elapsed);
   m_services.log.Debug("request_finished", {{"request", m_request.id},
--- a/packages/entry/src/table_service.cc
+++ b/packages/entry/src/table_service.cc
@@ -49,18 +49,9 @@
 }
 
 std::optional<core::Endpoint> TableService::ChoosePeer() {
-  const auto& settings = m_control.node().settings();
-  std::vector<core::Endpoint> peers;
-  for (const auto& [key, stored] : m_control.node().table().records()) {
-    const auto* member = std::get_if<gossip::MemberState>(&stored.record.payload);
-    const bool usable = member != nullptr && member->role == gossip::Role::kEntry &&
-                        member->life == gossip::Life::kAlive &&
-                        member->data_centre == settings.data_centre &&
-                        key.subject != settings.self.value();
-    if (usable) peers.push_back(member->control);
-  }
+  const std::vector<core::HostId> peers = m_control.NearEntries();
   if (peers.empty()) return std::nullopt;
-  return peers[m_random.Below(peers.size())];
+  return m_control.EndpointOf(peers[m_random.Below(peers.size())]);
 }
 
 asio::awaitable<bool> TableService::FetchFrom(core::Endpoint peer, gossip::SnapshotPart part) {
--- a/packages/gossip/tests/sim_network.cc
+++ b/packages/gossip/tests/sim_network.cc
@@ -12,7 +12,7 @@
   m_sides.assign(m_hosts.size(), 0);
   for (int host = 0; host < size(); ++host) {
     Start(host);
-    Push(m_now + std::chrono::milliseconds(m_random.Below(250)), host, nullptr);
+    Push(now() + std::chrono::milliseconds(m_random.Below(250)), host, nullptr);
   }
 }
 
@@ -39,7 +39,7 @@
   settings.role = IsEntry(host) ? Role::kEntry : Role::kAgent;
   settings.data_centre = DataCentre(host);
   settings.control = Address(host);
-  settings.incarnation = static_cast<std::uint64_t>(m_now.time_since_epoch().count()) + 1;
+  settings.incarnation = static_cast<std::uint64_t>(now().time_since_epoch().count()) + 1;
   // One seed in each data centre; hosts are dealt to data centres in turn.
   for (int seed = 0; seed < m_options.data_centres; ++seed) settings.seeds.push_back(Address(seed));
   settings.random_seed =
@@ -60,7 +60,7 @@
 }
 
 void SimNetwork::Send(int host, const NodeEvent& event) {
-  if (Running(host)) Perform(host, m_hosts[host].node->Step(m_now, event));
+  if (Running(host)) Perform(host, m_hosts[host].node->Step(now(), event));
 }
 
 void SimNetwork::SendFullHostList() {
@@ -73,23 +73,16 @@
 }
 
 void SimNetwork::Push(core::Instant time, int host, std::shared_ptr<const Received> message) {
-  m_events.push({time, m_order++, host, std::move(message)});
+  m_events.Push(time, {host, std::move(message)});
 }
 
 void SimNetwork::Run(core::Duration duration) {
-  const core::Instant end = m_now + duration;
-  while (!m_events.empty() && m_events.top().time <= end) {
-    const Event event = m_events.top();
-    m_events.pop();
-    m_now = event.time;
-    Handle(event);
-  }
-  m_now = end;
+  m_events.RunUntil(now() + duration, [this](const Event& event) { Handle(event); });
 }
 
 void SimNetwork::Handle(const Event& event) {
   if (event.message == nullptr) {
-    Push(m_now + std::chrono::milliseconds(250), event.host, nullptr);
+    Push(now() + std::chrono::milliseconds(250), event.host, nullptr);
     Tick(event.host);
     return;
   }
@@ -135,7 +128,7 @@
   for (int i = 0; i < copies; ++i) {
     if (m_random.Unit() < loss) continue;
     const auto delay = core::Duration(1000 + m_random.Below(max_delay.count()));
-    Push(m_now + delay, to,
+    Push(now() + delay, to,
          std::make_shared<const Received>(Received{Id(from), Address(from), send.message}));
   }
 }
@@ -146,7 +139,7 @@
 }
 
 bool SimNetwork::UsableAt(int observer, int agent) const {
-  const auto found = UpstreamView(node(observer).table()).Find(Upstream(agent), m_now);
+  const auto found = UpstreamView(node(observer).table()).Find(Upstream(agent), now());
   return found && !found->leaving;
 }
 
--- a/packages/gossip/tests/sim_network.h
+++ b/packages/gossip/tests/sim_network.h
@@ -2,13 +2,13 @@
 
 #include <map>
 #include <memory>
-#include <queue>
 #include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "cornelrelay/core/random.h"
+#include "cornelrelay/core/timed_queue.h"
 #include "cornelrelay/gossip/gossip_node.h"
 #include "cornelrelay/gossip/upstream_view.h"
 
@@ -45,7 +45,7 @@
   core::Duration max_delay = std::chrono::milliseconds(20);
   bool reports = true;
 
-  core::Instant now() const { return m_now; }
+  core::Instant now() const { return m_events.now(); }
   int size() const { return static_cast<int>(m_hosts.size()); }
   bool IsEntry(int host) const { return host < m_options.entries; }
   bool Running(int host) const { return m_hosts[host].node != nullptr && !m_hosts[host].paused; }
@@ -69,14 +69,8 @@
     Load load;
   };
   struct Event {
-    core::Instant time;
-    std::uint64_t order = 0;
     int host = 0;
     std::shared_ptr<const Received> message;  // null: tick
-
-    friend bool operator<(const Event& a, const Event& b) {
-      return std::tie(a.time, a.order) > std::tie(b.time, b.order);
-    }
   };
 
   core::Endpoint Address(int host) const;
@@ -88,11 +82,9 @@
 
   Options m_options;
   core::Random m_random;
-  core::Instant m_now{};
-  std::uint64_t m_order = 0;
   std::vector<Host> m_hosts;
   std::vector<int> m_sides;
-  std::priority_queue<Event> m_events;
+  core::TimedQueue<Event> m_events;
   std::map<std::string, int> m_deaths;
 };
 
--- a/packages/policybench/include/cornelrelay/policybench/event_loop.h
+++ b/packages/policybench/include/cornelrelay/policybench/event_loop.h
@@ -1,11 +1,9 @@
 #pragma once
 
-#include <cstdint>
 #include <functional>
-#include <queue>
-#include <vector>
 
 #include "cornelrelay/core/time.h"
+#include "cornelrelay/core/timed_queue.h"
 
 namespace cornelrelay::policybench {
 
@@ -24,19 +22,7 @@
   void RunUntil(core::Instant end);
 
  private:
-  struct Entry {
-    core::Instant when;
-    std::uint64_t order = 0;
-    Handler handler;
-  };
-  struct Later {
-    bool operator()(const Entry& a, const Entry& b) const {
-      return a.when != b.when ? a.when > b.when : a.order > b.order;
-    }
-  };
-
-  std::priority_queue<Entry, std::vector<Entry>, Later> m_queue;
-  std::uint64_t m_order = 0;
+  core::TimedQueue<Handler> m_queue;
 };
 
 }  // namespace cornelrelay::policybench
--- a/packages/policybench/src/event_loop.cc
+++ b/packages/policybench/src/event_loop.cc
@@ -4,16 +4,10 @@
 
 namespace cornelrelay::policybench {
 
-void EventLoop::At(core::Instant when, Handler handler) {
-  m_queue.push(Entry{when, m_order++, std::move(handler)});
-}
+void EventLoop::At(core::Instant when, Handler handler) { m_queue.Push(when, std::move(handler)); }
 
 void EventLoop::RunUntil(core::Instant end) {
-  while (!m_queue.empty() && m_queue.top().when <= end) {
-    const Entry entry = m_queue.top();
-    m_queue.pop();
-    entry.handler(entry.when);
-  }
+  m_queue.RunUntil(end, [this](const Handler& handler) { handler(m_queue.now()); });
 }
 
 }  // namespace cornelrelay::policybench
--- a/packages/ranks/include/cornelrelay/ranks/group_demand.h
+++ b/packages/ranks/include/cornelrelay/ranks/group_demand.h
@@ -58,7 +58,7 @@
 
  private:
   /// \brief Mean over the sets of the load of the busiest rank over the mean.
-  double BusiestRank(const balance::LayerMap& current) const;
+  double BusiestRank(const std::vector<placement::ExpertLayout>& layouts) const;
 
   GroupDemandConfig m_config;
   std::vector<std::vector<double>> m_window;
--- a/packages/ranks/include/cornelrelay/ranks/group_leader.h
+++ b/packages/ranks/include/cornelrelay/ranks/group_leader.h
@@ -2,20 +2,19 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
 
 #include "cornelrelay/balance/switch_leader.h"
 #include "cornelrelay/net/http_client.h"
+#include "cornelrelay/ranks/agent_link.h"
 #include "cornelrelay/ranks/engine_link.h"
 #include "cornelrelay/ranks/group_demand.h"
-#include "cornelrelay/ranks/poll_rota.h"
+#include "cornelrelay/ranks/group_members.h"
 #include "cornelrelay/ranks/rank_ports.h"
 #include "cornelrelay/routes/engine_model.h"
 #include "cornelrelay/runtime/process_clock.h"
@@ -45,23 +44,13 @@
     telemetry::JsonLog& log;
     telemetry::MetricRegistry& metrics;
   };
-  /// \brief Handles a call to the agent of this process without a connection.
-  using OwnAgent = std::function<boost::asio::awaitable<wire::RankReply>(wire::RankCall)>;
-
   GroupLeader(Services services, settings::RankSettings settings, balance::RankReport self,
-              OwnAgent own_agent, std::function<void()> on_fenced);
+              AgentLink::OwnAgent own_agent, std::function<void()> on_fenced);
 
   void Lead(balance::Fence fence);
   void Stop();
 
  private:
-  struct Member {
-    core::Endpoint engine;
-    core::Endpoint agent;
-    std::optional<balance::RankIndex> rank;
-    bool asked = false;  ///< a poll is under way
-  };
-
   void ReadMembers(const std::string& after_key);
   void ReadConfiguration();
   void UseMembers(const store::PrefixRead& page);
@@ -73,24 +62,20 @@
   void Ask(const core::Endpoint& engine, bool want_picks);
   boost::asio::awaitable<void> Poll(core::Endpoint engine, bool want_picks);
   boost::asio::awaitable<void> Deliver(balance::SendOrder order);
-  boost::asio::awaitable<std::optional<wire::RankReply>> CallAgent(core::Endpoint agent,
-                                                                   wire::RankCall call);
   void Step(const balance::SwitchEvent& event);
   void Perform(const balance::SendOrder& action);
   void Perform(const balance::SwitchEnded& action);
   void Perform(const balance::SwitchInherited& action);
+  void Perform(const balance::StatesWanted& action);
   void Learn(const core::Endpoint& engine, const balance::RankReport& report, core::Instant asked);
-  Member* MemberOf(balance::RankIndex rank);
 
   Services m_services;
   settings::RankSettings m_settings;
   balance::RankReport m_self;
-  OwnAgent m_own_agent;
   std::function<void()> m_on_fenced;  ///< a rank knows a newer leader
   balance::SwitchLeader m_machine;
-  std::chrono::milliseconds m_agent_timeout;   ///< for one answer of an agent
-  std::map<core::Endpoint, Member> m_members;  ///< by engine
-  PollRota m_rota;
+  AgentLink m_agents;
+  GroupMembers m_members;
   std::optional<GroupDemand> m_demand;
   runtime::WakeTimer m_round_timer;
   runtime::WakeTimer m_tick_timer;
--- /dev/null
+++ b/packages/ranks/src/agent_link.cc
@@ -0,0 +1,48 @@
+#include "cornelrelay/ranks/agent_link.h"
+
+#include <cstddef>
+#include <utility>
+
+#include "cornelrelay/core/error.h"
+#include "cornelrelay/core/http_status.h"
+
+namespace cornelrelay::ranks {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::size_t kMaxReplyBytes = 1'048'576;
+
+}  // namespace
+
+AgentLink::AgentLink(net::HttpClient& client, core::Endpoint own, OwnAgent own_agent,
+                     std::chrono::milliseconds timeout, telemetry::JsonLog& log)
+    : m_client(client),
+      m_own(std::move(own)),
+      m_own_agent(std::move(own_agent)),
+      m_timeout(timeout),
+      m_log(log) {}
+
+asio::awaitable<std::optional<wire::RankReply>> AgentLink::Call(core::Endpoint agent,
+                                                                wire::RankCall call) {
+  std::optional<wire::RankReply> reply;
+  if (agent == m_own) {
+    reply = co_await m_own_agent(std::move(call));
+    co_return reply;
+  }
+  net::HttpRequest request;
+  request.method = "POST";
+  request.target = "/rank";
+  request.body = wire::Encode(call);
+  try {
+    const net::HttpResponse response =
+        co_await m_client.Fetch(agent, std::move(request), m_timeout, kMaxReplyBytes,
+                                net::HttpClient::ConnectionUse::kReuse);
+    if (response.status == core::kStatusOk) reply = wire::DecodeRankReply(response.body);
+  } catch (const core::Error& error) {
+    m_log.Debug("agent_call_failed", {{"agent", core::ToString(agent)}, {"reason", error.what()}});
+  }
+  co_return reply;
+}
+
+}  // namespace cornelrelay::ranks
--- a/packages/ranks/src/group_demand.cc
+++ b/packages/ranks/src/group_demand.cc
@@ -26,19 +26,20 @@
   }
 }
 
-double GroupDemand::BusiestRank(const balance::LayerMap& current) const {
+double GroupDemand::BusiestRank(const std::vector<placement::ExpertLayout>& layouts) const {
   double sum = 0;
-  for (std::size_t set = 0; set < m_config.sets; ++set) {
-    const placement::ExpertLayout layout(m_config.experts, current[set]);
-    sum += placement::Skew(placement::RankLoads(layout, m_estimates[set].loads()));
+  for (std::size_t set = 0; set < layouts.size(); ++set) {
+    sum += placement::Skew(placement::RankLoads(layouts[set], m_estimates[set].loads()));
   }
-  return m_config.sets == 0 ? 1 : sum / static_cast<double>(m_config.sets);
+  return layouts.empty() ? 1 : sum / static_cast<double>(layouts.size());
 }
 
 std::optional<MapProposal> GroupDemand::Propose(const balance::LayerMap& current) {
   if (current.size() != m_config.sets) return std::nullopt;
   MapProposal proposal;
-  proposal.before = BusiestRank(current);
+  std::vector<placement::ExpertLayout> layouts;
+  for (const auto& ranks : current) layouts.emplace_back(m_config.experts, ranks);
+  proposal.before = BusiestRank(layouts);
   proposal.after = 0;
   const std::optional<double> last = std::exchange(m_last_before, proposal.before);
   const bool growing = last && proposal.before - *last > m_config.growing;
@@ -48,7 +49,7 @@
   const std::size_t ranks = current.empty() ? 0 : current.front().size();
   std::vector<std::size_t> left(ranks, m_config.copies_per_rank);
   for (std::size_t set = 0; set < m_config.sets; ++set) {
-    const placement::ExpertLayout layout(m_config.experts, current[set]);
+    const placement::ExpertLayout& layout = layouts[set];
     auto plan = placement::PlanLayout(layout, m_estimates[set].loads(), m_config.limits, left);
     const auto copies = placement::CopiesByRank(layout, plan.layout);
     for (std::size_t rank = 0; rank < ranks; ++rank) left[rank] -= copies[rank];
--- a/packages/ranks/src/group_leader.cc
+++ b/packages/ranks/src/group_leader.cc
@@ -7,7 +7,6 @@
 #include <variant>
 
 #include "cornelrelay/core/error.h"
-#include "cornelrelay/core/http_status.h"
 #include "cornelrelay/core/overloaded.h"
 #include "cornelrelay/net/errors.h"
 
@@ -39,7 +38,6 @@
 constexpr milliseconds kMembersRefresh{3'000};
 /// An order that is sent past its agent, and the report after it, take less than this.
 constexpr milliseconds kPastAgent{30};
-constexpr std::size_t kMaxReplyBytes = 1'048'576;
 
 core::Duration AgentTimeout(balance::RankIndex ranks) {
   return kAgentTimeout + kAgentTimeoutPerRank * ranks;
@@ -58,15 +56,15 @@
 }  // namespace
 
 GroupLeader::GroupLeader(Services services, settings::RankSettings settings,
-                         balance::RankReport self, OwnAgent own_agent,
+                         balance::RankReport self, AgentLink::OwnAgent own_agent,
                          std::function<void()> on_fenced)
     : m_services(services),
       m_settings(std::move(settings)),
       m_self(std::move(self)),
-      m_own_agent(std::move(own_agent)),
       m_on_fenced(std::move(on_fenced)),
       m_machine(ConfigOf(m_self)),
-      m_agent_timeout(std::chrono::ceil<milliseconds>(AgentTimeout(m_self.size))),
+      m_agents(services.client, m_settings.agents, std::move(own_agent),
+               std::chrono::ceil<milliseconds>(AgentTimeout(m_self.size)), services.log),
       m_round_timer(services.context, services.clock, [this] { Round(); }),
       m_tick_timer(services.context, services.clock, [this] { Step(balance::SwitchTick{}); }) {}
 
@@ -100,11 +98,9 @@
     const auto* upstream = std::get_if<relay::UpstreamItem>(&decoded);
     if (upstream == nullptr || !upstream->entry) continue;
     if (upstream->entry->service != m_settings.service) continue;
-    Member member;
-    member.engine = upstream->entry->endpoint;
+    const core::Endpoint& engine = upstream->entry->endpoint;
     // Agents listen on the same port on all hosts.
-    member.agent = {member.engine.address, m_settings.agents.port};
-    if (m_members.try_emplace(member.engine, member).second) m_rota.Add(member.engine);
+    m_members.Add(engine, {engine.address, m_settings.agents.port});
   }
   if (page.more && !page.items.empty()) ReadMembers(page.items.back().key);
   if (m_leading) Step(balance::SwitchTick{});
@@ -137,21 +133,19 @@
 
 void GroupLeader::Round() {
   if (!m_leading) return;
-  const auto missing = std::any_of(m_members.begin(), m_members.end(),
-                                   [](const auto& entry) { return !entry.second.rank; });
-  const bool few = m_members.size() < m_self.size;
-  if ((missing || few) && m_services.clock.Now() - m_members_read > kMembersRefresh) {
-    ReadMembers("");
-  }
+  const bool stale = m_services.clock.Now() - m_members_read > kMembersRefresh;
+  if (stale && !m_members.Complete(m_self.size)) ReadMembers("");
   if (!m_demand) ReadConfiguration();
   Plan();
-  for (const core::Endpoint& engine : m_rota.Sample(SamplesPerRound())) Ask(engine, true);
-  for (const core::Endpoint& engine : m_rota.Next(kStatesPerRound)) Ask(engine, false);
+  for (const core::Endpoint& engine : m_members.rota().Sample(SamplesPerRound())) {
+    Ask(engine, true);
+  }
+  for (const core::Endpoint& engine : m_members.Next(kStatesPerRound)) Ask(engine, false);
   m_round_timer.SetAt(m_services.clock.Now() + kRound);
 }
 
 void GroupLeader::Ask(const core::Endpoint& engine, bool want_picks) {
-  if (std::exchange(m_members.at(engine).asked, true)) return;
+  if (!m_members.BeginPoll(engine)) return;
   asio::co_spawn(
       m_services.context, [this, engine, want_picks] { return Poll(engine, want_picks); },
       asio::detached);
@@ -182,41 +176,17 @@
   Step(balance::MapWanted{proposal->map});
 }
 
-asio::awaitable<std::optional<wire::RankReply>> GroupLeader::CallAgent(core::Endpoint agent,
-                                                                       wire::RankCall call) {
-  std::optional<wire::RankReply> reply;
-  if (agent == m_settings.agents) {
-    reply = co_await m_own_agent(std::move(call));
-    co_return reply;
-  }
-  net::HttpRequest request;
-  request.method = "POST";
-  request.target = "/rank";
-  request.body = wire::Encode(call);
-  try {
-    const net::HttpResponse response =
-        co_await m_services.client.Fetch(agent, std::move(request), m_agent_timeout, kMaxReplyBytes,
-                                         net::HttpClient::ConnectionUse::kReuse);
-    if (response.status == core::kStatusOk) reply = wire::DecodeRankReply(response.body);
-  } catch (const core::Error& error) {
-    m_services.log.Debug("agent_call_failed",
-                         {{"agent", core::ToString(agent)}, {"reason", error.what()}});
-  }
-  co_return reply;
-}
-
 asio::awaitable<void> GroupLeader::Poll(core::Endpoint engine, bool want_picks) {
   wire::RankCall call;
   call.fence = m_machine.fence();
   call.want_picks = want_picks;
-  const core::Endpoint agent = m_members.at(engine).agent;
+  const core::Endpoint agent = m_members.At(engine).agent;
   const core::Instant asked = m_services.clock.Now();
-  const std::optional<wire::RankReply> reply = co_await CallAgent(agent, call);
-  Member& member = m_members.at(engine);
-  member.asked = false;
+  const std::optional<wire::RankReply> reply = co_await m_agents.Call(agent, call);
+  m_members.EndPoll(engine);
   if (!reply || !reply->report) {
     // Which rank it is must be known before an order can be sent past its agent.
-    if (member.rank) co_return;
+    if (m_members.At(engine).rank) co_return;
     const auto report = co_await m_services.engines.Report(engine);
     if (report) Learn(engine, *report, asked - kRemoteLag);
     co_return;
@@ -228,25 +198,15 @@
 void GroupLeader::Learn(const core::Endpoint& engine, const balance::RankReport& report,
                         core::Instant asked) {
   if (report.group != m_self.group || report.rank >= m_self.size || !m_leading) return;
-  for (auto& [other, member] : m_members) {
-    if (member.rank == report.rank && other != engine) member.rank.reset();
-  }
-  m_members.at(engine).rank = report.rank;
+  m_members.SetRank(engine, report.rank);
   Step(balance::RankObserved{report.rank, report.state, asked});
 }
 
-GroupLeader::Member* GroupLeader::MemberOf(balance::RankIndex rank) {
-  for (auto& [engine, member] : m_members) {
-    if (member.rank == rank) return &member;
-  }
-  return nullptr;
-}
-
 asio::awaitable<void> GroupLeader::Deliver(balance::SendOrder order) {
   balance::OrderEnded ended;
   ended.rank = order.rank;
   ended.asked = m_services.clock.Now();
-  const Member* member = MemberOf(order.rank);
+  const GroupMember* member = m_members.OfRank(order.rank);
   if (member == nullptr) {
     Step(ended);
     co_return;
@@ -254,7 +214,7 @@
   const core::Endpoint engine = member->engine;
   core::Endpoint agent = member->agent;
   wire::RankCall call;
-  const Member* giver = order.giver ? MemberOf(*order.giver) : nullptr;
+  const GroupMember* giver = order.giver ? m_members.OfRank(*order.giver) : nullptr;
   if (giver != nullptr) {
     agent = giver->agent;
     call.engine = engine;
@@ -262,7 +222,7 @@
   call.fence = order.fence;
   call.epoch = order.epoch;
   call.order = order.order;
-  const std::optional<wire::RankReply> reply = co_await CallAgent(agent, call);
+  const std::optional<wire::RankReply> reply = co_await m_agents.Call(agent, call);
   if (reply) {
     ended.result = reply->result;
     if (reply->report && reply->report->rank == order.rank) ended.state = reply->report->state;
@@ -306,14 +266,16 @@
                                            {"step", action.step},
                                            {"fence", m_machine.fence()},
                                            {"elapsed_us", action.elapsed}});
-  // The next plan needs the map that all ranks have now.
-  for (const auto& [engine, member] : m_members) Ask(engine, false);
   m_services.metrics
       .GetCounter("cornelrelay_map_switches_total", "Switches of the expert map.",
                   {{"outcome", std::string(ToString(action.outcome))}})
       .Add();
 }
 
+void GroupLeader::Perform(const balance::StatesWanted&) {
+  for (const core::Endpoint& engine : m_members.All()) Ask(engine, false);
+}
+
 void GroupLeader::Perform(const balance::SwitchInherited& action) {
   m_services.log.Warning("map_switch_inherited", {{"group", m_self.group},
                                                   {"step", action.step},
--- a/packages/ranks/src/rank_process.cc
+++ b/packages/ranks/src/rank_process.cc
@@ -29,18 +29,6 @@
 /// An answer of the store that is later counts as lost; the lease outlasts some such calls.
 constexpr milliseconds kStoreCallTimeout{800};
 
-net::HttpClientLimits ClientLimits() {
-  net::HttpClientLimits limits;
-  limits.connect_timeout = kConnectTimeout;
-  return limits;
-}
-
-store::PrefixReaderOptions ReaderOptions() {
-  store::PrefixReaderOptions options;
-  options.watch_wait = kSeatWatch;
-  return options;
-}
-
 }  // namespace
 
 RankProcess::RankProcess(asio::io_context& context, settings::RankSettings settings,
@@ -50,7 +38,7 @@
       m_ports(ports),
       m_log(log),
       m_seed(seed),
-      m_client(context, ClientLimits()),
+      m_client(context, {.connect_timeout = kConnectTimeout}),
       m_store(std::make_shared<runtime::StoreLink>(
           context, m_clock, m_client, ports.store, m_settings.store,
           runtime::UnrepeatedCalls(m_settings.store_calls_per_second, kStoreCallTimeout,
@@ -115,7 +103,7 @@
                             m_metrics},
       m_settings, report, [this](wire::RankCall call) { return Handle(std::move(call)); },
       [this] { StepLease(SeatResigned{}); });
-  m_reader.emplace(m_seat_key, ReaderOptions(), m_seed + 2);
+  m_reader.emplace(m_seat_key, store::PrefixReaderOptions{.watch_wait = kSeatWatch}, m_seed + 2);
   RunReader(m_reader->Start(m_clock.Now()));
 }
 
--- a/packages/relay/include/cornelrelay/relay/fleet_view.h
+++ b/packages/relay/include/cornelrelay/relay/fleet_view.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -20,6 +21,10 @@
 
 namespace cornelrelay::relay {
 
+/// How long the store holds a watch of the fleet without a change. A connection that went silent
+/// shows no sooner.
+inline constexpr std::chrono::milliseconds kFleetWatch{1'900};
+
 /// \brief What the store says of configuration, upstreams and entry processes, as far as this
 /// process has heard, from the store itself or from peers.
 class FleetView {
--- a/packages/relay/include/cornelrelay/relay/relay_task.h
+++ b/packages/relay/include/cornelrelay/relay/relay_task.h
@@ -25,25 +25,22 @@
   boost::asio::awaitable<void> Run();
 
  private:
-  void Act(const request::RequestAction& action) override;
   std::size_t pending() const override { return m_writer.pending(); }
   boost::asio::awaitable<void> WriteAnswer() override { return m_writer.Flush(); }
   core::Instant NextWake() const override;
   void OnTurn() override { GiveUpIfSilent(); }
 
-  void Perform(const request::AskAdmission& action);
-  void Perform(const request::RequestClaim& action);
-  void Perform(const request::ChooseReplica& action);
-  void Perform(const request::AskRetryToken& action);
-  void Perform(const request::OpenAttempt& action);
-  void Perform(const request::CancelAttempt& action);
-  void Perform(const request::ForwardChunk& action);
-  void Perform(const request::FinishAnswer& action);
-  void Perform(const request::ForwardFailure& action);
-  void Perform(const request::SendError& action);
-  void Perform(const request::FinishClaim& action);
-  void Perform(const request::RecordAttempt& action);
-  void Perform(const request::RecordOutcome& action);
+  void Perform(const request::AskAdmission& action) override;
+  void Perform(const request::ChooseReplica& action) override;
+  void Perform(const request::AskRetryToken& action) override;
+  void Perform(const request::OpenAttempt& action) override;
+  void Perform(const request::CancelAttempt& action) override;
+  void Perform(const request::ForwardChunk& action) override;
+  void Perform(const request::FinishAnswer& action) override;
+  void Perform(const request::ForwardFailure& action) override;
+  void Perform(const request::SendError& action) override;
+  void Perform(const request::RecordAttempt& action) override;
+  void Perform(const request::RecordOutcome& action) override;
 
   void OnDecision(const DispatchHub::Decision& decision);
   void NoteOutput();
--- a/packages/relay/src/fleet_view.cc
+++ b/packages/relay/src/fleet_view.cc
@@ -24,7 +24,7 @@
       m_log(log),
       m_metrics(metrics),
       m_listener(std::move(listener)),
-      m_reader(std::string(kAllItems), store::PrefixReaderOptions{}, seed),
+      m_reader(std::string(kAllItems), store::PrefixReaderOptions{.watch_wait = kFleetWatch}, seed),
       m_upstreams(config),
       m_retry_timer(context, clock, [this] { Run(m_reader.OnTick(m_clock.Now())); }),
       m_directory_timer(context, clock, [this] { StepUpstreams(directory::DirectoryTick{}); }) {}
--- a/packages/relay/src/relay_process.cc
+++ b/packages/relay/src/relay_process.cc
@@ -36,27 +36,14 @@
 constexpr milliseconds kStoreConnectTimeout{500};
 /// An answer of the store that is later counts as lost.
 constexpr milliseconds kStoreCallTimeout{1'000};
-/// The wait of a watch plus a slow answer.
-constexpr milliseconds kStoreWatchTimeout{2'600};
+/// What a watch may take beyond its wait.
+constexpr milliseconds kWatchAnswerTime{700};
 /// Sockets for a request: caller, upstream, and one kept idle.
 constexpr std::uint32_t kDescriptorsPerCaller = 3;
 constexpr std::uint32_t kReservedDescriptors = 300;
 /// Part of the memory that the bodies of requests in progress may take.
 constexpr std::size_t kBodyMemoryDivisor = 4;
 
-net::HttpClientLimits UpstreamClientLimits() {
-  net::HttpClientLimits limits;
-  limits.connect_timeout = kConnectTimeout;
-  limits.idle_time = kUnannouncedIdle;
-  return limits;
-}
-
-net::HttpClientLimits StoreClientLimits() {
-  net::HttpClientLimits limits;
-  limits.connect_timeout = kStoreConnectTimeout;
-  return limits;
-}
-
 net::HttpServerLimits CallerLimitsOf(const routes::CallerLimits& limits,
                                      const settings::RelaySettings& settings) {
   net::HttpServerLimits server;
@@ -70,12 +57,6 @@
   return server;
 }
 
-directory::DirectoryConfig DirectoryConfigOf(const settings::RelaySettings& settings) {
-  directory::DirectoryConfig config;
-  config.return_time = settings.lapsed_entry_return;
-  return config;
-}
-
 }  // namespace
 
 RelayProcess::RelayProcess(asio::io_context& context, settings::RelaySettings settings,
@@ -83,12 +64,13 @@
     : m_context(context),
       m_settings(std::move(settings)),
       m_log(log),
-      m_upstream_client(context, UpstreamClientLimits()),
-      m_store_client(context, StoreClientLimits()),
+      m_upstream_client(context,
+                        {.connect_timeout = kConnectTimeout, .idle_time = kUnannouncedIdle}),
+      m_store_client(context, {.connect_timeout = kStoreConnectTimeout}),
       m_store(std::make_shared<runtime::StoreLink>(
           context, m_clock, m_store_client, ports.store, m_settings.store,
           runtime::UnrepeatedCalls(m_settings.store_calls_per_second, kStoreCallTimeout,
-                                   kStoreWatchTimeout),
+                                   kFleetWatch + kWatchAnswerTime),
           seed + 1)),
       m_retries(m_settings.retries),
       m_peers(context, m_clock, m_store_client, m_settings.host, m_settings.peers, seed + 2, log,
@@ -98,8 +80,8 @@
                [this](const wire::ItemsTransfer& items) { m_fleet.Merge(items); }}),
       m_dispatch(context, m_clock, log, m_metrics, seed + 3,
                  [this] { m_peers.Step(peers::OwnLoadChanged{}); }),
-      m_fleet(context, m_clock, *m_store, ports.fleet, DirectoryConfigOf(m_settings), log,
-              m_metrics, seed + 4,
+      m_fleet(context, m_clock, *m_store, ports.fleet,
+              {.return_time = m_settings.lapsed_entry_return}, log, m_metrics, seed + 4,
               {[this](const routes::Configuration& c) { OnConfiguration(c); },
                [this] { m_dispatch.SetUpstreams(m_fleet.upstreams()); }, [this] { OnItems(); },
                [this](const store::ItemChange& item) { OnOwnItem(item); }}),
--- a/packages/relay/src/relay_task.cc
+++ b/packages/relay/src/relay_task.cc
@@ -14,6 +14,7 @@
 
 /// Connections that may fail for one request; each costs up to the connect timeout.
 constexpr int kFreeConnectFailures = 2;
+
 request::RequestPolicy PolicyOf(const RelayOrder& order) {
   request::RequestPolicy policy;
   policy.idempotent = order.route.Repeatable();
@@ -66,10 +67,6 @@
   co_await Finish();
 }
 
-void RelayTask::Act(const request::RequestAction& action) {
-  std::visit([this](const auto& a) { Perform(a); }, action);
-}
-
 core::Instant RelayTask::NextWake() const {
   const core::Instant check = MayRepeat() ? m_silence.NextCheck(Pace()) : core::Instant::max();
   return std::min(RequestDriver::NextWake(), check);
@@ -78,10 +75,6 @@
 // Who waits and who is refused is decided together with the upstream.
 void RelayTask::Perform(const request::AskAdmission&) { mailbox()->Push(request::Admitted{}); }
 
-// Requests on this platform have no key under which they could be claimed.
-void RelayTask::Perform(const request::RequestClaim&) { assert(false); }
-void RelayTask::Perform(const request::FinishClaim&) { assert(false); }
-
 void RelayTask::Perform(const request::ChooseReplica& action) {
   dispatch::RequestArrived arrival;
   arrival.request = m_internal_id;
--- a/packages/runtime/include/cornelrelay/runtime/control_plane.h
+++ b/packages/runtime/include/cornelrelay/runtime/control_plane.h
@@ -52,6 +52,9 @@
   /// \brief The control endpoint of a member, from its record.
   std::optional<core::Endpoint> EndpointOf(const core::HostId& host) const;
 
+  /// \brief The other entry processes of the own data centre that are alive.
+  std::vector<core::HostId> NearEntries() const;
+
   std::vector<gossip::Record> Snapshot(gossip::SnapshotPart part) const {
     return m_node.Snapshot(m_clock.Now(), part);
   }
--- a/packages/runtime/src/control_plane.cc
+++ b/packages/runtime/src/control_plane.cc
@@ -72,6 +72,19 @@
   return member->control;
 }
 
+std::vector<core::HostId> ControlPlane::NearEntries() const {
+  std::vector<core::HostId> entries;
+  for (const auto& [key, stored] : m_node.table().records()) {
+    const auto* member = std::get_if<gossip::MemberState>(&stored.record.payload);
+    const bool near = member != nullptr && member->role == gossip::Role::kEntry &&
+                      member->life == gossip::Life::kAlive &&
+                      member->data_centre == m_node.settings().data_centre &&
+                      key.subject != m_self.value();
+    if (near) entries.emplace_back(key.subject);
+  }
+  return entries;
+}
+
 void ControlPlane::SendBytes(const core::Endpoint& to, const wire::ControlMessage& message) {
   ++m_counters.sent;
   m_channel.Send(to, SealMessage(message));
--- a/tests/system/platform_stand_ins.py
+++ b/tests/system/platform_stand_ins.py
@@ -146,12 +146,19 @@
             def serve(self):
                 body = self.rfile.read(int(self.headers["Content-Length"] or 0))
                 step = replica.plan.pop(0) if len(replica.plan) > 1 else replica.plan[0]
-                replica.seen.append({"path": self.path, "body": body, "headers": dict(self.headers)})
+                replica.seen.append({"path": self.path, "body": body, "headers": dict(self.headers),
+                                     "at": time.monotonic()})
                 if step == "refuse":
                     return self.head(503, 0, Not_Executed="1")
                 if step == "fail":
                     self.head(500, 4, Replica_Seal="seal-" + replica.name)
                     return self.wfile.write(b"fail")
+                if step == "misdirected":
+                    return self.head(421, 0)
+                if step == "late fail":
+                    time.sleep(0.8)
+                    self.head(500, 4, Replica_Seal="seal-" + replica.name)
+                    return self.wfile.write(b"fail")
                 if step == "reset":
                     return self.hang_up()
                 if step.startswith("stream"):
--- a/tests/system/test_relay.py
+++ b/tests/system/test_relay.py
@@ -73,11 +73,11 @@
 slack = 200
 window_s = 10
 """)
+        self.settings = settings
         self.log = open(pathlib.Path(directory.name) / "log", "wb")
         self.addCleanup(self.log.close)
-        self.process = subprocess.Popen([f"{BIN}/cornelrelay", "relay", "--settings", str(settings)],
-                                        stdout=self.log)
         self.addCleanup(self.end)
+        self.start()
         self.wait_for(lambda: self.ready() == 200)
         # Requests earn the retries that the tests need.
         for _ in range(20):
@@ -85,6 +85,10 @@
         for replica in self.replicas:
             replica.seen.clear()
 
+    def start(self):
+        self.process = subprocess.Popen([f"{BIN}/cornelrelay", "relay", "--settings", str(self.settings)],
+                                        stdout=self.log)
+
     def end(self):
         if self.process.poll() is None:
             self.process.kill()
@@ -188,6 +192,72 @@
         self.assertEqual(response.status, 504)
         self.assertLess(time.monotonic() - started, 3.5)
 
+    def test_reused_address_runs_nothing(self):
+        self.plan("misdirected", "ok")
+        self.assertEqual(self.ask("POST", "/order/1", body=b"x")[0].status, 200)
+        self.assertEqual(self.runs(), 2)
+
+    def test_attempts_of_the_route_are_a_limit(self):
+        self.plan("fail")
+        self.assertEqual(self.ask("GET", "/look/1")[0].status, 500)
+        self.assertEqual(self.runs(), 2)
+
+    def test_second_attempt_has_the_time_that_is_left(self):
+        self.plan("late fail", "ok")
+        self.assertEqual(self.ask("GET", "/look/1")[0].status, 200)
+        first, second = sorted((s for replica in self.replicas for s in replica.seen), key=lambda s: s["at"])
+        passed_ms = (second["at"] - first["at"]) * 1000
+        self.assertGreater(passed_ms, 50)
+        # Both times are rounded to a millisecond, and the first request took some to arrive.
+        left = int(second["headers"]["Deadline-Ms"])
+        self.assertLessEqual(left, int(first["headers"]["Deadline-Ms"]) - passed_ms + 30)
+
+    def test_hangup_cuts_nothing(self):
+        self.plan("slow 1.0")
+        results = []
+        running = threading.Thread(target=lambda: results.append(self.ask("POST", "/order/1", body=b"x")[0].status))
+        running.start()
+        self.wait_for(lambda: self.runs() == 1)
+        self.process.send_signal(signal.SIGHUP)
+        running.join()
+        self.assertEqual(results, [200])
+        self.plan("ok")
+        self.assertEqual(self.ask("GET", "/look/1")[0].status, 200)
+
+    def test_process_that_is_told_to_stop_is_not_ready(self):
+        self.plan("slow 2.5")
+        running = threading.Thread(target=lambda: self.ask("POST", "/order/1", body=b"x"))
+        running.start()
+        self.wait_for(lambda: self.runs() == 1)
+        self.process.send_signal(signal.SIGTERM)
+        self.wait_for(lambda: self.ready() != 200, 2.0)
+        running.join()
+
+    def test_killed_process_serves_again(self):
+        self.end()
+        self.start()
+        self.wait_for(lambda: self.ready() == 200)
+        self.assertEqual(self.ask("GET", "/look/1")[0].status, 200)
+
+    def test_restart_in_an_outage_denies_nothing(self):
+        self.end()
+        self.store.down = True
+        self.start()
+
+        def status():
+            try:
+                return self.ask("GET", "/look/1")[0].status
+            except OSError:
+                return 0
+
+        self.wait_for(lambda: status() != 0)
+        for _ in range(10):
+            self.assertEqual(status(), 503)
+            time.sleep(0.1)
+        self.assertNotEqual(self.ready(), 200)
+        self.store.down = False
+        self.wait_for(lambda: self.ready() == 200 and status() == 200)
+
     def test_caller_that_leaves_ends_the_run(self):
         for path in ("/look/1", "/order/1"):
             self.plan("until left")
