Bound every response of an upstream, and reset the connections of cancelled attempts

Cause: a server in trouble may send bytes that are no answer without end. A chunk size line, trailers and interim responses had no bound, each read had a time limit but the exchange had none, and a body could grow to 16 MiB for each request.

Change: HttpClient bounds the bytes that a connection buffers, the interim responses, a skipped response and the time of a whole exchange; UpstreamCall bounds an event, bytes without progress and the memory of all responses in progress (ByteBudget, also used for request bodies). A broken exchange has a cause, which is logged and counted. An unfinished exchange resets its connection.

Result: tests of each bound against a server that sends for as long as it is read.

--- a/packages/driver/include/cornelrelay/driver/attempt_call.h
+++ b/packages/driver/include/cornelrelay/driver/attempt_call.h
@@ -10,6 +10,7 @@
 #include "cornelrelay/core/endpoint.h"
 #include "cornelrelay/core/ids.h"
 #include "cornelrelay/driver/request_mailbox.h"
+#include "cornelrelay/net/errors.h"
 #include "cornelrelay/net/http_client.h"
 
 namespace cornelrelay::driver {
@@ -25,7 +26,8 @@
     core::AttemptId attempt;
     core::Endpoint upstream;
     net::HttpClient::ConnectionUse use = net::HttpClient::ConnectionUse::kFresh;
-    std::chrono::milliseconds read_timeout{30'000};  ///< longest wait for the next bytes
+    /// From the open connection to the end of the response.
+    std::chrono::milliseconds timeout{30'000};
   };
 
   virtual ~AttemptCall() = default;
@@ -49,6 +51,9 @@
   /// request::UpstreamClosed
   virtual boost::asio::awaitable<void> Exchange() = 0;
 
+  /// \brief Called before a broken exchange is reported, unless this process cancelled it.
+  virtual void OnBroken(net::BreakCause, const core::Error&) {}
+
   /// \brief Sends an event to the mailbox, unless the attempt has been cancelled.
   void Report(request::RequestEvent event);
 
@@ -63,6 +68,7 @@
 
  private:
   boost::asio::awaitable<void> Run();
+  void HandleBreak(net::BreakCause cause, const core::Error& error);
 
   boost::asio::io_context& m_context;
   net::HttpClient& m_client;
--- a/packages/driver/src/attempt_call.cc
+++ b/packages/driver/src/attempt_call.cc
@@ -36,7 +36,8 @@
 asio::awaitable<void> AttemptCall::Run() {
   bool connected = false;
   try {
-    m_exchange = co_await m_client.Open(m_target.upstream, m_target.use, m_target.read_timeout);
+    m_exchange = co_await m_client.Open(m_target.upstream, m_target.use,
+                                        {m_target.timeout, m_target.timeout});
     connected = true;
   } catch (const net::ConnectFailed&) {
     connected = false;
@@ -54,20 +55,28 @@
   bool broken = false;
   try {
     co_await Exchange();
-  } catch (const net::ExchangeBroken&) {
+  } catch (const net::ExchangeBroken& error) {
     broken = true;
-  } catch (const request::SseEventTooLarge&) {
+    HandleBreak(error.cause(), error);
+  } catch (const request::SseEventTooLarge& error) {
     broken = true;
+    HandleBreak(net::BreakCause::kBodyTooLarge, error);
   }
   if (broken) Report(request::UpstreamClosed{m_target.attempt});
 }
 
+// A cancelled exchange breaks because this process closed its connection.
+void AttemptCall::HandleBreak(net::BreakCause cause, const core::Error& error) {
+  if (!m_cancelled) OnBroken(cause, error);
+}
+
 asio::awaitable<std::string> AttemptCall::ReadBody(std::size_t limit) {
   std::string body;
   while (std::optional<std::string> piece = co_await m_exchange->ReadPiece()) {
     body += *piece;
     if (body.size() > limit) {
-      throw net::ExchangeBroken(m_target.upstream, "the response body exceeds its limit");
+      throw net::ExchangeBroken(m_target.upstream, net::BreakCause::kBodyTooLarge,
+                                "the response body exceeds its limit");
     }
   }
   co_return body;
--- a/packages/entry/include/cornelrelay/entry/attempt_runner.h
+++ b/packages/entry/include/cornelrelay/entry/attempt_runner.h
@@ -29,7 +29,7 @@
   request::StreamPosition resume_after;
   std::size_t max_event_bytes = 65536;
   std::size_t max_answer_bytes = 16'777'216;
-  std::chrono::milliseconds silence_limit{30000};  ///< longest wait for the next bytes
+  std::chrono::milliseconds time_limit{30000};  ///< until the end of the response
 };
 
 /// \brief Runs one attempt against an upstream of the product's own protocol.
--- a/packages/entry/src/attempt_runner.cc
+++ b/packages/entry/src/attempt_runner.cc
@@ -29,7 +29,7 @@
   target.upstream = order.upstream;
   target.use = order.reuse_connection ? net::HttpClient::ConnectionUse::kReuse
                                       : net::HttpClient::ConnectionUse::kFresh;
-  target.read_timeout = order.silence_limit;
+  target.timeout = order.time_limit;
   return target;
 }
 
--- a/packages/entry/src/crash_hub.cc
+++ b/packages/entry/src/crash_hub.cc
@@ -91,7 +91,7 @@
 asio::awaitable<bool> CrashHub::RefusesConnections(core::Endpoint endpoint) {
   try {
     co_await m_client.Open(std::move(endpoint), net::HttpClient::ConnectionUse::kFresh,
-                           kConnectTimeout);
+                           {kConnectTimeout, kConnectTimeout});
   } catch (const net::ConnectFailed&) {
     co_return true;
   }
--- a/packages/entry/src/request_task.cc
+++ b/packages/entry/src/request_task.cc
@@ -125,7 +125,7 @@
       m_profile.IsIdempotent(m_request.upstream.method, m_request.upstream.target);
   order.resume_after = action.resume_after;
   order.max_event_bytes = m_services.limits.event;
-  order.silence_limit = std::max(left, std::chrono::milliseconds(1));
+  order.time_limit = std::max(left, std::chrono::milliseconds(1));
   m_attempt_id = action.attempt;
   m_attempt = std::make_shared<AttemptRunner>(m_services.context, m_services.client,
                                               std::move(order), mailbox());
--- a/packages/net/include/cornelrelay/net/errors.h
+++ b/packages/net/include/cornelrelay/net/errors.h
@@ -4,6 +4,7 @@
 
 #include "cornelrelay/core/endpoint.h"
 #include "cornelrelay/core/error.h"
+#include "cornelrelay/net/break_cause.h"
 
 namespace cornelrelay::net {
 
@@ -16,7 +17,12 @@
 /// \brief The connection failed after the request was at least partly sent.
 class ExchangeBroken : public core::Error {
  public:
-  ExchangeBroken(const core::Endpoint& peer, const std::string& reason);
+  ExchangeBroken(const core::Endpoint& peer, BreakCause cause, const std::string& reason);
+
+  BreakCause cause() const { return m_cause; }
+
+ private:
+  BreakCause m_cause;
 };
 
 /// \brief The caller closed its connection before the response was complete.
--- a/packages/net/include/cornelrelay/net/http_client.h
+++ b/packages/net/include/cornelrelay/net/http_client.h
@@ -7,6 +7,7 @@
 #include <memory>
 
 #include "cornelrelay/core/endpoint.h"
+#include "cornelrelay/net/exchange_timeouts.h"
 #include "cornelrelay/net/http_exchange.h"
 #include "cornelrelay/net/http_message.h"
 
@@ -19,14 +20,20 @@
   std::chrono::milliseconds idle_time{30'000};
   /// The same for `ConnectionUse::kRecent`.
   std::chrono::milliseconds recent_idle_time{500};
+  /// Limit of a head, and of a line between the chunks of a body. A connection buffers at most this
+  /// and a piece.
   std::uint32_t head_bytes = 16'384;
   std::size_t piece_bytes = 16'384;
+  /// Interim responses that are skipped before the final one. Servers send one or two.
+  int interim_responses = 8;
+  /// Body of a skipped response.
+  std::size_t skipped_bytes = 262'144;
 };
 
 /// \brief HTTP/1.1 client with a pool of idle connections per peer.
 ///
 /// \code
-/// auto exchange = co_await client.Open(peer, HttpClient::ConnectionUse::kReuse, 30s);
+/// auto exchange = co_await client.Open(peer, HttpClient::ConnectionUse::kReuse, {5s, 30s});
 /// co_await exchange->SendRequest(request);
 /// const HttpResponseHead head = co_await exchange->ReadHead();
 /// while (auto piece = co_await exchange->ReadPiece()) { ... }
@@ -45,15 +52,15 @@
   HttpClient& operator=(const HttpClient&) = delete;
 
   /// \brief Connects without sending anything.
-  /// \param timeout bound on each later read or write, not on the whole exchange
   /// \throws ConnectFailed
   boost::asio::awaitable<std::unique_ptr<HttpExchange>> Open(core::Endpoint peer, ConnectionUse use,
-                                                             std::chrono::milliseconds timeout);
+                                                             ExchangeTimeouts timeouts);
 
   /// \brief Closes the idle connections to a peer.
   void Forget(const core::Endpoint& peer);
 
   /// \brief Sends a request and reads the whole response of at most `max_body` bytes.
+  /// \param timeout from the open connection to the end of the response
   /// \throws ConnectFailed, ExchangeBroken
   boost::asio::awaitable<HttpResponse> Fetch(core::Endpoint peer, HttpRequest request,
                                              std::chrono::milliseconds timeout,
--- a/packages/net/include/cornelrelay/net/http_exchange.h
+++ b/packages/net/include/cornelrelay/net/http_exchange.h
@@ -10,7 +10,7 @@
 
 /// \brief One request and its response on one connection.
 ///
-/// Destroying an exchange before its end closes the connection, which cancels the work upstream.
+/// Destroying an exchange before its end resets the connection, which cancels the work upstream.
 class HttpExchange {
  public:
   virtual ~HttpExchange() = default;
@@ -34,7 +34,7 @@
   /// \throws ExchangeBroken also when the connection closes before the declared end
   virtual boost::asio::awaitable<std::optional<std::string>> ReadPiece() = 0;
 
-  /// \brief Closes the connection; a pending read fails with ExchangeBroken.
+  /// \brief Resets the connection; a pending read fails with ExchangeBroken.
   virtual void Cancel() = 0;
 };
 
--- a/packages/net/src/http_client.cc
+++ b/packages/net/src/http_client.cc
@@ -33,14 +33,14 @@
   void Forget(const core::Endpoint& peer) { m_pool->Forget(peer); }
 
   asio::awaitable<std::unique_ptr<HttpExchange>> Open(core::Endpoint peer, ConnectionUse use,
-                                                      std::chrono::milliseconds timeout) {
+                                                      ExchangeTimeouts timeouts) {
     internal::ConnectionPtr connection;
     if (use != ConnectionUse::kFresh) connection = m_pool->Take(peer, use);
     if (!connection) {
       connection = co_await Connect(peer);
     }
     co_return std::make_unique<internal::PooledExchange>(std::move(peer), std::move(connection),
-                                                         m_pool, timeout, m_limits);
+                                                         m_pool, timeouts, m_limits);
   }
 
  private:
@@ -48,8 +48,8 @@
     error_code ec;
     const auto address = asio::ip::make_address(peer.address, ec);
     if (ec) throw ConnectFailed(peer, ec.message());
-    auto connection =
-        std::make_unique<internal::PooledConnection>(boost::beast::tcp_stream(m_context));
+    auto connection = std::make_unique<internal::PooledConnection>(
+        boost::beast::tcp_stream(m_context), m_limits.head_bytes + m_limits.piece_bytes);
     connection->stream.expires_after(m_limits.connect_timeout);
     co_await connection->stream.async_connect(tcp::endpoint(address, peer.port),
                                               asio::redirect_error(asio::use_awaitable, ec));
@@ -75,15 +75,15 @@
 
 asio::awaitable<std::unique_ptr<HttpExchange>> HttpClient::Open(core::Endpoint peer,
                                                                 ConnectionUse use,
-                                                                std::chrono::milliseconds timeout) {
+                                                                ExchangeTimeouts timeouts) {
   const auto impl = m_impl;
-  co_return co_await impl->Open(std::move(peer), use, timeout);
+  co_return co_await impl->Open(std::move(peer), use, timeouts);
 }
 
 asio::awaitable<HttpResponse> HttpClient::Fetch(core::Endpoint peer, HttpRequest request,
                                                 std::chrono::milliseconds timeout,
                                                 std::size_t max_body, ConnectionUse use) {
-  auto exchange = co_await Open(peer, use, timeout);
+  auto exchange = co_await Open(peer, use, {timeout, timeout});
   co_await exchange->SendRequest(std::move(request));
   HttpResponseHead head = co_await exchange->ReadHead();
   HttpResponse response;
@@ -93,7 +93,7 @@
     std::optional<std::string> piece = co_await exchange->ReadPiece();
     if (!piece) break;
     if (response.body.size() + piece->size() > max_body) {
-      throw ExchangeBroken(peer, "response body exceeds its limit");
+      throw ExchangeBroken(peer, BreakCause::kBodyTooLarge, "the body exceeds its limit");
     }
     response.body += *piece;
   }
--- a/packages/net/src/http_session.h
+++ b/packages/net/src/http_session.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -48,7 +49,8 @@
       : m_stream(std::move(stream)),
         m_limits(std::move(limits)),
         m_handler(std::move(handler)),
-        m_registry(std::move(registry)) {
+        m_registry(std::move(registry)),
+        m_buffer(MaxBuffered()) {
     m_registry->Add(this);
   }
   ~HttpSession() override { m_registry->Remove(this); }
@@ -147,6 +149,8 @@
   static constexpr std::size_t kReadAhead = 16'384;
   static constexpr std::size_t kReadSize = 4'096;
 
+  std::size_t MaxBuffered() const { return m_limits->head_bytes + kReadAhead + kReadSize; }
+
   static auto Redirect(error_code& ec) { return asio::redirect_error(asio::use_awaitable, ec); }
 
   beast::tcp_stream& Lowest() { return beast::get_lowest_layer(m_stream); }
@@ -163,6 +167,8 @@
     if (!arriving) co_return false;
     m_busy = true;
     Parser parser;
+    // Bounds the lines between the chunks of a body, which no limit of the parser covers.
+    m_buffer.max_size(std::max(m_buffer.max_size(), MaxBuffered()));
     parser.header_limit(m_limits->head_bytes);
     parser.body_limit(m_limits->body_bytes);
     const std::optional<HttpResponse> fault = co_await ReadRequest(parser);
--- a/packages/net/src/pooled_connection.h
+++ b/packages/net/src/pooled_connection.h
@@ -3,6 +3,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <chrono>
+#include <cstddef>
 #include <memory>
 #include <utility>
 
@@ -12,7 +13,9 @@
 struct PooledConnection {
   using TimePoint = std::chrono::steady_clock::time_point;
 
-  explicit PooledConnection(boost::beast::tcp_stream s) : stream(std::move(s)) {}
+  /// \param max_buffered limit of the bytes that are read ahead
+  PooledConnection(boost::beast::tcp_stream s, std::size_t max_buffered)
+      : stream(std::move(s)), buffer(max_buffered) {}
 
   boost::beast::tcp_stream stream;
   boost::beast::flat_buffer buffer;
--- a/packages/net/src/pooled_exchange.cc
+++ b/packages/net/src/pooled_exchange.cc
@@ -1,11 +1,15 @@
 #include "pooled_exchange.h"
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/socket_base.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/error.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
+#include <chrono>
 #include <string_view>
 #include <utility>
 
@@ -25,6 +29,18 @@
 
 auto Redirect(error_code& ec) { return asio::redirect_error(asio::use_awaitable, ec); }
 
+BreakCause CauseOf(const error_code& ec) {
+  if (ec == boost::beast::error::timeout) return BreakCause::kTimeout;
+  if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
+    return BreakCause::kHeadTooLarge;
+  }
+  if (ec == http::error::end_of_stream || ec == http::error::partial_message ||
+      ec.category() != http::make_error_code(http::error::bad_method).category()) {
+    return BreakCause::kConnection;
+  }
+  return BreakCause::kMalformed;
+}
+
 // The `timeout` parameter of a Keep-Alive header, in whole seconds.
 std::optional<std::chrono::milliseconds> AnnouncedIdleTime(std::string_view keep_alive) {
   constexpr std::string_view kTimeout = "timeout=";
@@ -41,13 +57,14 @@
 }  // namespace
 
 PooledExchange::PooledExchange(core::Endpoint peer, ConnectionPtr connection,
-                               std::shared_ptr<ConnectionPool> pool,
-                               std::chrono::milliseconds timeout, const HttpClientLimits& limits)
+                               std::shared_ptr<ConnectionPool> pool, ExchangeTimeouts timeouts,
+                               const HttpClientLimits& limits)
     : m_peer(std::move(peer)),
       m_connection(std::move(connection)),
       m_pool(std::move(pool)),
-      m_timeout(timeout),
-      m_head_bytes(limits.head_bytes),
+      m_silence_timeout(timeouts.silence),
+      m_end(std::chrono::steady_clock::now() + timeouts.total),
+      m_limits(limits),
       m_piece(limits.piece_bytes, '\0') {
   ResetParser();
 }
@@ -66,23 +83,25 @@
   m_head_only = request.method == "HEAD";
   if (m_head_only) m_parser->skip(true);
   error_code ec;
-  m_connection->stream.expires_after(m_timeout);
+  StartTimer();
   co_await http::async_write(m_connection->stream, message, Redirect(ec));
   m_written = !ec;
 }
 
 asio::awaitable<HttpResponseHead> PooledExchange::ReadHead() {
-  while (true) {
+  for (int heads = 0; heads <= m_limits.interim_responses; ++heads) {
     error_code ec;
-    m_connection->stream.expires_after(m_timeout);
+    StartTimer();
     co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser,
                                      Redirect(ec));
-    if (ec) throw ExchangeBroken(m_peer, ec.message());
-    if (m_parser->get().result_int() >= kFirstFinalStatus) break;
+    ThrowIfBroken(ec);
+    const auto status = static_cast<int>(m_parser->get().result_int());
+    if (status >= kFirstFinalStatus) {
+      co_return HttpResponseHead{status, ToHeaders(m_parser->get().base())};
+    }
     ResetParser();
   }
-  co_return HttpResponseHead{static_cast<int>(m_parser->get().result_int()),
-                             ToHeaders(m_parser->get().base())};
+  throw ExchangeBroken(m_peer, BreakCause::kTooManyHeads, "too many interim responses");
 }
 
 asio::awaitable<std::optional<std::string>> PooledExchange::ReadPiece() {
@@ -96,16 +115,40 @@
 
 asio::awaitable<void> PooledExchange::SkipResponse() {
   if (!m_parser->get().keep_alive()) {
-    throw ExchangeBroken(m_peer, "the connection ends with a response to another request");
+    throw ExchangeBroken(m_peer, BreakCause::kUnexpected,
+                         "the connection ends with a response to another request");
   }
-  while (!m_parser->is_done()) {
-    co_await ReadBody();
+  for (std::size_t skipped = 0; !m_parser->is_done();) {
+    const std::string piece = co_await ReadBody();
+    skipped += piece.size();
+    if (skipped > m_limits.skipped_bytes) {
+      throw ExchangeBroken(m_peer, BreakCause::kBodyTooLarge,
+                           "a response to another request exceeds its limit");
+    }
   }
   ResetParser();
 }
 
-void PooledExchange::Cancel() {
-  if (m_connection) m_connection->stream.close();
+void PooledExchange::Cancel() { Reset(); }
+
+// A closed connection still delivers what its kernel holds, even seconds later when a cut link is
+// back. The peer would then begin a request that nobody waits for.
+void PooledExchange::Reset() {
+  if (!m_connection || m_parser->is_done()) return;
+  error_code ec;
+  auto& socket = m_connection->stream.socket();
+  if (!socket.is_open()) return;
+  socket.set_option(asio::socket_base::linger(true, 0), ec);
+  m_connection->stream.close();
+}
+
+void PooledExchange::StartTimer() {
+  m_connection->stream.expires_at(
+      std::min(std::chrono::steady_clock::now() + m_silence_timeout, m_end));
+}
+
+void PooledExchange::ThrowIfBroken(const error_code& ec) const {
+  if (ec) throw ExchangeBroken(m_peer, CauseOf(ec), ec.message());
 }
 
 asio::awaitable<std::string> PooledExchange::ReadBody() {
@@ -113,17 +156,17 @@
   body.data = m_piece.data();
   body.size = m_piece.size();
   error_code ec;
-  m_connection->stream.expires_after(m_timeout);
+  StartTimer();
   co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser,
                                  Redirect(ec));
   if (ec == http::error::need_buffer) ec = {};
-  if (ec) throw ExchangeBroken(m_peer, ec.message());
+  ThrowIfBroken(ec);
   co_return m_piece.substr(0, m_piece.size() - m_parser->get().body().size);
 }
 
 void PooledExchange::ResetParser() {
   m_parser.emplace();
-  m_parser->header_limit(m_head_bytes);
+  m_parser->header_limit(m_limits.head_bytes);
   m_parser->body_limit(boost::none);
   if (m_head_only) m_parser->skip(true);
 }
--- a/packages/net/src/pooled_exchange.h
+++ b/packages/net/src/pooled_exchange.h
@@ -19,10 +19,13 @@
 /// \brief An exchange on a connection that goes back to its pool once the response has been read.
 class PooledExchange : public HttpExchange {
  public:
-  /// \param timeout bound on each read or write
   PooledExchange(core::Endpoint peer, ConnectionPtr connection,
-                 std::shared_ptr<ConnectionPool> pool, std::chrono::milliseconds timeout,
+                 std::shared_ptr<ConnectionPool> pool, ExchangeTimeouts timeouts,
                  const HttpClientLimits& limits);
+  /// \brief Resets the connection of an unfinished exchange.
+  ~PooledExchange() override { Reset(); }
+  PooledExchange(const PooledExchange&) = delete;
+  PooledExchange& operator=(const PooledExchange&) = delete;
 
   boost::asio::awaitable<void> SendRequest(HttpRequest request) override;
   boost::asio::awaitable<HttpResponseHead> ReadHead() override;
@@ -34,14 +37,20 @@
   using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
   boost::asio::awaitable<std::string> ReadBody();
+  void StartTimer();
+  /// \brief Throws ExchangeBroken if `ec` is an error.
+  void ThrowIfBroken(const boost::system::error_code& ec) const;
   void ResetParser();
   void Release();
+  /// \brief Closes the connection so that the kernel discards what it has not sent yet.
+  void Reset();
 
   core::Endpoint m_peer;
   ConnectionPtr m_connection;
   std::shared_ptr<ConnectionPool> m_pool;
-  std::chrono::milliseconds m_timeout;
-  std::uint32_t m_head_bytes;
+  std::chrono::milliseconds m_silence_timeout;
+  std::chrono::steady_clock::time_point m_end;  ///< when the whole exchange times out
+  HttpClientLimits m_limits;
   std::string m_piece;
   std::optional<Parser> m_parser;
   bool m_written = false;
--- a/packages/net/tests/http_loopback_test.cc
+++ b/packages/net/tests/http_loopback_test.cc
@@ -53,6 +53,10 @@
     REQUIRE(send(m_fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
             static_cast<ssize_t>(bytes.size()));
   }
+  bool TrySend(const std::string& bytes) {
+    return send(m_fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+           static_cast<ssize_t>(bytes.size());
+  }
   std::string ReadToEnd() {
     std::string all;
     char buffer[4096];
@@ -138,6 +142,16 @@
   CHECK(std::chrono::steady_clock::now() - started < seconds(4));
 }
 
+TEST_CASE("a chunk size line of a request without end is refused at its limit") {
+  EchoServer server({});
+  RawClient client(server.port());
+  client.Send("POST /endless HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5;x=");
+  std::size_t sent = 0;
+  const std::string filler(1024, 'x');
+  while (client.TrySend(filler) && sent < 67'108'864) sent += filler.size();
+  CHECK(sent < 16'777'216);
+}
+
 TEST_CASE("pipelined requests are answered in order") {
   EchoServer server({});
   RawClient client(server.port());
@@ -181,7 +195,8 @@
   const HttpRequest request{"GET", "/", {}, ""};
   const auto ask = [&]() -> boost::asio::awaitable<void> {
     const core::Endpoint peer{"127.0.0.1", port};
-    auto first = co_await client.Open(peer, HttpClient::ConnectionUse::kFresh, seconds(2));
+    auto first =
+        co_await client.Open(peer, HttpClient::ConnectionUse::kFresh, {seconds(2), seconds(2)});
     co_await first->SendRequest(request);
     const HttpResponseHead foreign = co_await first->ReadHead();
     CHECK(foreign.headers.at("X-Id") == "other");
@@ -190,7 +205,8 @@
     CHECK(own.headers.at("X-Id") == "own");
     const auto piece = co_await first->ReadPiece();
     body = piece.value_or("");
-    auto second = co_await client.Open(peer, HttpClient::ConnectionUse::kFresh, seconds(2));
+    auto second =
+        co_await client.Open(peer, HttpClient::ConnectionUse::kFresh, {seconds(2), seconds(2)});
     co_await second->SendRequest(request);
     co_await second->ReadHead();
     try {
--- a/packages/relay/include/cornelrelay/relay/relay_gateway.h
+++ b/packages/relay/include/cornelrelay/relay/relay_gateway.h
@@ -21,8 +21,8 @@
 /// each.
 class RelayGateway {
  public:
-  RelayGateway(RelayServices services, const FleetView& fleet, std::size_t max_body_bytes,
-               std::string id_prefix, std::uint64_t seed);
+  RelayGateway(RelayServices services, const FleetView& fleet, std::string id_prefix,
+               std::uint64_t seed);
 
   boost::asio::awaitable<void> Serve(net::HttpRequest http, net::ResponseStream& response);
 
@@ -33,17 +33,16 @@
   std::size_t active() const { return m_tasks.size(); }
 
  private:
-  std::variant<RoutedRequest, Failure> Admit(RelayRequest request);
+  /// \param body_fits whether the memory for bodies has room for that of the request
+  std::variant<RoutedRequest, Failure> Admit(RelayRequest request, bool body_fits);
   boost::asio::awaitable<void> Refuse(Failure failure, core::RequestId id,
                                       net::ResponseStream& response);
 
   RelayServices m_services;
   const FleetView& m_fleet;
-  std::size_t m_max_body_bytes;  ///< limit on the total body size of the requests in progress
-  std::string m_id_prefix;       ///< prefix of the internal request ids; unique to this run
+  std::string m_id_prefix;  ///< prefix of the internal request ids; unique to this run
   core::Random m_random;
   std::uint64_t m_last_id = 0;
-  std::size_t m_body_bytes = 0;
   std::set<RelayTask*> m_tasks;
 };
 
--- a/packages/relay/include/cornelrelay/relay/relay_services.h
+++ b/packages/relay/include/cornelrelay/relay/relay_services.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <memory>
 
 #include "cornelrelay/directory/upstream_directory.h"
+#include "cornelrelay/limits/byte_budget.h"
 #include "cornelrelay/net/http_client.h"
 #include "cornelrelay/relay/caller_protocol.h"
 #include "cornelrelay/relay/retry_budgets.h"
@@ -24,6 +26,8 @@
   ServiceDispatchers& dispatchers;
   const directory::UpstreamDirectory& directory;
   RetryBudgets& retries;
+  std::shared_ptr<limits::ByteBudget> request_bytes;   ///< bodies of the requests in progress
+  std::shared_ptr<limits::ByteBudget> response_bytes;  ///< parts of responses, before they are sent
   telemetry::MetricRegistry& metrics;
   telemetry::JsonLog& log;
 };
--- a/packages/relay/include/cornelrelay/relay/relay_task.h
+++ b/packages/relay/include/cornelrelay/relay/relay_task.h
@@ -59,6 +59,7 @@
   std::shared_ptr<UpstreamCall> m_call;
   std::shared_ptr<UpstreamCall> m_failed_call;  ///< call that received the last error response
   request::AttemptResult m_last_result = request::AttemptResult::kCancelled;
+  std::optional<std::uint64_t> m_last_event_id;  ///< of the stream, as far as it was forwarded
   dispatch::StallDetector m_stall_detector;
   RequestRecord m_record;
 };
--- a/packages/relay/include/cornelrelay/relay/upstream_call.h
+++ b/packages/relay/include/cornelrelay/relay/upstream_call.h
@@ -9,11 +9,14 @@
 
 #include "cornelrelay/core/ids.h"
 #include "cornelrelay/driver/attempt_call.h"
+#include "cornelrelay/limits/byte_budget.h"
 #include "cornelrelay/net/http_client.h"
 #include "cornelrelay/relay/upstream_protocol.h"
 #include "cornelrelay/relay/upstream_request.h"
 #include "cornelrelay/request/request_event.h"
 #include "cornelrelay/runtime/process_clock.h"
+#include "cornelrelay/telemetry/json_log.h"
+#include "cornelrelay/telemetry/metric_registry.h"
 
 namespace cornelrelay::relay {
 
@@ -25,6 +28,9 @@
     const runtime::ProcessClock& clock;
     net::HttpClient& client;
     const UpstreamProtocol& protocol;
+    std::shared_ptr<limits::ByteBudget> response_bytes;
+    telemetry::MetricRegistry& metrics;
+    telemetry::JsonLog& log;
   };
 
   UpstreamCall(Dependencies dependencies, core::AttemptId attempt, UpstreamRequest request,
@@ -34,19 +40,38 @@
   const std::optional<UpstreamResponseHead>& head() const { return m_head; }
   /// \brief Body of the response that was reported as ErrorResponseReceived.
   const std::string& failure_body() const { return m_failure_body; }
+  /// \brief Id of the last event of a stream; the id after which it resumes before the first one.
+  std::optional<std::uint64_t> last_event_id() const { return m_last_event_id; }
 
  private:
   boost::asio::awaitable<void> Exchange() override;
+  void OnBroken(net::BreakCause cause, const core::Error& error) override;
   boost::asio::awaitable<void> ReadMatchingHead();
+  /// \brief Reads the whole body into memory of the budget for responses.
+  boost::asio::awaitable<std::string> ReadBufferedBody();
+  /// \brief Reads the body of a refusal, which has been reported, so that the connection can be
+  /// used again.
+  boost::asio::awaitable<void> DiscardBody();
+  /// \brief Reserves memory for the bytes that are held. Throws ExchangeBroken if there is none.
+  void Hold(std::size_t bytes);
   boost::asio::awaitable<void> ReadStream();
   request::StreamVerdict CheckSequence(std::string_view event);
+  /// \brief Throws ExchangeBroken if bytes of the stream have arrived for too long, or too many,
+  /// without an event that has an id.
+  void CheckProgress();
 
   const runtime::ProcessClock& m_clock;
   const UpstreamProtocol& m_protocol;
+  telemetry::MetricRegistry& m_metrics;
+  telemetry::JsonLog& m_log;
   UpstreamRequest m_request;
+  limits::ByteReservation m_held_bytes;
   std::optional<UpstreamResponseHead> m_head;
   std::string m_failure_body;
   std::optional<std::uint64_t> m_last_event_id;
+  std::size_t m_unnumbered_bytes = 0;  ///< of events without an id since the last one with an id
+  /// When the first byte after the last event with an id arrived.
+  std::optional<core::Instant> m_no_progress_since;
 };
 
 }  // namespace cornelrelay::relay
--- a/packages/relay/src/relay_gateway.cc
+++ b/packages/relay/src/relay_gateway.cc
@@ -18,13 +18,9 @@
 
 }  // namespace
 
-RelayGateway::RelayGateway(RelayServices services, const FleetView& fleet,
-                           std::size_t max_body_bytes, std::string id_prefix, std::uint64_t seed)
-    : m_services(services),
-      m_fleet(fleet),
-      m_max_body_bytes(max_body_bytes),
-      m_id_prefix(std::move(id_prefix)),
-      m_random(seed) {}
+RelayGateway::RelayGateway(RelayServices services, const FleetView& fleet, std::string id_prefix,
+                           std::uint64_t seed)
+    : m_services(services), m_fleet(fleet), m_id_prefix(std::move(id_prefix)), m_random(seed) {}
 
 boost::asio::awaitable<void> RelayGateway::Serve(net::HttpRequest http,
                                                  net::ResponseStream& response) {
@@ -41,14 +37,13 @@
     co_return;
   }
   const core::RequestId id = request->id;
-  const std::size_t body_bytes = request->body.size();
-  std::variant<RoutedRequest, Failure> admitted = Admit(std::move(*request));
+  limits::ByteReservation body(m_services.request_bytes);
+  const bool body_fits = body.Grow(request->body.size());
+  std::variant<RoutedRequest, Failure> admitted = Admit(std::move(*request), body_fits);
   if (const auto* failure = std::get_if<Failure>(&admitted)) {
     co_await Refuse(*failure, id, response);
     co_return;
   }
-  m_body_bytes += body_bytes;
-  BOOST_SCOPE_EXIT_ALL(this, body_bytes) { m_body_bytes -= body_bytes; };
   RelayTask task(m_services, std::get<RoutedRequest>(std::move(admitted)),
                  core::RequestId(m_id_prefix + std::to_string(++m_last_id)), response);
   m_tasks.insert(&task);
@@ -56,7 +51,7 @@
   co_await task.Run();
 }
 
-std::variant<RoutedRequest, Failure> RelayGateway::Admit(RelayRequest request) {
+std::variant<RoutedRequest, Failure> RelayGateway::Admit(RelayRequest request, bool body_fits) {
   const core::Instant now = m_services.clock.Now();
   const auto table = m_fleet.table();
   // While the store is unreachable, a route or key that is missing here may have been added to the
@@ -78,9 +73,7 @@
     }
     routed.account = *account;
   }
-  if (m_body_bytes + request.body.size() > m_max_body_bytes) {
-    return Failure{FailureKind::kOverloaded, Execution::kNotRun, kMemoryRetryAfter};
-  }
+  if (!body_fits) return Failure{FailureKind::kOverloaded, Execution::kNotRun, kMemoryRetryAfter};
   routed.route = *route;
   routed.service = routes::RouteTable::ChooseService(*route, m_random.Unit());
   routed.configuration_version = table->version();
--- a/packages/relay/src/relay_process.cc
+++ b/packages/relay/src/relay_process.cc
@@ -41,7 +41,8 @@
 /// Sockets for each caller connection: the caller's, the upstream's and one idle connection.
 constexpr std::uint32_t kDescriptorsPerCaller = 3;
 constexpr std::uint32_t kReservedDescriptors = 300;
-/// The bodies of the requests in progress may take the process's memory divided by this.
+/// The bodies of the requests in progress may take the process's memory divided by this, and the
+/// responses that are not sent yet as much again.
 constexpr std::size_t kBodyMemoryDivisor = 4;
 
 net::HttpServerLimits HttpServerLimitsOf(const routes::CallerLimits& limits,
@@ -87,9 +88,13 @@
                [this] { OnItemsChanged(); },
                [this](const store::ItemChange& item) { OnInternalItem(item); }}),
       m_gateway(
-          RelayServices{context, m_clock, m_upstream_client, ports.callers, ports.upstreams,
-                        m_dispatchers, m_fleet.upstreams(), m_retries, m_metrics, log},
-          m_fleet, m_settings.memory_bytes / kBodyMemoryDivisor,
+          RelayServices{
+              context, m_clock, m_upstream_client, ports.callers, ports.upstreams, m_dispatchers,
+              m_fleet.upstreams(), m_retries,
+              std::make_shared<limits::ByteBudget>(m_settings.memory_bytes / kBodyMemoryDivisor),
+              std::make_shared<limits::ByteBudget>(m_settings.memory_bytes / kBodyMemoryDivisor),
+              m_metrics, log},
+          m_fleet,
           m_settings.host.value() + '-' + std::to_string(runtime::IncarnationAt(m_clock)) + '-',
           seed + 5),
       m_caller_server(context, m_settings.callers, HttpServerLimitsOf({}, m_settings), std::nullopt,
--- a/packages/relay/src/relay_task.cc
+++ b/packages/relay/src/relay_task.cc
@@ -163,7 +163,8 @@
                                                  : net::HttpClient::ConnectionUse::kFresh;
   m_call = std::make_shared<UpstreamCall>(
       UpstreamCall::Dependencies{m_services.context, m_services.clock, m_services.client,
-                                 m_services.upstreams},
+                                 m_services.upstreams, m_services.response_bytes,
+                                 m_services.metrics, m_services.log},
       action.attempt, std::move(message), use, mailbox());
   m_call->Start();
 }
@@ -182,7 +183,10 @@
   if (!m_writer.has_head()) {
     m_writer.SetHead(m_call->head()->forwarded_head, m_call->head()->event_stream);
   }
-  RecordOutput();
+  // Events without an id, such as comments, do not advance a stream.
+  const auto event_id = m_call->last_event_id();
+  const bool advanced = std::exchange(m_last_event_id, event_id) != event_id;
+  if (advanced || !m_call->head()->event_stream) RecordOutput();
   m_writer.Append(action.payload);
 }
 
--- a/packages/relay/src/upstream_call.cc
+++ b/packages/relay/src/upstream_call.cc
@@ -11,10 +11,17 @@
 
 namespace asio = boost::asio;
 
-constexpr std::size_t kMaxEventBytes = 1'048'576;
+/// Events hold a few tokens, so this is some hundred times a usual event.
+constexpr std::size_t kMaxEventBytes = 262'144;
+/// Bytes of events without an id, such as comments, between two events with an id.
+constexpr std::size_t kMaxUnnumberedBytes = 65'536;
+/// How long such bytes, or parts of an event, may arrive. Callers leave after as long a pause.
+constexpr std::chrono::milliseconds kMaxTimeWithoutProgress{2'000};
+/// Body of a refusal that is read so that the connection can be used again.
+constexpr std::size_t kMaxRefusalBytes = 65'536;
 /// A response that is not a stream is buffered as a whole, so that a truncated one never looks
 /// complete.
-constexpr std::size_t kMaxResponseBytes = 16'777'216;
+constexpr std::size_t kMaxResponseBytes = 4'194'304;
 /// Number of responses to earlier requests that are skipped before the connection is closed.
 constexpr int kMaxStaleResponses = 4;
 /// Added to the request's deadline, so that the deadline ends the call before the read times out.
@@ -37,7 +44,10 @@
                   std::move(mailbox)),
       m_clock(dependencies.clock),
       m_protocol(dependencies.protocol),
+      m_metrics(dependencies.metrics),
+      m_log(dependencies.log),
       m_request(std::move(request)),
+      m_held_bytes(std::move(dependencies.response_bytes)),
       m_last_event_id(m_request.resume_after) {}
 
 asio::awaitable<void> UpstreamCall::Exchange() {
@@ -47,15 +57,15 @@
   const int status = m_head->forwarded_head.status;
   if (m_head->not_executed) {
     Report(request::AttemptRefused{attempt(), m_head->retry_after});
-    // Reads the body only so that the connection can be reused.
-    co_await ReadBody(kMaxResponseBytes);
+    co_await DiscardBody();
     co_return;
   }
   if (!m_head->has_signature && status < core::kFirstRedirectStatus) {
-    throw net::ExchangeBroken(upstream(), "successful response without a signature");
+    throw net::ExchangeBroken(upstream(), net::BreakCause::kUnexpected,
+                              "successful response without a signature");
   }
   if (IsFailure(status)) {
-    m_failure_body = co_await ReadBody(kMaxResponseBytes);
+    m_failure_body = co_await ReadBufferedBody();
     Report(request::ErrorResponseReceived{attempt()});
     co_return;
   }
@@ -66,11 +76,51 @@
   }
   request::ChunkChecked answer;
   answer.attempt = attempt();
-  answer.payload = co_await ReadBody(kMaxResponseBytes);
+  answer.payload = co_await ReadBufferedBody();
   answer.verdict = request::End{};
   Report(std::move(answer));
 }
 
+void UpstreamCall::OnBroken(net::BreakCause cause, const core::Error& error) {
+  m_log.Warning("attempt_broken", {{"request", m_request.request.id},
+                                   {"upstream", m_request.upstream},
+                                   {"attempt", attempt()},
+                                   {"cause", ToString(cause)},
+                                   {"reason", error.what()}});
+  m_metrics
+      .GetCounter("cornelrelay_broken_responses_total", "Responses of upstreams that broke off.",
+                  {{"cause", std::string(ToString(cause))}})
+      .Add();
+}
+
+void UpstreamCall::Hold(std::size_t bytes) {
+  if (m_held_bytes.Resize(bytes)) return;
+  throw net::ExchangeBroken(upstream(), net::BreakCause::kBodyTooLarge,
+                            "no memory for the responses in progress");
+}
+
+asio::awaitable<std::string> UpstreamCall::ReadBufferedBody() {
+  std::string body;
+  while (std::optional<std::string> piece = co_await exchange().ReadPiece()) {
+    body += *piece;
+    if (body.size() > kMaxResponseBytes) {
+      throw net::ExchangeBroken(upstream(), net::BreakCause::kBodyTooLarge,
+                                "the response body exceeds its limit");
+    }
+    Hold(body.size());
+  }
+  co_return body;
+}
+
+// The response has been reported, so whatever happens now breaks nothing.
+asio::awaitable<void> UpstreamCall::DiscardBody() {
+  std::size_t discarded = 0;
+  while (std::optional<std::string> piece = co_await exchange().ReadPiece()) {
+    discarded += piece->size();
+    if (discarded > kMaxRefusalBytes) co_return;
+  }
+}
+
 // A late response to an earlier request may arrive first on a reused connection. It is recognised
 // by its request id and skipped.
 asio::awaitable<void> UpstreamCall::ReadMatchingHead() {
@@ -83,7 +133,8 @@
     }
     co_await exchange().SkipResponse();
   }
-  throw net::ExchangeBroken(upstream(), "too many responses to earlier requests");
+  throw net::ExchangeBroken(upstream(), net::BreakCause::kTooManyHeads,
+                            "too many responses to earlier requests");
 }
 
 asio::awaitable<void> UpstreamCall::ReadStream() {
@@ -91,6 +142,7 @@
   while (!cancelled()) {
     std::optional<std::string> piece = co_await exchange().ReadPiece();
     if (!piece) break;
+    if (!m_no_progress_since) m_no_progress_since = m_clock.Now();
     splitter.Feed(*piece);
     while (std::optional<std::string> event = splitter.Next()) {
       request::ChunkChecked chunk;
@@ -99,6 +151,8 @@
       chunk.payload = std::move(*event);
       Report(std::move(chunk));
     }
+    Hold(splitter.buffered_bytes());
+    CheckProgress();
     co_await mailbox().UntilTaken();
   }
   request::ChunkChecked closed;
@@ -117,8 +171,22 @@
   if (id && m_last_event_id && *id != *m_last_event_id + 1) {
     return request::Gap{*m_last_event_id + 1, *id};
   }
-  if (id) m_last_event_id = id;
+  if (id) {
+    m_last_event_id = id;
+    m_unnumbered_bytes = 0;
+    m_no_progress_since.reset();
+  } else {
+    m_unnumbered_bytes += event.size();
+  }
   return request::Accepted{request::StreamPosition{m_last_event_id.value_or(0), {}, {}}};
 }
 
+void UpstreamCall::CheckProgress() {
+  const bool too_long =
+      m_no_progress_since && m_clock.Now() - *m_no_progress_since > kMaxTimeWithoutProgress;
+  if (!too_long && m_unnumbered_bytes <= kMaxUnnumberedBytes) return;
+  throw net::ExchangeBroken(upstream(), net::BreakCause::kNoProgress,
+                            "the stream sends bytes but no event with an id");
+}
+
 }  // namespace cornelrelay::relay
--- /dev/null
+++ b/packages/relay/tests/upstream_call_test.cc
@@ -0,0 +1,184 @@
+// Upstreams in trouble: bytes without end that are no answer.
+#include "cornelrelay/relay/upstream_call.h"
+
+#include <spdlog/sinks/null_sink.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <thread>
+#include <variant>
+
+#include "cornelrelay/net/http_headers.h"
+#include "cornelrelay/net/testing/raw_server.h"
+
+namespace cornelrelay::relay {
+namespace {
+
+using net::testing::RawConnection;
+using net::testing::RawServer;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// What a call may take from an endless answer: its budget, its buffers and those of the kernel on
+/// both sides of a loopback connection.
+constexpr std::size_t kMaxTaken = 25'165'824;
+constexpr std::size_t kBudget = 8'388'608;
+
+class PlainProtocol : public UpstreamProtocol {
+ public:
+  net::HttpRequest Encode(core::Instant, const UpstreamRequest& request) const override {
+    return {"GET", "/", {{"Id", request.request.id.value()}}, ""};
+  }
+  UpstreamResponseHead Decode(net::HttpResponseHead head) const override {
+    UpstreamResponseHead decoded;
+    decoded.request_id = core::RequestId("r-1");
+    decoded.not_executed = head.status == 503;
+    decoded.has_signature = true;
+    const auto type = net::FindHeader(head.headers, "Content-Type");
+    decoded.event_stream = type == "text/event-stream";
+    decoded.forwarded_head = std::move(head);
+    return decoded;
+  }
+};
+
+struct Outcome {
+  bool refused = false;
+  bool closed = false;     ///< the attempt was reported as broken
+  bool completed = false;  ///< the answer was reported as complete
+  std::size_t chunks = 0;
+  std::size_t sent = 0;  ///< bytes that the upstream got rid of
+  std::size_t held_after = 0;
+  std::string metrics;
+  std::chrono::steady_clock::duration time{};
+};
+
+Outcome CallUpstream(const RawServer::Handler& respond, milliseconds time_left = seconds(20)) {
+  Outcome outcome;
+  const auto start = std::chrono::steady_clock::now();
+  {
+    RawServer server([&](RawConnection& connection) {
+      std::string request;
+      if (connection.Receive(request) > 0) respond(connection);
+      outcome.sent = connection.sent();
+    });
+    boost::asio::io_context context(1);
+    runtime::ProcessClock clock;
+    net::HttpClient client(context, {});
+    const PlainProtocol protocol;
+    const auto budget = std::make_shared<limits::ByteBudget>(kBudget);
+    telemetry::MetricRegistry metrics;
+    telemetry::JsonLog log("test", telemetry::LogLevel::kError,
+                           std::make_shared<spdlog::sinks::null_sink_mt>());
+    const auto mailbox = std::make_shared<driver::RequestMailbox>(context);
+    UpstreamRequest request;
+    request.upstream = core::UpstreamId("u-1");
+    request.endpoint = server.endpoint();
+    request.request.id = core::RequestId("r-1");
+    request.deadline = clock.Now() + time_left;
+    const auto call = std::make_shared<UpstreamCall>(
+        UpstreamCall::Dependencies{context, clock, client, protocol, budget, metrics, log},
+        core::AttemptId("a-1"), std::move(request), net::HttpClient::ConnectionUse::kFresh,
+        mailbox);
+    call->Start();
+    boost::asio::co_spawn(
+        context,
+        [&]() -> boost::asio::awaitable<void> {
+          const auto end = std::chrono::steady_clock::now() + seconds(30);
+          bool over = false;
+          while (!over && std::chrono::steady_clock::now() < end) {
+            co_await mailbox->WaitUntil(end);
+            while (auto event = mailbox->Pop()) {
+              if (std::holds_alternative<request::UpstreamClosed>(*event)) outcome.closed = true;
+              if (std::holds_alternative<request::AttemptRefused>(*event)) outcome.refused = true;
+              if (const auto* chunk = std::get_if<request::ChunkChecked>(&*event)) {
+                ++outcome.chunks;
+                outcome.completed = std::holds_alternative<request::End>(chunk->verdict);
+              }
+            }
+            over = outcome.closed || outcome.refused || outcome.completed;
+            mailbox->MarkTaken();
+          }
+        },
+        boost::asio::detached);
+    context.run();
+    outcome.metrics = metrics.Render(clock.Now());
+    outcome.held_after = budget->used();
+  }
+  outcome.time = std::chrono::steady_clock::now() - start;
+  return outcome;
+}
+
+const std::string kStreamHead =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n";
+const std::string kFirstEvent = "id: 1\ndata: x\n\n";
+
+}  // namespace
+
+TEST_CASE("an answer without end is cut off before it takes the memory of the process") {
+  const Outcome outcome = CallUpstream([](RawConnection& connection) {
+    if (connection.Send("HTTP/1.1 200 OK\r\n\r\n")) connection.SendForever(std::string(4096, 'x'));
+  });
+  CHECK(outcome.closed);
+  CHECK(outcome.sent < kMaxTaken);
+  CHECK(outcome.metrics.find("cause=\"body_too_large\"") != std::string::npos);
+}
+
+TEST_CASE("an event without end is cut off at its limit") {
+  const Outcome outcome = CallUpstream([](RawConnection& connection) {
+    if (connection.Send(kStreamHead + kFirstEvent + "id: 2\ndata: ")) {
+      connection.SendForever(std::string(4096, 'x'));
+    }
+  });
+  CHECK(outcome.closed);
+  CHECK(outcome.sent < kMaxTaken);
+  CHECK(outcome.metrics.find("cause=\"body_too_large\"") != std::string::npos);
+}
+
+TEST_CASE("events without an id and without end are cut off at their limit") {
+  const Outcome outcome = CallUpstream([](RawConnection& connection) {
+    if (connection.Send(kStreamHead + kFirstEvent)) connection.SendForever(": comment\n\n");
+  });
+  CHECK(outcome.closed);
+  CHECK_FALSE(outcome.completed);
+  CHECK(outcome.sent < kMaxTaken);
+  CHECK(outcome.metrics.find("cause=\"no_progress\"") != std::string::npos);
+}
+
+TEST_CASE("an event that arrives byte by byte without end is cut off in time") {
+  const Outcome outcome = CallUpstream([](RawConnection& connection) {
+    bool open = connection.Send(kStreamHead + kFirstEvent + "id: 2\ndata: ");
+    while (open) {
+      std::this_thread::sleep_for(milliseconds(50));
+      open = connection.Send("x");
+    }
+  });
+  CHECK(outcome.closed);
+  CHECK(outcome.time < seconds(5));
+  CHECK(outcome.metrics.find("cause=\"no_progress\"") != std::string::npos);
+}
+
+TEST_CASE("a refusal with a body without end is taken at once and its connection closed") {
+  const Outcome outcome = CallUpstream([](RawConnection& connection) {
+    if (connection.Send("HTTP/1.1 503 Full\r\n\r\n"))
+      connection.SendForever(std::string(4096, 'x'));
+  });
+  CHECK(outcome.refused);
+  CHECK_FALSE(outcome.closed);
+  CHECK(outcome.sent < kMaxTaken);
+}
+
+TEST_CASE("a complete stream is passed on and leaves no memory reserved") {
+  const Outcome outcome = CallUpstream([](RawConnection& connection) {
+    connection.Send(kStreamHead + kFirstEvent + "id: 2\ndata: y\n\n");
+  });
+  CHECK(outcome.completed);
+  CHECK(outcome.chunks == 3);
+  CHECK(outcome.held_after == 0);
+}
+
+}  // namespace cornelrelay::relay
--- a/packages/request/include/cornelrelay/request/sse_splitter.h
+++ b/packages/request/include/cornelrelay/request/sse_splitter.h
@@ -30,6 +30,7 @@
 
   /// \brief True if an incomplete event is buffered. A stream that ends now is truncated.
   bool HasPartialEvent() const { return !m_buffer.empty(); }
+  std::size_t buffered_bytes() const { return m_buffer.size(); }
 
  private:
   std::size_t m_max_event_bytes;
--- a/packages/runtime/src/store_link.cc
+++ b/packages/runtime/src/store_link.cc
@@ -82,7 +82,8 @@
   const auto* watch = std::get_if<store::Watch>(&request);
   const auto timeout =
       ToMilliseconds(store::IsWatch(request) ? m_options.watch_timeout : m_options.call_timeout);
-  auto exchange = co_await m_http.Open(m_store, net::HttpClient::ConnectionUse::kFresh, timeout);
+  auto exchange =
+      co_await m_http.Open(m_store, net::HttpClient::ConnectionUse::kFresh, {timeout, timeout});
   store::StoreHttpRequest message = m_codec.ToHttp(request);
   net::HttpRequest http;
   http.method = std::move(message.method);
