--- a/packages/balance/include/cornelrelay/balance/rank_report.h
+++ b/packages/balance/include/cornelrelay/balance/rank_report.h
@@ -14,6 +14,7 @@
   RankIndex rank = 0;
   RankIndex size = 1;             ///< number of ranks in the group
   std::uint64_t incarnation = 0;  ///< incarnation of the engine, which changes with each start
+  double pace = 1;                ///< factor by which the engine works longer than a sound one
   RankState state;
 
   friend bool operator==(const RankReport&, const RankReport&) = default;
--- a/packages/balance/include/cornelrelay/balance/switch_leader.h
+++ b/packages/balance/include/cornelrelay/balance/switch_leader.h
@@ -89,6 +89,7 @@
   /// \brief Returns the state of a rank in the current epoch, or nothing before it is known.
   const std::optional<RankState>& state(RankIndex rank) const { return m_ranks.state(rank); }
   core::Duration pass_time() const { return m_ranks.pass_time(); }
+  std::uint64_t epoch() const { return m_ranks.epoch(); }
 
  private:
   using Actions = std::vector<SwitchAction>;
@@ -101,6 +102,8 @@
   void Apply(core::Instant now, const LeadershipLost& event, Actions& out);
   void Apply(core::Instant now, const RankObserved& event, Actions& out);
   void Apply(core::Instant now, const OrderEnded& event, Actions& out);
+  void Apply(core::Instant now, const OrdersEnded& event, Actions& out);
+  void Apply(core::Instant now, const RanksObserved& event, Actions& out);
   void Apply(core::Instant now, const MapRequested& event, Actions& out);
   void Apply(core::Instant now, const SwitchTick& event, Actions& out);
 
--- a/packages/balance/include/cornelrelay/balance/switch_messages.h
+++ b/packages/balance/include/cornelrelay/balance/switch_messages.h
@@ -3,6 +3,7 @@
 #include <optional>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "cornelrelay/balance/expert_map.h"
 #include "cornelrelay/balance/rank_order.h"
@@ -28,6 +29,15 @@
   std::optional<RankState> state;
   core::Instant requested_at;  ///< the state is not older than this
 };
+/// \brief Results of orders that arrived together. They are all recorded before the next orders are
+/// decided, so that those can be sent together as well.
+struct OrdersEnded {
+  std::vector<OrderEnded> orders;
+};
+/// \brief States of ranks that arrived together.
+struct RanksObserved {
+  std::vector<RankObserved> ranks;
+};
 /// \brief Requests a switch to this map. Ignored while another switch is in progress or pending.
 struct MapRequested {
   LayerMap map;
@@ -35,7 +45,7 @@
 struct SwitchTick {};
 
 using SwitchEvent = std::variant<LeadershipGained, LeadershipLost, RankObserved, OrderEnded,
-                                 MapRequested, SwitchTick>;
+                                 OrdersEnded, RanksObserved, MapRequested, SwitchTick>;
 
 /// \brief Sends an order to a rank. The order carries the epoch, so that it has no effect in
 /// another one.
--- a/packages/balance/src/switch_leader.cc
+++ b/packages/balance/src/switch_leader.cc
@@ -44,6 +44,14 @@
   if (event.state) Observe(now, event.rank, *event.state, event.requested_at, out);
 }
 
+void SwitchLeader::Apply(core::Instant now, const OrdersEnded& event, Actions& out) {
+  for (const OrderEnded& order : event.orders) Apply(now, order, out);
+}
+
+void SwitchLeader::Apply(core::Instant now, const RanksObserved& event, Actions& out) {
+  for (const RankObserved& rank : event.ranks) Apply(now, rank, out);
+}
+
 // A map is planned against the one in use, so it is dropped while another switch is in progress.
 void SwitchLeader::Apply(core::Instant, const MapRequested& event, Actions&) {
   if (ReadyForSwitch()) m_requested_map.emplace(event.map);
--- a/packages/balance/tests/switch_leader_test.cc
+++ b/packages/balance/tests/switch_leader_test.cc
@@ -49,6 +49,33 @@
   }));
 }
 
+// Load pattern: a large group, where one call carries an order to many ranks and brings all
+// results.
+TEST_CASE("no pass runs with two maps if the results of many orders arrive together") {
+  SwitchSimulationSettings settings = kFaultyGroup;
+  settings.batched_results = true;
+  CHECK(rc::check([&](std::uint64_t seed) {
+    SwitchSimulation simulation(settings, seed);
+    simulation.Run(3000);
+    RC_ASSERT(simulation.violations().empty());
+  }));
+  std::uint64_t switches = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    SwitchSimulation simulation(settings, seed);
+    simulation.Run(3000);
+    switches += simulation.switches();
+    CHECK(simulation.passes() > 300);
+    // A leader freezes for 4.5 s at most, and its lease runs out before that.
+    CHECK(simulation.longest_hold() < 5'000 / 50);
+  }
+  CHECK(switches > 20);
+  for (const SwitchFault fault : {SwitchFault::kReleaseUnconfirmed, SwitchFault::kSkipAbort,
+                                  SwitchFault::kReuseVersions, SwitchFault::kIgnoreFence}) {
+    CAPTURE(static_cast<int>(fault));
+    CHECK_FALSE(Detected(settings, fault).empty());
+  }
+}
+
 // Guards against a next map that is planned against old states, and against needless reads of all
 // states. Load pattern: the demand shifts while hosts freeze and groups form again.
 TEST_CASE("all states are read after a switch, and not after one that failed or was taken over") {
--- a/packages/balance/tests/switch_simulation.cc
+++ b/packages/balance/tests/switch_simulation.cc
@@ -184,9 +184,15 @@
   while (!events.empty()) {
     const SwitchEvent next = events.front();
     events.pop_front();
+    OrdersEnded batch;
     for (const SwitchAction& action : candidate.machine.Step(m_now, next)) {
       if (const auto* send = std::get_if<SendOrder>(&action)) {
-        events.emplace_back(DeliverOrder(*send));
+        const OrderEnded ended = DeliverOrder(*send);
+        if (m_settings.batched_results) {
+          batch.orders.push_back(ended);
+        } else {
+          events.emplace_back(ended);
+        }
         const bool aborting = candidate.machine.phase() == SwitchLeader::Phase::kAborting;
         const bool arming = std::holds_alternative<ArmMap>(send->order);
         const bool release = (m_settings.fault == SwitchFault::kSkipAbort && aborting) ||
@@ -202,6 +208,7 @@
         ++m_state_reads;
       }
     }
+    if (!batch.orders.empty()) events.emplace_back(std::move(batch));
   }
 }
 
--- a/packages/balance/tests/switch_simulation.h
+++ b/packages/balance/tests/switch_simulation.h
@@ -51,12 +51,13 @@
 
 struct SwitchSimulationSettings {
   RankIndex ranks = 3;
-  double lost_order_rate = 0;   ///< share of orders that are neither executed nor answered
-  double late_order_rate = 0;   ///< share of orders that are executed later and not answered
-  double lost_answer_rate = 0;  ///< share of orders that are executed at once and not answered
-  double freeze_rate = 0;       ///< probability per tick that the leader freezes
-  double lapse_rate = 0;        ///< probability per tick that the lease of a live leader lapses
-  double regroup_rate = 0;      ///< probability per tick that the group forms again
+  double lost_order_rate = 0;    ///< share of orders that are neither executed nor answered
+  double late_order_rate = 0;    ///< share of orders that are executed later and not answered
+  double lost_answer_rate = 0;   ///< share of orders that are executed at once and not answered
+  double freeze_rate = 0;        ///< probability per tick that the leader freezes
+  double lapse_rate = 0;         ///< probability per tick that the lease of a live leader lapses
+  double regroup_rate = 0;       ///< probability per tick that the group forms again
+  bool batched_results = false;  ///< the results of the orders of one step arrive together
   SwitchFault fault = SwitchFault::kNone;
 };
 
--- a/packages/placement/include/cornelrelay/placement/expert_layout.h
+++ b/packages/placement/include/cornelrelay/placement/expert_layout.h
@@ -37,7 +37,16 @@
 };
 
 /// \brief Load of each rank. The load of an expert is split evenly over its copies.
-std::vector<double> RankLoads(const ExpertLayout& layout, const std::vector<double>& loads);
+/// \param pace factor by which the load of each rank counts more, because the rank works longer on
+/// it; 1 for all if empty
+std::vector<double> RankLoads(const ExpertLayout& layout, const std::vector<double>& loads,
+                              const std::vector<double>& pace = {});
+
+/// \brief Load of the rank that needs the longest for it, relative to the mean load of all ranks.
+/// Equals the skew if all ranks are equally fast. 1 without any load.
+/// \param pace see RankLoads()
+double SlowestRankLoad(const ExpertLayout& layout, const std::vector<double>& loads,
+                       const std::vector<double>& pace);
 
 /// \brief Number of copies that each rank must load to change the layout.
 std::vector<std::size_t> NewCopiesByRank(const ExpertLayout& from, const ExpertLayout& to);
--- a/packages/placement/include/cornelrelay/placement/layout_planner.h
+++ b/packages/placement/include/cornelrelay/placement/layout_planner.h
@@ -12,6 +12,9 @@
   std::size_t slots_per_rank = 1;    ///< experts that a rank holds at most
   std::size_t max_new_per_rank = 1;  ///< experts that one plan adds to a rank at most
   std::size_t max_steps = 200;       ///< steps of the search at most; bounds its time
+  /// Ranks that a step considers as targets, those with the least load. More take more time and
+  /// hardly give a better plan.
+  std::size_t max_targets = 8;
   /// Reduction of the load of the busiest rank that one new copy must bring, as a part of the mean
   /// load.
   double min_gain_per_copy = 0.008;
@@ -23,6 +26,7 @@
   std::size_t new_copies = 0;  ///< copies that the ranks must load
   double skew_before = 1;
   double skew_after = 1;
+  std::size_t changes_considered = 0;  ///< number of evaluated changes, a measure of the work
 };
 
 /// \brief Improves a layout by greedy local search on its busiest rank.
@@ -31,14 +35,16 @@
 /// or exchanges two experts. New copies go into free slots, or replace experts that have another
 /// copy.
 ///
-/// Ranks may have free slots, and are taken to have equal speeds. PlacementPlanner is for ranks of
-/// different speeds whose slots are all filled.
+/// Ranks may have free slots, or hold no expert at all. PlacementPlanner is for ranks whose slots
+/// are all filled.
 ///
 /// \param loads expected load of each expert of the set
 /// \param max_copies_by_rank copies that each rank may still load, over all sets together; no bound
 /// if empty
+/// \param pace factor by which each rank works longer than a sound one; all are sound if empty
 LayoutPlan PlanLayout(const ExpertLayout& current, const std::vector<double>& loads,
                       const LayoutLimits& limits,
-                      const std::vector<std::size_t>& max_copies_by_rank = {});
+                      const std::vector<std::size_t>& max_copies_by_rank = {},
+                      const std::vector<double>& pace = {});
 
 }  // namespace cornelrelay::placement
--- a/packages/placement/src/expert_layout.cc
+++ b/packages/placement/src/expert_layout.cc
@@ -43,16 +43,27 @@
   return std::all_of(m_copies.begin(), m_copies.end(), [](std::size_t c) { return c > 0; });
 }
 
-std::vector<double> RankLoads(const ExpertLayout& layout, const std::vector<double>& loads) {
+std::vector<double> RankLoads(const ExpertLayout& layout, const std::vector<double>& loads,
+                              const std::vector<double>& pace) {
+  assert(pace.empty() || pace.size() == layout.ranks().size());
   std::vector<double> sums(layout.ranks().size(), 0);
   for (std::size_t rank = 0; rank < sums.size(); ++rank) {
     for (const Expert expert : layout.ranks()[rank]) {
       sums[rank] += loads[expert] / static_cast<double>(layout.Copies(expert));
     }
+    if (!pace.empty()) sums[rank] *= pace[rank];
   }
   return sums;
 }
 
+double SlowestRankLoad(const ExpertLayout& layout, const std::vector<double>& loads,
+                       const std::vector<double>& pace) {
+  const double total = std::accumulate(loads.begin(), loads.end(), 0.0);
+  const std::vector<double> sums = RankLoads(layout, loads, pace);
+  if (sums.empty() || total <= 0) return 1;
+  return *std::max_element(sums.begin(), sums.end()) * static_cast<double>(sums.size()) / total;
+}
+
 std::vector<std::size_t> NewCopiesByRank(const ExpertLayout& from, const ExpertLayout& to) {
   std::vector<std::size_t> copies(to.ranks().size(), 0);
   for (std::size_t rank = 0; rank < copies.size(); ++rank) {
--- a/packages/placement/src/layout_planner.cc
+++ b/packages/placement/src/layout_planner.cc
@@ -39,12 +39,13 @@
 class LayoutSearch {
  public:
   LayoutSearch(const ExpertLayout& current, std::vector<double> loads, const LayoutLimits& limits,
-               const std::vector<std::size_t>& max_copies_by_rank)
+               const std::vector<std::size_t>& max_copies_by_rank, std::vector<double> pace)
       : m_start(current),
         m_layout(current),
         m_expert_loads(std::move(loads)),
         m_limits(limits),
-        m_rank_loads(RankLoads(current, m_expert_loads)),
+        m_pace(std::move(pace)),
+        m_rank_loads(RankLoads(current, m_expert_loads, m_pace)),
         m_new_copies(current.ranks().size(), 0) {
     for (std::size_t rank = 0; rank < m_rank_loads.size(); ++rank) {
       const std::size_t remaining =
@@ -66,6 +67,7 @@
 
   const ExpertLayout& layout() const { return m_layout; }
   double max_load() const { return MaxLoad(m_rank_loads); }
+  std::size_t changes_considered() const { return m_changes_considered; }
 
  private:
   bool ApplyBestChange() {
@@ -74,9 +76,10 @@
     const auto busiest = static_cast<std::size_t>(
         std::max_element(m_rank_loads.begin(), m_rank_loads.end()) - m_rank_loads.begin());
     const std::vector<Expert> busiest_experts = m_layout.ranks()[busiest];
+    FindLightestRanks();
     for (const Expert expert : busiest_experts) {
       if (m_layout.Copies(expert) > 1) Consider({busiest, std::nullopt, expert, std::nullopt});
-      for (std::size_t rank = 0; rank < m_rank_loads.size(); ++rank) {
+      for (const std::size_t rank : m_lightest_ranks) {
         if (rank != busiest) ConsiderMovesTo(rank, busiest, expert);
       }
     }
@@ -85,6 +88,24 @@
     return true;
   }
 
+  // The ranks with the least load that may still load an expert, and some that may not, as they can
+  // give one up in an exchange.
+  void FindLightestRanks() {
+    m_lightest_ranks.resize(m_rank_loads.size());
+    std::iota(m_lightest_ranks.begin(), m_lightest_ranks.end(), std::size_t{0});
+    const std::size_t count = std::min(m_limits.max_targets, m_lightest_ranks.size());
+    const auto lighter = [&](std::size_t a, std::size_t b) {
+      const bool a_full = m_new_copies[a] >= m_max_new_copies[a];
+      const bool b_full = m_new_copies[b] >= m_max_new_copies[b];
+      if (a_full != b_full) return b_full;
+      return LoadWithMeanExpert(a) < LoadWithMeanExpert(b);
+    };
+    std::partial_sort(m_lightest_ranks.begin(),
+                      m_lightest_ranks.begin() + static_cast<std::ptrdiff_t>(count),
+                      m_lightest_ranks.end(), lighter);
+    m_lightest_ranks.resize(count);
+  }
+
   void ConsiderMovesTo(std::size_t rank, std::size_t busiest, Expert expert) {
     if (m_layout.Holds(rank, expert)) return;
     const auto& held = m_layout.ranks()[rank];
@@ -95,6 +116,13 @@
     }
   }
 
+  // A slow rank without experts has no load, and yet is no good target.
+  double LoadWithMeanExpert(std::size_t rank) const {
+    const double mean_expert =
+        static_cast<double>(m_rank_loads.size()) / static_cast<double>(m_expert_loads.size());
+    return m_rank_loads[rank] + mean_expert * m_pace[rank];
+  }
+
   // Change in the number of experts on a rank that the initial layout does not have there.
   int NewCopiesDelta(std::size_t rank, std::optional<Expert> loaded,
                      std::optional<Expert> evicted) const {
@@ -115,6 +143,7 @@
   }
 
   void Consider(const Change& change) {
+    ++m_changes_considered;
     if (!WithinCopyLimits(change)) return;
     const int new_copies_delta =
         NewCopiesDelta(change.rank, change.loaded, change.evicted) +
@@ -159,7 +188,7 @@
   double PowerSumAfter(const Change& change) {
     double sum = m_power_sum;
     const auto add = [&](std::size_t rank, double difference) {
-      sum += PowerTerm(m_rank_loads[rank] + difference) - m_powers[rank];
+      sum += PowerTerm(m_rank_loads[rank] + difference * m_pace[rank]) - m_powers[rank];
     };
     if (change.exchange_rank) {
       // An exchange does not change the number of copies of an expert.
@@ -192,7 +221,7 @@
     };
     replace(change.rank, change.loaded, change.evicted);
     if (change.exchange_rank) replace(*change.exchange_rank, change.evicted, change.loaded);
-    m_rank_loads = RankLoads(m_layout, m_expert_loads);
+    m_rank_loads = RankLoads(m_layout, m_expert_loads, m_pace);
     UpdatePowerSum();
   }
 
@@ -206,7 +235,8 @@
   ExpertLayout m_layout;
   std::vector<double> m_expert_loads;
   LayoutLimits m_limits;
-  std::vector<double> m_rank_loads;
+  std::vector<double> m_pace;
+  std::vector<double> m_rank_loads;  ///< with the pace of each rank
   /// Number of experts on each rank that the initial layout does not have there.
   std::vector<int> m_new_copies;
   std::vector<int> m_max_new_copies;                ///< limit of m_new_copies for each rank
@@ -214,6 +244,8 @@
   std::vector<double> m_powers;                     ///< PowerTerm of each rank's load
   double m_power_sum = 0;                           ///< sum of m_powers
   std::vector<std::pair<std::size_t, double>> m_differences;
+  std::vector<std::size_t> m_lightest_ranks;  ///< targets of the current step
+  std::size_t m_changes_considered = 0;
   std::optional<Change> m_best;
   double m_best_cost = 0;
 };
@@ -222,18 +254,22 @@
 
 LayoutPlan PlanLayout(const ExpertLayout& current, const std::vector<double>& loads,
                       const LayoutLimits& limits,
-                      const std::vector<std::size_t>& max_copies_by_rank) {
+                      const std::vector<std::size_t>& max_copies_by_rank,
+                      const std::vector<double>& pace) {
   assert(loads.size() == current.experts());
+  assert(pace.empty() || pace.size() == current.ranks().size());
   const double total = std::accumulate(loads.begin(), loads.end(), 0.0);
-  if (total <= 0 || current.ranks().empty()) return {current, 0, 1, 1};
+  if (total <= 0 || current.ranks().empty()) return {current, 0, 1, 1, 0};
   std::vector<double> shares(loads);
   for (double& share : shares) share *= static_cast<double>(current.ranks().size()) / total;
-  const double skew_before = MaxLoad(RankLoads(current, shares));
-  LayoutSearch search(current, std::move(shares), limits, max_copies_by_rank);
+  std::vector<double> factors = pace;
+  factors.resize(current.ranks().size(), 1);
+  const double skew_before = MaxLoad(RankLoads(current, shares, factors));
+  LayoutSearch search(current, std::move(shares), limits, max_copies_by_rank, std::move(factors));
   search.Improve();
   assert(search.layout().Complete() || !current.Complete());
-  return {search.layout(), CountNewCopies(current, search.layout()), skew_before,
-          search.max_load()};
+  return {search.layout(), CountNewCopies(current, search.layout()), skew_before, search.max_load(),
+          search.changes_considered()};
 }
 
 }  // namespace cornelrelay::placement
--- a/packages/placement/tests/layout_planner_test.cc
+++ b/packages/placement/tests/layout_planner_test.cc
@@ -70,6 +70,46 @@
   }));
 }
 
+// Load pattern: some ranks of a group turn slow, and all ranks wait for them in each pass.
+TEST_CASE("plans take the experts away from slow ranks, so that the group does not wait for them") {
+  constexpr std::size_t kExperts = 252, kRanks = 63;
+  for (const double slow : {4.0, 12.0}) {
+    const auto loads = SkewedLoads(kExperts, 3);
+    const LayoutLimits limits{.slots_per_rank = 5, .max_new_per_rank = 3};
+    std::vector<double> pace(kRanks, 1);
+    for (std::size_t rank = 0; rank < kRanks; rank += 7) pace[rank] = slow;
+    ExpertLayout layout = RoundRobinLayout(kExperts, kRanks);
+    const double before = PlanLayout(layout, loads, limits, {}, pace).skew_before;
+    double after = before;
+    for (int round = 0; round < 4; ++round) {
+      const LayoutPlan plan = PlanLayout(layout, loads, limits, {}, pace);
+      CHECK(plan.layout.Complete());
+      layout = plan.layout;
+      after = plan.skew_after;
+    }
+    CAPTURE(slow, before, after);
+    CHECK(before > slow);
+    // A pass of the group may take twice as long as one of sound ranks, not as long as a slow rank.
+    CHECK(after < 2);
+  }
+}
+
+// Load pattern: a shift of the demand in a group of 192 ranks, planned on a small share of a core.
+TEST_CASE("the work of a plan does not grow with the square of the number of ranks") {
+  const auto work = [](std::size_t experts, std::size_t ranks) {
+    const LayoutLimits limits{.slots_per_rank = 3, .max_new_per_rank = 2};
+    return PlanLayout(RoundRobinLayout(experts, ranks), SkewedLoads(experts, 5), limits)
+        .changes_considered;
+  };
+  const LayoutLimits limits{};
+  // A step takes each expert of the busiest rank to each target, alone or in place of another one.
+  constexpr std::size_t kSlots = 3;
+  const std::size_t max_per_step = kSlots * (1 + limits.max_targets * (1 + 2 * kSlots));
+  for (const std::size_t ranks : {16, 48, 192, 384}) {
+    CHECK(work(2 * ranks, ranks) <= limits.max_steps * max_per_step);
+  }
+}
+
 TEST_CASE("an even demand causes no copies") {
   const auto plan = PlanLayout(RoundRobinLayout(64, 16), std::vector<double>(64, 1.0),
                                {.slots_per_rank = 5, .max_new_per_rank = 2});
--- a/packages/ranks/include/cornelrelay/ranks/expert_count_tracker.h
+++ b/packages/ranks/include/cornelrelay/ranks/expert_count_tracker.h
@@ -16,9 +16,9 @@
   /// \param fence of the calling leader; each leader starts from its own first call
   /// \param incarnation of the engine
   /// \param totals counts since the engine's start; empty if they could not be read
-  /// \return increments, capped at 65,535; empty at the first call of a leader and at the first
+  /// \return increments; empty at the first call of a leader and at the first
   /// call after a restart of the engine
-  std::vector<std::uint16_t> TakeIncrements(balance::Fence fence, std::uint64_t incarnation,
+  std::vector<std::uint32_t> TakeIncrements(balance::Fence fence, std::uint64_t incarnation,
                                             const std::vector<std::uint64_t>& totals);
 
  private:
--- a/packages/ranks/include/cornelrelay/ranks/expert_map_planner.h
+++ b/packages/ranks/include/cornelrelay/ranks/expert_map_planner.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <vector>
 
+#include "cornelrelay/balance/expert_map.h"
 #include "cornelrelay/balance/rank_state.h"
+#include "cornelrelay/core/time.h"
 #include "cornelrelay/placement/demand_estimator.h"
 #include "cornelrelay/placement/layout_planner.h"
 
@@ -18,9 +21,11 @@
   placement::LayoutLimits limits;
   /// Reduction of the skew, as a mean over the sets, that a switch must bring.
   double min_gain = 0.12;
-  /// Copies that a rank loads at most for one switch, over all sets. A rank loads them one after
-  /// another, and the group keeps the old map until the last one is loaded.
-  std::size_t max_copies_per_rank = 3;
+  /// Time in which a rank loads one expert. Passes take longer meanwhile.
+  core::Duration expert_load_time = std::chrono::milliseconds(100);
+  /// Time that a rank loads experts for one switch at most, over all sets. It loads them one after
+  /// another, and the group keeps the old map until the last rank has loaded the last one.
+  core::Duration max_load_time = std::chrono::milliseconds(300);
   /// A skew that grew by more than this since the last window is taken to be still growing, because
   /// the window saw only a part of a shift.
   double growth_threshold = 0.1;
@@ -43,8 +48,12 @@
  public:
   explicit ExpertMapPlanner(ExpertMapPlannerConfig config);
 
-  /// \brief Adds the counts of one rank, set after set. Counts of another size are ignored.
-  void AddCounts(const std::vector<std::uint16_t>& counts);
+  /// \brief Adds counts of one or more ranks, set after set. Counts of another size are ignored.
+  void AddCounts(const std::vector<std::uint32_t>& counts);
+
+  /// \brief Sets the factor by which a rank works longer than a sound one. Maps give such a rank
+  /// less work.
+  void SetPace(balance::RankIndex rank, double pace);
 
   /// \brief Size of the counts of one rank.
   std::size_t counts_per_rank() const { return m_config.layer_sets * m_config.experts_per_set; }
@@ -61,8 +70,12 @@
  private:
   /// \brief Skew of the layouts under the estimated demand, as a mean over the sets.
   double MeanSkew(const std::vector<placement::ExpertLayout>& layouts) const;
+  /// \brief Pace of each of the ranks.
+  std::vector<double> PaceOf(std::size_t ranks) const;
 
   ExpertMapPlannerConfig m_config;
+  std::size_t m_max_copies_per_rank;  ///< over all sets, for one switch
+  std::vector<double> m_pace;         ///< by rank; ranks beyond the end are sound
   std::vector<std::vector<double>> m_window;
   std::vector<placement::DemandEstimator> m_estimators;
   std::optional<double> m_last_skew;  ///< MapProposal::skew_before of the last call
--- a/packages/ranks/include/cornelrelay/ranks/group_leader.h
+++ b/packages/ranks/include/cornelrelay/ranks/group_leader.h
@@ -10,11 +10,11 @@
 #include <string>
 
 #include "cornelrelay/balance/switch_leader.h"
-#include "cornelrelay/net/http_client.h"
 #include "cornelrelay/ranks/agent_client.h"
 #include "cornelrelay/ranks/engine_client.h"
 #include "cornelrelay/ranks/expert_map_planner.h"
 #include "cornelrelay/ranks/group_members.h"
+#include "cornelrelay/ranks/order_outbox.h"
 #include "cornelrelay/ranks/rank_ports.h"
 #include "cornelrelay/routes/engine_model.h"
 #include "cornelrelay/runtime/process_clock.h"
@@ -30,15 +30,16 @@
 /// \brief Leads a group: polls all ranks for counts and state, plans expert maps, and runs the
 /// SwitchLeader.
 ///
-/// Orders go to the agent beside the rank. If that agent does not answer, the order is sent to its
-/// engine directly, so that one failed agent does not hold up a forward pass of the group. Only a
-/// PrepareMap is not sent directly.
+/// Orders go to the agent beside the rank; equal ones for many ranks are one call that the agents
+/// pass on to each other. If an agent does not answer, the order is sent to its engine directly, so
+/// that one failed agent does not hold up a forward pass of the group. Only a PrepareMap is not
+/// sent directly.
 class GroupLeader {
  public:
   struct Dependencies {
     boost::asio::io_context& context;
     const runtime::ProcessClock& clock;
-    net::HttpClient& client;
+    AgentClient& agents;
     EngineClient& engines;
     runtime::StoreLink& store;
     RankPorts ports;
@@ -46,46 +47,68 @@
     telemetry::MetricRegistry& metrics;
   };
   GroupLeader(Dependencies dependencies, settings::RankSettings settings,
-              balance::RankReport own_report, AgentClient::LocalHandler local_handler,
-              std::function<void()> on_fenced);
+              balance::RankReport own_report, std::function<void()> on_fenced);
 
   /// \param fence of the lease under which this process leads
   void StartLeading(balance::Fence fence);
   void StopLeading();
+  bool leading() const { return m_leading; }
 
  private:
+  /// A map in use whose experts are known for all ranks.
+  struct KnownMap {
+    std::uint64_t epoch = 0;
+    balance::MapVersion version = 0;
+    balance::SharedLayerMap map;
+  };
+
   void ReadMembers(const std::string& after_key);
   void ReadConfiguration();
   void AddMembers(const store::PrefixRead& page);
   void ApplyConfiguration(const std::string& value);
+
+  /// \brief Starts a round of polls, unless the last one has not ended.
   void RunRound();
+  boost::asio::awaitable<void> PollGroup(std::vector<core::Endpoint> agents);
+  void EndRound();
   void PlanMap();
-  /// \brief Number of members that are asked for counts in a round. The counts of all members of a
-  /// large group would fill the link.
-  std::size_t ExpertCountSampleSize() const;
-  void StartPoll(const core::Endpoint& engine, bool want_expert_counts);
-  boost::asio::awaitable<void> Poll(core::Endpoint engine, bool want_expert_counts);
+  /// \brief Polls one member whose agent did not answer the last call.
+  boost::asio::awaitable<void> PollMember(core::Endpoint engine);
+  wire::RankCall MakePoll() const;
+
+  /// \brief Sends the orders that were decided since the last call.
+  void SendOrders();
+  boost::asio::awaitable<void> DeliverBatch(OrderBatch batch, std::vector<core::Endpoint> agents);
   boost::asio::awaitable<void> DeliverOrder(balance::SendOrder order);
+
+  /// \brief Adds the experts of a map that the leader knows, which agents omit.
+  balance::RankState CompleteState(const balance::RankReport& report) const;
+  bool IsOfGroup(const balance::RankReport& report) const;
+  /// \brief Notes which of the called agents have answered, and what their engines reported.
+  void NoteReplies(const std::vector<core::Endpoint>& called,
+                   const std::vector<wire::ForwardedReply>& replies);
+  void RecordReport(const core::Endpoint& engine, const balance::RankReport& report,
+                    core::Instant requested_at);
   void Step(const balance::SwitchEvent& event);
   void Perform(const balance::SendOrder& action);
   void Perform(const balance::SwitchEnded& action);
   void Perform(const balance::SwitchInherited& action);
   void Perform(const balance::RefreshRankStates& action);
-  void RecordReport(const core::Endpoint& engine, const balance::RankReport& report,
-                    core::Instant requested_at);
 
   Dependencies m_dependencies;
   settings::RankSettings m_settings;
   balance::RankReport m_own_report;
   std::function<void()> m_on_fenced;  ///< called when a rank reports a newer leader
   balance::SwitchLeader m_switch_leader;
-  AgentClient m_agents;
   GroupMembers m_members;
+  OrderOutbox m_outbox;
   std::optional<ExpertMapPlanner> m_map_planner;
+  std::optional<KnownMap> m_known_map;
   runtime::WakeTimer m_round_timer;
   runtime::WakeTimer m_tick_timer;
   core::Instant m_members_read_at{};
   core::Instant m_next_plan_at{};
+  std::size_t m_pending_polls = 0;  ///< calls of the round that have not ended
   bool m_leading = false;
 };
 
--- a/packages/ranks/include/cornelrelay/ranks/poll_schedule.h
+++ b/packages/ranks/include/cornelrelay/ranks/poll_schedule.h
@@ -7,7 +7,7 @@
 
 namespace cornelrelay::ranks {
 
-/// \brief Selects the members to poll in a round: round-robin batches, or a fixed sample.
+/// \brief Selects the members to poll in a round, in round-robin order.
 ///
 /// \code
 /// schedule.Add(engine);
@@ -20,10 +20,6 @@
   /// \brief Returns the next members in round-robin order, each at most once.
   std::vector<core::Endpoint> NextBatch(std::size_t max_count);
 
-  /// \brief Returns the same members at each call, spread evenly over all members in the order of
-  /// their addresses.
-  std::vector<core::Endpoint> Sample(std::size_t max_count) const;
-
  private:
   std::vector<core::Endpoint> m_members;  ///< in ascending order of endpoint
   std::size_t m_next = 0;
--- a/packages/ranks/include/cornelrelay/ranks/rank_process.h
+++ b/packages/ranks/include/cornelrelay/ranks/rank_process.h
@@ -53,6 +53,8 @@
   /// \brief Passes the order to the local engine, or to the engine that the call names. The reply
   /// has no report in the latter case.
   boost::asio::awaitable<wire::RankReply> HandleCall(wire::RankCall call);
+  /// \brief Adds the state of the local engine to a reply, and its counts if the call wants them.
+  boost::asio::awaitable<void> AddOwnState(const wire::RankCall& call, wire::RankReply& reply);
   void PerformReaderActions(const store::PrefixReader::Actions& actions);
   void ApplyItems(const std::vector<store::ItemChange>& items, bool complete);
   void StepLease(const LeaseEvent& event);
@@ -73,6 +75,7 @@
   EngineClient m_engines;
   balance::FenceGuard m_fence_guard;
   ExpertCountTracker m_count_tracker;
+  AgentClient m_agents;
   net::HttpServer m_server;
   runtime::MetricsServer m_metrics_server;
   std::string m_leader_key;
--- a/packages/ranks/src/agent_client.cc
+++ b/packages/ranks/src/agent_client.cc
@@ -1,5 +1,8 @@
 #include "cornelrelay/ranks/agent_client.h"
 
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <cstddef>
 #include <utility>
 
@@ -10,22 +13,29 @@
 namespace {
 
 namespace asio = boost::asio;
+using std::chrono::milliseconds;
 
 constexpr std::size_t kMaxReplyBytes = 1'048'576;
+/// Agents to which one agent passes a call on. Five copies of the map of 192 ranks take 80 ms of a
+/// 6 Mbit/s link, and three levels reach 155 agents.
+constexpr std::size_t kForwardingFanOut = 5;
+/// Time that an agent needs besides waiting for the agents to which it passes a call on.
+constexpr milliseconds kHopTime{25};
 
 }  // namespace
 
-AgentClient::AgentClient(net::HttpClient& client, core::Endpoint local_endpoint,
-                         LocalHandler local_handler, std::chrono::milliseconds timeout,
+AgentClient::AgentClient(asio::io_context& context, net::HttpClient& client,
+                         core::Endpoint local_endpoint, LocalHandler local_handler,
                          telemetry::JsonLog& log)
-    : m_client(client),
+    : m_context(context),
+      m_client(client),
       m_local_endpoint(std::move(local_endpoint)),
       m_local_handler(std::move(local_handler)),
-      m_timeout(timeout),
       m_log(log) {}
 
 asio::awaitable<std::optional<wire::RankReply>> AgentClient::Call(core::Endpoint agent,
-                                                                  wire::RankCall call) {
+                                                                  wire::RankCall call,
+                                                                  milliseconds timeout) {
   std::optional<wire::RankReply> reply;
   if (agent == m_local_endpoint) {
     reply = co_await m_local_handler(std::move(call));
@@ -36,9 +46,8 @@
   request.target = "/rank";
   request.body = wire::Encode(call);
   try {
-    const net::HttpResponse response =
-        co_await m_client.Fetch(agent, std::move(request), m_timeout, kMaxReplyBytes,
-                                net::HttpClient::ConnectionUse::kReuse);
+    const net::HttpResponse response = co_await m_client.Fetch(
+        agent, std::move(request), timeout, kMaxReplyBytes, net::HttpClient::ConnectionUse::kReuse);
     if (response.status == core::kStatusOk) reply = wire::DecodeRankReply(response.body);
   } catch (const core::Error& error) {
     m_log.Debug("agent_call_failed", {{"agent", core::ToString(agent)}, {"reason", error.what()}});
@@ -46,4 +55,38 @@
   co_return reply;
 }
 
+std::shared_ptr<GroupCall> AgentClient::StartGroupCall(const ForwardingGroups& groups,
+                                                       const wire::RankCall& call,
+                                                       milliseconds timeout) {
+  auto group_call = std::make_shared<GroupCall>(m_context, groups.size());
+  for (const std::vector<core::Endpoint>& agents : groups) {
+    asio::co_spawn(
+        m_context,
+        [this, agents, call, timeout, group_call] {
+          return CallGroup(agents, call, timeout, group_call);
+        },
+        asio::detached);
+  }
+  return group_call;
+}
+
+std::shared_ptr<GroupCall> AgentClient::Forward(const wire::RankCall& call) {
+  wire::RankCall forwarded = call;
+  forwarded.forward_to.clear();
+  const bool in_time = call.forward_time > milliseconds::zero();
+  const ForwardingGroups groups =
+      in_time ? SplitForForwarding(call.forward_to, kForwardingFanOut) : ForwardingGroups{};
+  return StartGroupCall(groups, forwarded, call.forward_time);
+}
+
+asio::awaitable<void> AgentClient::CallGroup(std::vector<core::Endpoint> agents,
+                                             wire::RankCall call, milliseconds timeout,
+                                             std::shared_ptr<GroupCall> group_call) {
+  const core::Endpoint first = agents.front();
+  call.forward_to.assign(agents.begin() + 1, agents.end());
+  call.forward_time = std::max(timeout - kHopTime, milliseconds::zero());
+  std::optional<wire::RankReply> reply = co_await Call(first, std::move(call), timeout);
+  group_call->End(first, std::move(reply));
+}
+
 }  // namespace cornelrelay::ranks
--- a/packages/ranks/src/expert_map_planner.cc
+++ b/packages/ranks/src/expert_map_planner.cc
@@ -7,12 +7,33 @@
 
 namespace cornelrelay::ranks {
 
+namespace {
+
+/// A rank that works no longer than this counts as sound: its pace varies by some percent.
+constexpr double kMaxSoundPace = 1.15;
+
+}  // namespace
+
 ExpertMapPlanner::ExpertMapPlanner(ExpertMapPlannerConfig config)
     : m_config(config),
+      m_max_copies_per_rank(std::max<std::size_t>(
+          1, static_cast<std::size_t>(config.max_load_time /
+                                      std::max(config.expert_load_time, core::Duration(1))))),
       m_window(config.layer_sets, std::vector<double>(config.experts_per_set, 0)),
       m_estimators(config.layer_sets, placement::DemandEstimator(config.experts_per_set, {})) {}
 
-void ExpertMapPlanner::AddCounts(const std::vector<std::uint16_t>& counts) {
+void ExpertMapPlanner::SetPace(balance::RankIndex rank, double pace) {
+  if (m_pace.size() <= rank) m_pace.resize(rank + 1, 1);
+  m_pace[rank] = pace > kMaxSoundPace ? pace : 1;
+}
+
+std::vector<double> ExpertMapPlanner::PaceOf(std::size_t ranks) const {
+  std::vector<double> pace = m_pace;
+  pace.resize(ranks, 1);
+  return pace;
+}
+
+void ExpertMapPlanner::AddCounts(const std::vector<std::uint32_t>& counts) {
   if (counts.size() != counts_per_rank()) return;
   for (std::size_t i = 0; i < counts.size(); ++i) {
     m_window[i / m_config.experts_per_set][i % m_config.experts_per_set] += counts[i];
@@ -29,7 +50,8 @@
 double ExpertMapPlanner::MeanSkew(const std::vector<placement::ExpertLayout>& layouts) const {
   double sum = 0;
   for (std::size_t set = 0; set < layouts.size(); ++set) {
-    sum += placement::Skew(placement::RankLoads(layouts[set], m_estimators[set].loads()));
+    const std::vector<double>& loads = m_estimators[set].loads();
+    sum += placement::SlowestRankLoad(layouts[set], loads, PaceOf(layouts[set].ranks().size()));
   }
   return layouts.empty() ? 1 : sum / static_cast<double>(layouts.size());
 }
@@ -47,11 +69,12 @@
   // No map has a skew below 1, so the gain is at most skew_before - 1.
   if (proposal.skew_before - 1 < m_config.min_gain) return std::nullopt;
   const std::size_t ranks = current.empty() ? 0 : current.front().size();
-  std::vector<std::size_t> remaining_copies(ranks, m_config.max_copies_per_rank);
+  const std::vector<double> pace = PaceOf(ranks);
+  std::vector<std::size_t> remaining_copies(ranks, m_max_copies_per_rank);
   for (std::size_t set = 0; set < m_config.layer_sets; ++set) {
     const placement::ExpertLayout& layout = layouts[set];
-    auto plan =
-        placement::PlanLayout(layout, m_estimators[set].loads(), m_config.limits, remaining_copies);
+    auto plan = placement::PlanLayout(layout, m_estimators[set].loads(), m_config.limits,
+                                      remaining_copies, pace);
     const auto copies = placement::NewCopiesByRank(layout, plan.layout);
     for (std::size_t rank = 0; rank < ranks; ++rank) remaining_copies[rank] -= copies[rank];
     proposal.new_copies += plan.new_copies;
--- a/packages/ranks/src/group_leader.cc
+++ b/packages/ranks/src/group_leader.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <map>
+#include <set>
 #include <utility>
 #include <variant>
 
@@ -25,14 +27,10 @@
 /// Base time-out of a call to an agent. An agent calls its engine first and answers within some
 /// milliseconds.
 constexpr microseconds kAgentTimeout{100'000};
-/// Added per rank: the leader has a small share of a processor and handles the answers of a large
-/// group one after another.
-constexpr microseconds kAgentTimeoutPerRank{1'250};
-/// Counts that are requested in a round. Most take one byte, and a round may use a third of a 1
-/// MB/s link.
-constexpr std::size_t kMaxCountsPerRound = 40'000;
-/// Members that are asked for their state without counts in a round.
-constexpr std::size_t kStateBatch = 12;
+/// Added per rank: in a large group, agents with a small share of a processor pass a call on.
+constexpr microseconds kAgentTimeoutPerRank{500};
+/// Members whose agents did not answer that are polled in a round, each on its own.
+constexpr std::size_t kUnansweringPolls = 12;
 /// Pause after planning a map, as a multiple of the planning time, so that planning does not delay
 /// orders.
 constexpr int kPlanPauseFactor = 3;
@@ -42,9 +40,21 @@
 constexpr milliseconds kMembersRefreshInterval{3'000};
 /// An order sent directly to the engine, together with the report after it, takes less than this.
 constexpr milliseconds kDirectCallTime{30};
+/// Orders of the same kind that are sent one by one. More are passed on from agent to agent.
+constexpr std::size_t kMaxSingleOrders = 3;
+/// LayoutLimits::min_gain_per_copy for experts that take kReferenceLoadTime to load. It is less for
+/// smaller experts, whose copies cost less.
+constexpr double kReferenceMinGain = 0.008;
+constexpr milliseconds kReferenceLoadTime{100};
+constexpr double kLeastMinGain = 0.0005;
 
-core::Duration AgentTimeout(balance::RankIndex ranks) {
-  return kAgentTimeout + kAgentTimeoutPerRank * ranks;
+milliseconds AgentTimeout(balance::RankIndex ranks) {
+  return std::chrono::ceil<milliseconds>(kAgentTimeout + kAgentTimeoutPerRank * ranks);
+}
+
+double MinGainPerCopy(core::Duration load_time) {
+  const double part = std::chrono::duration<double>(load_time) / kReferenceLoadTime;
+  return std::clamp(kReferenceMinGain * part, kLeastMinGain, kReferenceMinGain);
 }
 
 balance::SwitchLeaderConfig MakeSwitchLeaderConfig(const balance::RankReport& own_report) {
@@ -53,6 +63,8 @@
   config.self = own_report.rank;
   // Direct calls to the engine follow after the time-out of its agent.
   config.orders.timeout = AgentTimeout(own_report.size) + kDirectCallTime;
+  // Agents pass the map on, so that the number of copies on one link does not grow with the group.
+  config.orders.max_concurrent_maps = own_report.size;
   config.check_timeout = config.orders.timeout;
   return config;
 }
@@ -60,15 +72,12 @@
 }  // namespace
 
 GroupLeader::GroupLeader(Dependencies dependencies, settings::RankSettings settings,
-                         balance::RankReport own_report, AgentClient::LocalHandler local_handler,
-                         std::function<void()> on_fenced)
+                         balance::RankReport own_report, std::function<void()> on_fenced)
     : m_dependencies(dependencies),
       m_settings(std::move(settings)),
       m_own_report(std::move(own_report)),
       m_on_fenced(std::move(on_fenced)),
       m_switch_leader(MakeSwitchLeaderConfig(m_own_report)),
-      m_agents(dependencies.client, m_settings.agents, std::move(local_handler),
-               std::chrono::ceil<milliseconds>(AgentTimeout(m_own_report.size)), dependencies.log),
       m_round_timer(dependencies.context, dependencies.clock, [this] { RunRound(); }),
       m_tick_timer(dependencies.context, dependencies.clock,
                    [this] { Step(balance::SwitchTick{}); }) {}
@@ -103,9 +112,13 @@
     const auto* upstream = std::get_if<relay::UpstreamItem>(&decoded);
     if (upstream == nullptr || !upstream->entry) continue;
     if (upstream->entry->service != m_settings.service) continue;
-    const core::Endpoint& engine = upstream->entry->endpoint;
+    GroupMember member;
+    member.upstream = upstream->entry->id;
+    member.engine = upstream->entry->endpoint;
     // Agents listen on the same port on all hosts.
-    m_members.Add(engine, {engine.address, m_settings.agents.port});
+    member.agent = {member.engine.address, m_settings.agents.port};
+    member.data_centre = upstream->entry->data_centre;
+    m_members.Add(member);
   }
   if (page.more && !page.items.empty()) ReadMembers(page.items.back().key);
   if (m_leading) Step(balance::SwitchTick{});
@@ -133,45 +146,76 @@
   config.experts_per_set = engine.experts;
   config.limits.slots_per_rank = engine.max_experts_per_rank;
   config.limits.max_new_per_rank = engine.max_new_experts_per_rank;
+  config.limits.min_gain_per_copy = MinGainPerCopy(engine.expert_load_time);
+  config.expert_load_time = engine.expert_load_time;
   m_map_planner.emplace(config);
 }
 
 void GroupLeader::RunRound() {
   if (!m_leading) return;
-  const bool stale = m_dependencies.clock.Now() - m_members_read_at > kMembersRefreshInterval;
-  if (stale && !m_members.AllRanksKnown(m_own_report.size)) ReadMembers("");
+  const core::Instant now = m_dependencies.clock.Now();
+  const bool stale = now - m_members_read_at > kMembersRefreshInterval;
+  const bool complete = m_members.AllRanksKnown(m_own_report.size) && m_members.AllAgentsAnswer();
+  if (stale && !complete) ReadMembers("");
   if (!m_map_planner) ReadConfiguration();
-  PlanMap();
-  for (const core::Endpoint& engine : m_members.schedule().Sample(ExpertCountSampleSize())) {
-    StartPoll(engine, true);
+  for (const core::Endpoint& engine : m_members.NextUnanswering(kUnansweringPolls)) {
+    if (!m_members.BeginPoll(engine)) continue;
+    asio::co_spawn(
+        m_dependencies.context, [this, engine] { return PollMember(engine); }, asio::detached);
   }
-  for (const core::Endpoint& engine : m_members.NextToPoll(kStateBatch)) StartPoll(engine, false);
-  m_round_timer.SetAt(m_dependencies.clock.Now() + kRoundInterval);
+  if (m_pending_polls == 0) {
+    const ForwardingGroups groups = m_members.AnsweringAgents();
+    m_pending_polls = groups.size();
+    for (const std::vector<core::Endpoint>& agents : groups) {
+      asio::co_spawn(
+          m_dependencies.context, [this, agents] { return PollGroup(agents); }, asio::detached);
+    }
+  }
+  m_round_timer.SetAt(now + kRoundInterval);
 }
 
-void GroupLeader::StartPoll(const core::Endpoint& engine, bool want_expert_counts) {
-  if (!m_members.BeginPoll(engine)) return;
-  asio::co_spawn(
-      m_dependencies.context,
-      [this, engine, want_expert_counts] { return Poll(engine, want_expert_counts); },
-      asio::detached);
+wire::RankCall GroupLeader::MakePoll() const {
+  wire::RankCall call;
+  call.fence = m_switch_leader.fence();
+  call.want_expert_counts = m_map_planner.has_value();
+  if (m_known_map) call.known_map = m_known_map->version;
+  return call;
 }
 
-// All ranks see much the same demand, so the counts of a few show a change as soon as it happens.
-std::size_t GroupLeader::ExpertCountSampleSize() const {
-  const std::size_t counts =
-      m_map_planner ? std::max<std::size_t>(m_map_planner->counts_per_rank(), 1) : 1;
-  return std::max<std::size_t>(kMaxCountsPerRound / counts, 1);
+asio::awaitable<void> GroupLeader::PollGroup(std::vector<core::Endpoint> agents) {
+  const core::Instant requested_at = m_dependencies.clock.Now();
+  const auto call =
+      m_dependencies.agents.StartGroupCall({agents}, MakePoll(), AgentTimeout(m_own_report.size));
+  const GroupReply reply = co_await call->Replies();
+  --m_pending_polls;
+  if (!m_leading) co_return;
+  NoteReplies(agents, reply.replies);
+  balance::RanksObserved observed;
+  for (const wire::ForwardedReply& answer : reply.replies) {
+    if (!answer.report || !IsOfGroup(*answer.report)) continue;
+    observed.ranks.push_back({answer.report->rank, CompleteState(*answer.report), requested_at});
+  }
+  if (m_map_planner) m_map_planner->AddCounts(reply.expert_counts);
+  Step(observed);
+  if (m_pending_polls == 0) EndRound();
 }
 
-void GroupLeader::PlanMap() {
-  if (!m_map_planner) return;
+void GroupLeader::EndRound() {
+  if (!m_leading || !m_map_planner) return;
   m_map_planner->EndWindow();
+  PlanMap();
+}
+
+void GroupLeader::PlanMap() {
   const core::Instant planning_start = m_dependencies.clock.Now();
   if (!m_switch_leader.ReadyForSwitch() || planning_start < m_next_plan_at) return;
-  const auto current = m_switch_leader.MapInUse();
+  auto current = m_switch_leader.MapInUse();
   if (!current) return;
   const auto proposal = m_map_planner->ProposeMap(*current);
+  const balance::MapVersion version = m_switch_leader.state(m_own_report.rank)->map;
+  if (!m_known_map || m_known_map->version != version) {
+    m_known_map = {m_switch_leader.epoch(), version, balance::SharedLayerMap(std::move(*current))};
+  }
   const core::Instant planning_end = m_dependencies.clock.Now();
   m_next_plan_at = planning_end + kPlanPauseFactor * (planning_end - planning_start);
   if (!proposal) return;
@@ -179,18 +223,18 @@
                                            {"fence", m_switch_leader.fence()},
                                            {"copies", proposal->new_copies},
                                            {"busiest_before", proposal->skew_before},
-                                           {"busiest_after", proposal->skew_after}});
+                                           {"busiest_after", proposal->skew_after},
+                                           {"planning_us", planning_end - planning_start}});
   Step(balance::MapRequested{proposal->map});
 }
 
-asio::awaitable<void> GroupLeader::Poll(core::Endpoint engine, bool want_expert_counts) {
-  wire::RankCall call;
-  call.fence = m_switch_leader.fence();
-  call.want_expert_counts = want_expert_counts;
+asio::awaitable<void> GroupLeader::PollMember(core::Endpoint engine) {
   const core::Endpoint agent = m_members.At(engine).agent;
   const core::Instant requested_at = m_dependencies.clock.Now();
-  const std::optional<wire::RankReply> reply = co_await m_agents.Call(agent, call);
+  const std::optional<wire::RankReply> reply =
+      co_await m_dependencies.agents.Call(agent, MakePoll(), AgentTimeout(m_own_report.size));
   m_members.EndPoll(engine);
+  m_members.SetAgentAnswers(engine, reply && reply->report);
   if (!reply || !reply->report) {
     // The rank of the engine must be known before an order can be sent to it without its agent.
     if (m_members.At(engine).rank) co_return;
@@ -202,11 +246,109 @@
   RecordReport(engine, *reply->report, requested_at);
 }
 
+bool GroupLeader::IsOfGroup(const balance::RankReport& report) const {
+  return report.group == m_own_report.group && report.rank < m_own_report.size;
+}
+
+balance::RankState GroupLeader::CompleteState(const balance::RankReport& report) const {
+  balance::RankState state = report.state;
+  const bool known = m_known_map && m_known_map->version == state.map &&
+                     m_known_map->epoch == state.epoch && state.experts.empty();
+  if (!known) return state;
+  for (const auto& ranks : m_known_map->map.layers()) state.experts.push_back(ranks[report.rank]);
+  return state;
+}
+
+void GroupLeader::NoteReplies(const std::vector<core::Endpoint>& called,
+                              const std::vector<wire::ForwardedReply>& replies) {
+  std::set<core::Endpoint> answered;
+  for (const wire::ForwardedReply& reply : replies) {
+    const GroupMember* member = m_members.FindByAgent(reply.agent);
+    if (member == nullptr || !reply.report) continue;
+    answered.insert(reply.agent);
+    if (!IsOfGroup(*reply.report)) continue;
+    // The states of a map whose experts the agents omit are of no use in another epoch.
+    if (m_known_map && reply.report->state.epoch != m_known_map->epoch) m_known_map.reset();
+    m_members.SetRank(member->engine, reply.report->rank);
+    if (m_map_planner) m_map_planner->SetPace(reply.report->rank, reply.report->pace);
+  }
+  for (const core::Endpoint& agent : called) {
+    const GroupMember* member = m_members.FindByAgent(agent);
+    if (member != nullptr) m_members.SetAgentAnswers(member->engine, answered.contains(agent));
+  }
+}
+
 void GroupLeader::RecordReport(const core::Endpoint& engine, const balance::RankReport& report,
                                core::Instant requested_at) {
-  if (report.group != m_own_report.group || report.rank >= m_own_report.size || !m_leading) return;
+  if (!IsOfGroup(report) || !m_leading) return;
+  if (m_known_map && report.state.epoch != m_known_map->epoch) m_known_map.reset();
   m_members.SetRank(engine, report.rank);
-  Step(balance::RankObserved{report.rank, report.state, requested_at});
+  if (m_map_planner) m_map_planner->SetPace(report.rank, report.pace);
+  Step(balance::RankObserved{report.rank, CompleteState(report), requested_at});
+}
+
+void GroupLeader::SendOrders() {
+  for (const balance::SendOrder& order : m_outbox.TakeForwarded()) {
+    asio::co_spawn(
+        m_dependencies.context, [this, order] { return DeliverOrder(order); }, asio::detached);
+  }
+  for (OrderBatch& batch : m_outbox.TakeBatches()) {
+    std::vector<balance::RankIndex> ranks;
+    for (const balance::RankIndex rank : batch.ranks) {
+      const GroupMember* member = m_members.FindByRank(rank);
+      const bool answers = member != nullptr && member->agent_answers;
+      if (answers && batch.ranks.size() > kMaxSingleOrders) {
+        ranks.push_back(rank);
+        continue;
+      }
+      const balance::SendOrder order{rank, batch.order, batch.fence, batch.epoch};
+      asio::co_spawn(
+          m_dependencies.context, [this, order] { return DeliverOrder(order); }, asio::detached);
+    }
+    for (const std::vector<core::Endpoint>& agents : m_members.AgentsOf(ranks)) {
+      asio::co_spawn(
+          m_dependencies.context, [this, batch, agents] { return DeliverBatch(batch, agents); },
+          asio::detached);
+    }
+  }
+}
+
+asio::awaitable<void> GroupLeader::DeliverBatch(OrderBatch batch,
+                                                std::vector<core::Endpoint> agents) {
+  wire::RankCall call;
+  call.fence = batch.fence;
+  call.epoch = batch.epoch;
+  call.order = batch.order;
+  if (m_known_map) call.known_map = m_known_map->version;
+  std::map<core::Endpoint, balance::RankIndex> ranks;
+  for (const core::Endpoint& agent : agents) {
+    ranks.emplace(agent, *m_members.FindByAgent(agent)->rank);
+  }
+  const core::Instant requested_at = m_dependencies.clock.Now();
+  const auto group_call =
+      m_dependencies.agents.StartGroupCall({agents}, call, AgentTimeout(m_own_report.size));
+  const GroupReply reply = co_await group_call->Replies();
+  NoteReplies(agents, reply.replies);
+  balance::OrdersEnded ended;
+  for (const wire::ForwardedReply& answer : reply.replies) {
+    const auto found = ranks.find(answer.agent);
+    if (found == ranks.end()) continue;
+    balance::OrderEnded& order = ended.orders.emplace_back();
+    order.rank = found->second;
+    order.result = answer.result;
+    order.requested_at = requested_at;
+    if (answer.report && answer.report->rank == order.rank) {
+      order.state = CompleteState(*answer.report);
+    }
+    ranks.erase(found);
+  }
+  if (!ended.orders.empty()) Step(ended);
+  // The others are tried without the agents that may have failed to pass the call on.
+  for (const auto& [agent, rank] : ranks) {
+    const balance::SendOrder order{rank, batch.order, batch.fence, batch.epoch};
+    asio::co_spawn(
+        m_dependencies.context, [this, order] { return DeliverOrder(order); }, asio::detached);
+  }
 }
 
 asio::awaitable<void> GroupLeader::DeliverOrder(balance::SendOrder order) {
@@ -229,10 +371,14 @@
   call.fence = order.fence;
   call.epoch = order.epoch;
   call.order = order.order;
-  const std::optional<wire::RankReply> reply = co_await m_agents.Call(agent, call);
+  if (m_known_map) call.known_map = m_known_map->version;
+  const std::optional<wire::RankReply> reply =
+      co_await m_dependencies.agents.Call(agent, call, AgentTimeout(m_own_report.size));
   if (reply) {
     ended.result = reply->result;
-    if (reply->report && reply->report->rank == order.rank) ended.state = reply->report->state;
+    if (reply->report && reply->report->rank == order.rank) {
+      ended.state = CompleteState(*reply->report);
+    }
   } else if (!std::holds_alternative<balance::PrepareMap>(order.order)) {
     m_dependencies.log.Warning("agent_bypassed", {{"engine", core::ToString(engine)},
                                                   {"order", KindName(order.order)},
@@ -259,15 +405,16 @@
     m_dependencies.log.Warning("group_lead_fenced",
                                {{"group", m_own_report.group}, {"fence", m_switch_leader.fence()}});
   }
+  SendOrders();
   if (m_switch_leader.Busy()) m_tick_timer.SetAt(m_dependencies.clock.Now() + kSwitchTickInterval);
 }
 
-void GroupLeader::Perform(const balance::SendOrder& action) {
-  asio::co_spawn(
-      m_dependencies.context, [this, action] { return DeliverOrder(action); }, asio::detached);
-}
+void GroupLeader::Perform(const balance::SendOrder& action) { m_outbox.Add(action); }
 
 void GroupLeader::Perform(const balance::SwitchEnded& action) {
+  if (action.outcome == balance::SwitchOutcome::kSwitched) {
+    m_known_map = {m_switch_leader.epoch(), action.version, action.map};
+  }
   m_dependencies.log.Info("map_switch_ended", {{"group", m_own_report.group},
                                                {"version", action.version},
                                                {"outcome", ToString(action.outcome)},
@@ -280,9 +427,8 @@
       .Add();
 }
 
-void GroupLeader::Perform(const balance::RefreshRankStates&) {
-  for (const core::Endpoint& engine : m_members.Engines()) StartPoll(engine, false);
-}
+// The rounds ask all ranks for their states anyway.
+void GroupLeader::Perform(const balance::RefreshRankStates&) { RunRound(); }
 
 void GroupLeader::Perform(const balance::SwitchInherited& action) {
   m_dependencies.log.Warning("map_switch_inherited", {{"group", m_own_report.group},
--- a/packages/ranks/src/poll_schedule.cc
+++ b/packages/ranks/src/poll_schedule.cc
@@ -16,11 +16,4 @@
   return batch;
 }
 
-std::vector<core::Endpoint> PollSchedule::Sample(std::size_t max_count) const {
-  const std::size_t size = std::min(max_count, m_members.size());
-  std::vector<core::Endpoint> sample;
-  for (std::size_t i = 0; i < size; ++i) sample.push_back(m_members[i * m_members.size() / size]);
-  return sample;
-}
-
 }  // namespace cornelrelay::ranks
--- a/packages/ranks/src/rank_process.cc
+++ b/packages/ranks/src/rank_process.cc
@@ -46,6 +46,9 @@
                                    kLeaderKeyWatch + kStoreCallTimeout),
           seed + 1)),
       m_engines(m_client, ports.engines, log),
+      m_agents(
+          context, m_client, m_settings.agents,
+          [this](wire::RankCall call) { return HandleCall(std::move(call)); }, log),
       m_server(context, m_settings.agents, net::HttpServerLimits{}, std::nullopt,
                [this](net::HttpRequest request, net::ResponseStream& response) {
                  return HandleRequest(std::move(request), response);
@@ -101,10 +104,9 @@
   lease.stagger = std::min(kStaggerPerRank * report.rank, kMaxStagger);
   m_lease.emplace(lease);
   m_leader = std::make_unique<GroupLeader>(
-      GroupLeader::Dependencies{m_context, m_clock, m_client, m_engines, *m_store, m_ports, m_log,
+      GroupLeader::Dependencies{m_context, m_clock, m_agents, m_engines, *m_store, m_ports, m_log,
                                 m_metrics},
-      m_settings, report, [this](wire::RankCall call) { return HandleCall(std::move(call)); },
-      [this] { StepLease(NewerLeaderFound{}); });
+      m_settings, report, [this] { StepLease(NewerLeaderFound{}); });
   m_reader.emplace(m_leader_key, store::PrefixReaderOptions{.watch_wait = kLeaderKeyWatch},
                    m_seed + 2);
   PerformReaderActions(m_reader->Start(m_clock.Now()));
@@ -140,17 +142,31 @@
     if (m_fence_guard.fence()) reply.result = balance::OrderResult::kFenced;
     co_return reply;
   }
+  std::shared_ptr<GroupCall> forwarded;
+  if (!call.forward_to.empty()) forwarded = m_agents.Forward(call);
   reply.result = co_await m_engines.IssueOrder(call.engine.value_or(m_settings.engine), call.order,
                                                call.epoch, call.fence);
-  if (call.engine) co_return reply;
+  if (!call.engine) {
+    co_await AddOwnState(call, reply);
+  }
+  if (forwarded) {
+    GroupReply others = co_await forwarded->Replies();
+    AddExpertCounts(reply.expert_counts, others.expert_counts);
+    reply.forwarded = std::move(others.replies);
+  }
+  co_return reply;
+}
+
+asio::awaitable<void> RankProcess::AddOwnState(const wire::RankCall& call, wire::RankReply& reply) {
   reply.report = co_await m_engines.FetchReport(m_settings.engine);
-  if (call.want_expert_counts && reply.report) {
+  if (!reply.report) co_return;
+  if (call.want_expert_counts) {
     const std::vector<std::uint64_t> totals =
         co_await m_engines.FetchExpertCounts(m_settings.engine);
     reply.expert_counts =
         m_count_tracker.TakeIncrements(call.fence, reply.report->incarnation, totals);
   }
-  co_return reply;
+  if (call.known_map == reply.report->state.map) reply.report->state.experts.clear();
 }
 
 void RankProcess::PerformReaderActions(const store::PrefixReader::Actions& actions) {
--- a/packages/ranks/tests/expert_count_tracker_test.cc
+++ b/packages/ranks/tests/expert_count_tracker_test.cc
@@ -5,7 +5,7 @@
 namespace cornelrelay::ranks {
 namespace {
 
-using Increments = std::vector<std::uint16_t>;
+using Increments = std::vector<std::uint32_t>;
 
 }  // namespace
 
@@ -29,7 +29,7 @@
 TEST_CASE("an increment beyond the range of its field is capped at the largest value") {
   ExpertCountTracker tracker;
   tracker.TakeIncrements(5, 1, {0});
-  CHECK(tracker.TakeIncrements(5, 1, {70'000}) == Increments{65'535});
+  CHECK(tracker.TakeIncrements(5, 1, {5'000'000'000}) == Increments{4'294'967'295});
 }
 
 }  // namespace cornelrelay::ranks
--- a/packages/ranks/tests/expert_map_planner_test.cc
+++ b/packages/ranks/tests/expert_map_planner_test.cc
@@ -1,6 +1,8 @@
 #include "cornelrelay/ranks/expert_map_planner.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <chrono>
 
 namespace cornelrelay::ranks {
 namespace {
@@ -43,8 +45,8 @@
   ExpertMapPlannerConfig config = Config();
   config.experts_per_set = 8;
   ExpertMapPlanner planner(config);
-  const auto window = [&](std::uint16_t of_expert_0, std::uint16_t of_others) {
-    std::vector<std::uint16_t> counts(8, of_others);
+  const auto window = [&](std::uint32_t of_expert_0, std::uint32_t of_others) {
+    std::vector<std::uint32_t> counts(8, of_others);
     counts[0] = of_expert_0;
     planner.AddCounts(counts);
     planner.EndWindow();
@@ -70,6 +72,61 @@
   CHECK((first || window()));
 }
 
+// Load pattern: one rank turns slow, and the whole group waits for it in each pass.
+TEST_CASE("a slow rank loses its experts, and gets some back when it is sound again") {
+  ExpertMapPlannerConfig config = Config();
+  config.limits = {.slots_per_rank = 4, .max_new_per_rank = 2};
+  ExpertMapPlanner planner(config);
+  const auto window = [&](const balance::LayerMap& map) {
+    planner.AddCounts({250, 250, 250, 250});
+    planner.EndWindow();
+    return planner.ProposeMap(map);
+  };
+  CHECK_FALSE(window(kRoundRobinMap));
+  planner.SetPace(1, 12);
+  const auto without = window(kRoundRobinMap);
+  REQUIRE(without);
+  CHECK(without->skew_before == Approx(12));
+  CHECK(without->map[0][0] == std::vector<std::uint16_t>{0, 1, 2, 3});
+  CHECK(without->map[0][1].empty());
+  planner.SetPace(1, 1.05);
+  const auto again = window(without->map);
+  REQUIRE(again);
+  CHECK(again->map[0][1].size() == 2);
+}
+
+// Load pattern: a shift of the demand where an expert is large. The group keeps the old map until
+// all copies are loaded.
+TEST_CASE("a map needs no more copies on a rank than it can load in the time for one switch") {
+  for (const int load_ms : {7, 40, 98}) {
+    ExpertMapPlannerConfig config;
+    config.layer_sets = 8;
+    config.experts_per_set = 32;
+    config.limits = {.slots_per_rank = 6, .max_new_per_rank = 3};
+    config.expert_load_time = std::chrono::milliseconds(load_ms);
+    ExpertMapPlanner planner(config);
+    std::vector<std::uint32_t> counts(planner.counts_per_rank(), 100);
+    for (std::size_t set = 0; set < 8; ++set) counts[set * 32 + set * 3] = 8'000;
+    planner.AddCounts(counts);
+    planner.EndWindow();
+    balance::LayerMap current(8, std::vector<std::vector<std::uint16_t>>(8));
+    for (auto& set : current) {
+      for (std::uint16_t e = 0; e < 32; ++e) set[e % 8].push_back(e);
+    }
+    const auto proposal = planner.ProposeMap(current);
+    REQUIRE(proposal);
+    std::vector<std::size_t> copies(8, 0);
+    for (std::size_t set = 0; set < 8; ++set) {
+      const placement::ExpertLayout before(32, current[set]), after(32, proposal->map[set]);
+      const auto added = placement::NewCopiesByRank(before, after);
+      for (std::size_t rank = 0; rank < 8; ++rank) copies[rank] += added[rank];
+    }
+    const auto most = *std::max_element(copies.begin(), copies.end());
+    CAPTURE(load_ms, most);
+    CHECK((most == 1 || most * config.expert_load_time <= config.max_load_time));
+  }
+}
+
 TEST_CASE("no map is proposed without counts") {
   CHECK_FALSE(ExpertMapPlanner(Config()).ProposeMap(kRoundRobinMap));
   CHECK_FALSE(ExpertMapPlanner(Config()).ProposeMap({}));
--- a/packages/ranks/tests/poll_schedule_test.cc
+++ b/packages/ranks/tests/poll_schedule_test.cc
@@ -20,23 +20,6 @@
   CHECK(polls.size() == 72);
 }
 
-// Each address stands for a data centre. If the sample came from few data centres and the leader
-// lost its connection to them, a shift of the demand would go unnoticed.
-TEST_CASE("a sample contains a proportional share of the members of each data centre") {
-  PollSchedule schedule;
-  for (const char* address : {"10.2.0.1", "10.1.0.1", "10.3.0.1"}) {
-    for (std::uint16_t port = 0; port < 24; ++port) schedule.Add({address, port});
-  }
-  const auto sample = schedule.Sample(23);
-  CHECK(sample.size() == 23);
-  std::map<std::string, int> parts;
-  for (const core::Endpoint& member : sample) ++parts[member.address];
-  for (const auto& [address, part] : parts) CHECK(part >= 7);
-  CHECK(parts.size() == 3);
-  CHECK(schedule.Sample(23) == sample);
-  CHECK(schedule.Sample(100).size() == 72);
-}
-
 TEST_CASE("each round polls all members of a small group, also those that have just joined") {
   PollSchedule schedule;
   CHECK(schedule.NextBatch(4).empty());
--- a/packages/relay/src/relay_gateway.cc
+++ b/packages/relay/src/relay_gateway.cc
@@ -20,7 +20,10 @@
 
 RelayGateway::RelayGateway(RelayServices services, const FleetView& fleet, std::string id_prefix,
                            std::uint64_t seed)
-    : m_services(services), m_fleet(fleet), m_id_prefix(std::move(id_prefix)), m_random(seed) {}
+    : m_services(std::move(services)),
+      m_fleet(fleet),
+      m_id_prefix(std::move(id_prefix)),
+      m_random(seed) {}
 
 boost::asio::awaitable<void> RelayGateway::Serve(net::HttpRequest http,
                                                  net::ResponseStream& response) {
--- a/packages/routes/include/cornelrelay/routes/engine_model.h
+++ b/packages/routes/include/cornelrelay/routes/engine_model.h
@@ -24,6 +24,7 @@
   /// Maximum number of experts of a set that a new expert map may add to a rank, by the limits of
   /// the engine. The expert map planner gets it as LayoutLimits::max_new_per_rank.
   std::uint32_t max_new_experts_per_rank = 0;
+  core::Duration expert_load_time{};  ///< time in which a rank loads one expert
 
   friend bool operator==(const EngineModel&, const EngineModel&) = default;
 };
--- a/packages/wire/include/cornelrelay/wire/rank_messages.h
+++ b/packages/wire/include/cornelrelay/wire/rank_messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -20,16 +21,32 @@
   bool want_expert_counts = false;
   /// Engine that gets the order, if it is not the agent's own; its state is not told then.
   std::optional<core::Endpoint> engine{};
+  /// Version of a map whose experts the caller knows for all ranks. States with it omit them.
+  std::optional<balance::MapVersion> known_map{};
+  /// Agents to which the receiver passes the call on, and how long it may wait for their replies.
+  std::vector<core::Endpoint> forward_to{};
+  std::chrono::milliseconds forward_time{0};
 
   friend bool operator==(const RankCall&, const RankCall&) = default;
 };
 
+/// \brief The answer of one of the agents to which a call was forwarded.
+struct ForwardedReply {
+  core::Endpoint agent;
+  balance::OrderResult result = balance::OrderResult::kUnknown;
+  std::optional<balance::RankReport> report;
+
+  friend bool operator==(const ForwardedReply&, const ForwardedReply&) = default;
+};
+
 /// \brief The agent's answer, with the rank's state after the order.
 struct RankReply {
   balance::OrderResult result = balance::OrderResult::kUnknown;
   std::optional<balance::RankReport> report;
-  /// How often each expert was chosen since the last call of this leader, set after set.
-  std::vector<std::uint16_t> expert_counts;
+  /// How often each expert was chosen since the last call of this leader, set after set, as a sum
+  /// over the agents that answered.
+  std::vector<std::uint32_t> expert_counts;
+  std::vector<ForwardedReply> forwarded{};  ///< of the agents that answered in time
 
   friend bool operator==(const RankReply&, const RankReply&) = default;
 };
--- a/packages/wire/src/rank_messages.cc
+++ b/packages/wire/src/rank_messages.cc
@@ -14,6 +14,8 @@
 constexpr std::size_t kMaxRanks = 1024;
 constexpr std::size_t kMaxExperts = 4096;
 constexpr std::size_t kMaxExpertCounts = 65'536;
+/// Bytes of an empty address.
+constexpr std::size_t kLeastAddressBytes = 3;
 
 template <class Ar, class List>
 void Experts(Ar& ar, List& experts) {
@@ -51,6 +53,12 @@
   ar.archive(call.fence, call.epoch);
   internal::Flag(ar, call.want_expert_counts);
   internal::Optional(ar, call.engine, [&](auto& engine) { internal::Address(ar, engine); });
+  internal::Optional(ar, call.known_map, [&](auto& version) { ar.archive(version); });
+  internal::List<std::uint16_t>(ar, call.forward_to, kMaxRanks, kLeastAddressBytes,
+                                [&](auto& agent) { internal::Address(ar, agent); });
+  std::uint32_t forward_ms = static_cast<std::uint32_t>(call.forward_time.count());
+  internal::Varint(ar, forward_ms);
+  if constexpr (Ar::kReads) call.forward_time = std::chrono::milliseconds(forward_ms);
   internal::Alternative(
       ar, call.order,
       core::Overloaded{[&](Ref<Ar, balance::PrepareMap> o) {
@@ -77,10 +85,17 @@
 template <class Ar>
 void Code(Ar& ar, Ref<Ar, balance::RankReport> report) {
   internal::Identifier(ar, report.group);
-  ar.archive(report.rank, report.size, report.incarnation);
+  ar.archive(report.rank, report.size, report.incarnation, report.pace);
   Code(ar, report.state);
 }
 
+template <class Ar>
+void Code(Ar& ar, Ref<Ar, ForwardedReply> reply) {
+  internal::Address(ar, reply.agent);
+  internal::Choice(ar, reply.result, balance::OrderResult::kUnknown);
+  internal::Optional(ar, reply.report, [&](auto& report) { Code(ar, report); });
+}
+
 template <class Ar>
 void Code(Ar& ar, Ref<Ar, RankReply> reply) {
   internal::Choice(ar, reply.result, balance::OrderResult::kUnknown);
@@ -88,6 +103,8 @@
   internal::List<std::uint32_t>(ar, reply.expert_counts, kMaxExpertCounts,
                                 internal::kLeastVarintBytes,
                                 [&](auto& count) { internal::Varint(ar, count); });
+  internal::List<std::uint16_t>(ar, reply.forwarded, kMaxRanks, kLeastAddressBytes,
+                                [&](auto& forwarded) { Code(ar, forwarded); });
 }
 
 /// Passes the overloads of Code on as one function.
--- a/packages/wire/tests/fleet_messages_test.cc
+++ b/packages/wire/tests/fleet_messages_test.cc
@@ -40,6 +40,11 @@
   call.order = balance::ArmMap{28673, 812};
   call.engine = core::Endpoint{"10.1.0.43", 8228};
   CHECK(DecodeRankCall(Encode(call)) == call);
+  call.engine.reset();
+  call.known_map = 28673;
+  call.forward_to = {{"10.1.0.44", 8228}, {"10.1.0.45", 8228}};
+  call.forward_time = std::chrono::milliseconds(120);
+  CHECK(DecodeRankCall(Encode(call)) == call);
   RankReply reply;
   reply.result = balance::OrderResult::kRefused;
   reply.report.emplace();
@@ -47,7 +52,9 @@
   reply.report->rank = 3;
   reply.report->state.armed = balance::ArmedMap{28673, 812};
   reply.report->state.experts = {{0, 2}, {5}};
-  reply.expert_counts = {1, 65535, 0};
+  reply.expert_counts = {1, 65535, 0, 1'000'000};
+  reply.forwarded = {{{"10.1.0.44", 8228}, balance::OrderResult::kDone, reply.report},
+                     {{"10.1.0.45", 8228}, balance::OrderResult::kRefused, std::nullopt}};
   CHECK(DecodeRankReply(Encode(reply)) == reply);
 }
 
