Send maps to large groups as differences to the one in use

Cause: at 192 ranks a map of 12 KB took longer to pass on than the time-out of its order; the leader then sent it to each agent itself, filled its link and lost its lease (no switch in 45 s).

Change: agents keep the last maps, and a map is sent as its difference to the one in use where they have that one. Time-outs follow from the size of messages, the link and the depth of forwarding. Only agents that were really called count as failed.

--- a/packages/balance/include/cornelrelay/balance/order_tracker.h
+++ b/packages/balance/include/cornelrelay/balance/order_tracker.h
@@ -15,6 +15,8 @@
 struct OrderTrackerConfig {
   /// Time after which an order without an answer counts as unanswered.
   core::Duration timeout = std::chrono::milliseconds(150);
+  /// The same for an order with a map, which takes longer to transfer.
+  core::Duration map_timeout = std::chrono::milliseconds(150);
   /// Minimum time from the sending of an answered order to the next order.
   core::Duration resend_delay = std::chrono::milliseconds(30);
   /// Minimum time from the sending of an answered order to the next poll, for example while ranks
@@ -94,6 +96,9 @@
   };
 
   bool MaySend(core::Instant now, RankIndex rank, core::Duration delay) const;
+  core::Duration TimeoutOf(const Entry& entry) const {
+    return entry.kind == Kind<PrepareMap>() ? m_config.map_timeout : m_config.timeout;
+  }
   /// \brief Counts the ranks whose last order was of this kind and has neither ended nor timed out.
   std::size_t CountPending(core::Instant now, std::size_t kind) const;
   void EmitOrder(core::Instant now, RankIndex rank, RankOrder order,
--- a/packages/balance/src/order_tracker.cc
+++ b/packages/balance/src/order_tracker.cc
@@ -18,7 +18,7 @@
   const Entry& entry = m_ranks[rank];
   // An order of an earlier phase does not delay one of this phase.
   if (entry.sent_phase != m_phase) return true;
-  return now - entry.sent_at >= (entry.outstanding ? m_config.timeout : delay);
+  return now - entry.sent_at >= (entry.outstanding ? TimeoutOf(entry) : delay);
 }
 
 void OrderTracker::Send(core::Instant now, RankIndex rank, RankOrder order, Actions& out,
@@ -32,7 +32,7 @@
 std::size_t OrderTracker::CountPending(core::Instant now, std::size_t kind) const {
   return static_cast<std::size_t>(
       std::count_if(m_ranks.begin(), m_ranks.end(), [&](const Entry& entry) {
-        return entry.outstanding && entry.kind == kind && now - entry.sent_at < m_config.timeout;
+        return entry.outstanding && entry.kind == kind && now - entry.sent_at < TimeoutOf(entry);
       }));
 }
 
--- a/packages/ranks/include/cornelrelay/ranks/forwarding.h
+++ b/packages/ranks/include/cornelrelay/ranks/forwarding.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <set>
 #include <vector>
 
 #include "cornelrelay/core/endpoint.h"
@@ -11,9 +12,20 @@
 /// others.
 using ForwardingGroups = std::vector<std::vector<core::Endpoint>>;
 
+/// Agents to which one agent passes a call on. Three levels reach 155 agents.
+inline constexpr std::size_t kForwardingFanOut = 5;
+
 /// \brief Splits agents into groups of nearly equal size, in their order.
 /// \param max_groups number of groups; fewer if there are fewer agents
 ForwardingGroups SplitForForwarding(const std::vector<core::Endpoint>& agents,
                                     std::size_t max_groups);
 
+/// \brief Returns how often a call to a group of this size is passed on at most.
+std::size_t ForwardingDepth(std::size_t agents);
+
+/// \brief Returns the agents of a group that failed to answer although they were called. Those
+/// below them may not have been called.
+std::vector<core::Endpoint> FindFailedAgents(const std::vector<core::Endpoint>& group,
+                                             const std::set<core::Endpoint>& answered);
+
 }  // namespace cornelrelay::ranks
--- a/packages/ranks/include/cornelrelay/ranks/group_leader.h
+++ b/packages/ranks/include/cornelrelay/ranks/group_leader.h
@@ -2,11 +2,13 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "cornelrelay/balance/switch_leader.h"
@@ -75,10 +77,18 @@
   /// \brief Polls one member whose agent did not answer the last call.
   boost::asio::awaitable<void> PollMember(core::Endpoint engine);
   wire::RankCall MakePoll() const;
+  /// \brief Sets the hop time of a call that is passed on, and returns its time-out.
+  /// \param message_bytes size of the largest message, which may be a reply
+  std::chrono::milliseconds SetTiming(wire::RankCall& call, std::size_t message_bytes) const;
 
   /// \brief Sends the orders that were decided since the last call.
   void SendOrders();
-  boost::asio::awaitable<void> DeliverBatch(OrderBatch batch, std::vector<core::Endpoint> agents);
+  /// \param as_difference whether a map is sent as the difference to the one in use
+  void StartBatch(const OrderBatch& batch, const std::vector<balance::RankIndex>& ranks,
+                  bool as_difference);
+  boost::asio::awaitable<void> DeliverBatch(OrderBatch batch, wire::RankCall call,
+                                            std::vector<core::Endpoint> agents,
+                                            std::chrono::milliseconds timeout);
   boost::asio::awaitable<void> DeliverOrder(balance::SendOrder order);
 
   /// \brief Adds the experts of a map that the leader knows, which agents omit.
@@ -104,6 +114,7 @@
   OrderOutbox m_outbox;
   std::optional<ExpertMapPlanner> m_map_planner;
   std::optional<KnownMap> m_known_map;
+  std::set<balance::MapDigest> m_sent_maps;  ///< that the agents have been sent by this leader
   runtime::WakeTimer m_round_timer;
   runtime::WakeTimer m_tick_timer;
   core::Instant m_members_read_at{};
--- a/packages/ranks/include/cornelrelay/ranks/rank_process.h
+++ b/packages/ranks/include/cornelrelay/ranks/rank_process.h
@@ -13,6 +13,7 @@
 #include "cornelrelay/ranks/expert_count_tracker.h"
 #include "cornelrelay/ranks/group_leader.h"
 #include "cornelrelay/ranks/leader_lease.h"
+#include "cornelrelay/ranks/map_cache.h"
 #include "cornelrelay/ranks/rank_ports.h"
 #include "cornelrelay/runtime/metrics_server.h"
 #include "cornelrelay/runtime/process_clock.h"
@@ -53,6 +54,9 @@
   /// \brief Passes the order to the local engine, or to the engine that the call names. The reply
   /// has no report in the latter case.
   boost::asio::awaitable<wire::RankReply> HandleCall(wire::RankCall call);
+  /// \brief Puts the map of a PrepareMap into the call if it has only the difference to another one.
+  /// \return false if this process does not have that other map
+  bool ResolveMap(wire::RankCall& call);
   /// \brief Adds the state of the local engine to a reply, and its counts if the call wants them.
   boost::asio::awaitable<void> AddOwnState(const wire::RankCall& call, wire::RankReply& reply);
   void PerformReaderActions(const store::PrefixReader::Actions& actions);
@@ -75,6 +79,7 @@
   EngineClient m_engines;
   balance::FenceGuard m_fence_guard;
   ExpertCountTracker m_count_tracker;
+  MapCache m_maps;
   AgentClient m_agents;
   net::HttpServer m_server;
   runtime::MetricsServer m_metrics_server;
--- a/packages/ranks/src/agent_client.cc
+++ b/packages/ranks/src/agent_client.cc
@@ -16,11 +16,6 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t kMaxReplyBytes = 1'048'576;
-/// Agents to which one agent passes a call on. Five copies of the map of 192 ranks take 80 ms of a
-/// 6 Mbit/s link, and three levels reach 155 agents.
-constexpr std::size_t kForwardingFanOut = 5;
-/// Time that an agent needs besides waiting for the agents to which it passes a call on.
-constexpr milliseconds kHopTime{25};
 
 }  // namespace
 
@@ -84,7 +79,7 @@
                                              std::shared_ptr<GroupCall> group_call) {
   const core::Endpoint first = agents.front();
   call.forward_to.assign(agents.begin() + 1, agents.end());
-  call.forward_time = std::max(timeout - kHopTime, milliseconds::zero());
+  call.forward_time = std::max(timeout - call.hop_time, milliseconds::zero());
   std::optional<wire::RankReply> reply = co_await Call(first, std::move(call), timeout);
   group_call->End(first, std::move(reply));
 }
--- a/packages/ranks/src/group_leader.cc
+++ b/packages/ranks/src/group_leader.cc
@@ -40,6 +40,16 @@
 constexpr milliseconds kMembersRefreshInterval{3'000};
 /// An order sent directly to the engine, together with the report after it, takes less than this.
 constexpr milliseconds kDirectCallTime{30};
+/// Time that an agent needs to handle a call, besides the transfer of messages.
+constexpr milliseconds kHopTime{25};
+/// Longest time to transfer a map to the agents to which one passes it on: five of 12 KB on a link of
+/// 6 Mbit/s.
+constexpr milliseconds kMapHopTime{80};
+/// Bytes of an increment of a count on the wire. Most take one.
+constexpr double kBytesPerCount = 1.2;
+constexpr double kBitsPerByte = 8;
+/// A map is sent to this many agents at most that do not answer.
+constexpr std::size_t kMaxMapsToUnanswering = 2;
 /// Orders of the same kind that are sent one by one. More are passed on from agent to agent.
 constexpr std::size_t kMaxSingleOrders = 3;
 /// LayoutLimits::min_gain_per_copy for experts that take kReferenceLoadTime to load. It is less for
@@ -62,7 +72,9 @@
   config.ranks = own_report.size;
   config.self = own_report.rank;
   // Direct calls to the engine follow after the time-out of its agent.
-  config.orders.timeout = AgentTimeout(own_report.size) + kDirectCallTime;
+  const auto depth = static_cast<int>(ForwardingDepth(own_report.size));
+  config.orders.timeout = AgentTimeout(own_report.size) + depth * kHopTime + kDirectCallTime;
+  config.orders.map_timeout = config.orders.timeout + depth * kMapHopTime;
   // Agents pass the map on, so that the number of copies on one link does not grow with the group.
   config.orders.max_concurrent_maps = own_report.size;
   config.check_timeout = config.orders.timeout;
@@ -84,6 +96,7 @@
 
 void GroupLeader::StartLeading(balance::Fence fence) {
   m_leading = true;
+  m_sent_maps.clear();
   m_dependencies.log.Info("group_lead_taken", {{"group", m_own_report.group}, {"fence", fence}});
   ReadConfiguration();
   ReadMembers("");
@@ -182,10 +195,21 @@
   return call;
 }
 
+milliseconds GroupLeader::SetTiming(wire::RankCall& call, std::size_t message_bytes) const {
+  const double bits = static_cast<double>(message_bytes * kForwardingFanOut) * kBitsPerByte;
+  const std::chrono::duration<double, std::micro> transfer(bits / m_settings.link_mbit_per_second);
+  call.hop_time = kHopTime + std::chrono::ceil<milliseconds>(transfer);
+  const std::size_t depth = ForwardingDepth(m_members.size());
+  return AgentTimeout(m_own_report.size) + call.hop_time * static_cast<int>(depth);
+}
+
 asio::awaitable<void> GroupLeader::PollGroup(std::vector<core::Endpoint> agents) {
   const core::Instant requested_at = m_dependencies.clock.Now();
-  const auto call =
-      m_dependencies.agents.StartGroupCall({agents}, MakePoll(), AgentTimeout(m_own_report.size));
+  wire::RankCall poll = MakePoll();
+  const std::size_t counts = m_map_planner ? m_map_planner->counts_per_rank() : 0;
+  const milliseconds timeout =
+      SetTiming(poll, static_cast<std::size_t>(kBytesPerCount * static_cast<double>(counts)));
+  const auto call = m_dependencies.agents.StartGroupCall({agents}, poll, timeout);
   const GroupReply reply = co_await call->Replies();
   --m_pending_polls;
   if (!m_leading) co_return;
@@ -272,9 +296,12 @@
     m_members.SetRank(member->engine, reply.report->rank);
     if (m_map_planner) m_map_planner->SetPace(reply.report->rank, reply.report->pace);
   }
-  for (const core::Endpoint& agent : called) {
+  for (const core::Endpoint& agent : answered) {
+    m_members.SetAgentAnswers(m_members.FindByAgent(agent)->engine, true);
+  }
+  for (const core::Endpoint& agent : FindFailedAgents(called, answered)) {
     const GroupMember* member = m_members.FindByAgent(agent);
-    if (member != nullptr) m_members.SetAgentAnswers(member->engine, answered.contains(agent));
+    if (member != nullptr) m_members.SetAgentAnswers(member->engine, false);
   }
 }
 
@@ -292,8 +319,9 @@
     asio::co_spawn(
         m_dependencies.context, [this, order] { return DeliverOrder(order); }, asio::detached);
   }
-  for (OrderBatch& batch : m_outbox.TakeBatches()) {
+  for (const OrderBatch& batch : m_outbox.TakeBatches()) {
     std::vector<balance::RankIndex> ranks;
+    std::size_t maps = 0;
     for (const balance::RankIndex rank : batch.ranks) {
       const GroupMember* member = m_members.FindByRank(rank);
       const bool answers = member != nullptr && member->agent_answers;
@@ -301,54 +329,79 @@
         ranks.push_back(rank);
         continue;
       }
+      // Counts as lost, and is sent again later.
+      const bool map = std::holds_alternative<balance::PrepareMap>(batch.order);
+      if (map && !answers && ++maps > kMaxMapsToUnanswering) continue;
       const balance::SendOrder order{rank, batch.order, batch.fence, batch.epoch};
       asio::co_spawn(
           m_dependencies.context, [this, order] { return DeliverOrder(order); }, asio::detached);
     }
-    for (const std::vector<core::Endpoint>& agents : m_members.AgentsOf(ranks)) {
-      asio::co_spawn(
-          m_dependencies.context, [this, batch, agents] { return DeliverBatch(batch, agents); },
-          asio::detached);
-    }
+    StartBatch(batch, ranks, true);
   }
 }
 
-asio::awaitable<void> GroupLeader::DeliverBatch(OrderBatch batch,
-                                                std::vector<core::Endpoint> agents) {
+void GroupLeader::StartBatch(const OrderBatch& batch, const std::vector<balance::RankIndex>& ranks,
+                             bool as_difference) {
+  if (ranks.empty()) return;
   wire::RankCall call;
   call.fence = batch.fence;
   call.epoch = batch.epoch;
   call.order = batch.order;
   if (m_known_map) call.known_map = m_known_map->version;
+  if (auto* prepare = std::get_if<balance::PrepareMap>(&call.order)) {
+    const balance::LayerMap& map = prepare->map.layers();
+    if (as_difference && m_known_map) {
+      auto delta = balance::DiffMaps(m_known_map->map.layers(), map);
+      if (delta && m_sent_maps.contains(delta->base)) call.map_delta = std::move(delta);
+    }
+    m_sent_maps.insert(balance::DigestOf(map));
+    if (call.map_delta) prepare->map = balance::SharedLayerMap();
+  }
+  const milliseconds timeout = SetTiming(call, wire::Encode(call).size());
+  for (const std::vector<core::Endpoint>& agents : m_members.AgentsOf(ranks)) {
+    asio::co_spawn(
+        m_dependencies.context,
+        [this, batch, call, agents, timeout] { return DeliverBatch(batch, call, agents, timeout); },
+        asio::detached);
+  }
+}
+
+asio::awaitable<void> GroupLeader::DeliverBatch(OrderBatch batch, wire::RankCall call,
+                                                std::vector<core::Endpoint> agents,
+                                                milliseconds timeout) {
   std::map<core::Endpoint, balance::RankIndex> ranks;
   for (const core::Endpoint& agent : agents) {
-    ranks.emplace(agent, *m_members.FindByAgent(agent)->rank);
+    const GroupMember* member = m_members.FindByAgent(agent);
+    if (member != nullptr && member->rank) ranks.emplace(agent, *member->rank);
   }
   const core::Instant requested_at = m_dependencies.clock.Now();
-  const auto group_call =
-      m_dependencies.agents.StartGroupCall({agents}, call, AgentTimeout(m_own_report.size));
+  const auto group_call = m_dependencies.agents.StartGroupCall({agents}, call, timeout);
   const GroupReply reply = co_await group_call->Replies();
   NoteReplies(agents, reply.replies);
   balance::OrdersEnded ended;
+  std::vector<balance::RankIndex> lacking;
   for (const wire::ForwardedReply& answer : reply.replies) {
     const auto found = ranks.find(answer.agent);
     if (found == ranks.end()) continue;
-    balance::OrderEnded& order = ended.orders.emplace_back();
-    order.rank = found->second;
-    order.result = answer.result;
-    order.requested_at = requested_at;
-    if (answer.report && answer.report->rank == order.rank) {
-      order.state = CompleteState(*answer.report);
+    if (answer.lacks_map) {
+      lacking.push_back(found->second);
+    } else {
+      balance::OrderEnded& order = ended.orders.emplace_back();
+      order.rank = found->second;
+      order.result = answer.result;
+      order.requested_at = requested_at;
+      if (answer.report && answer.report->rank == order.rank) {
+        order.state = CompleteState(*answer.report);
+      }
     }
     ranks.erase(found);
   }
-  if (!ended.orders.empty()) Step(ended);
-  // The others are tried without the agents that may have failed to pass the call on.
   for (const auto& [agent, rank] : ranks) {
-    const balance::SendOrder order{rank, batch.order, batch.fence, batch.epoch};
-    asio::co_spawn(
-        m_dependencies.context, [this, order] { return DeliverOrder(order); }, asio::detached);
+    ended.orders.push_back({rank, balance::OrderResult::kUnknown, std::nullopt, requested_at});
   }
+  Step(ended);
+  // Agents that have restarted are sent the whole map.
+  StartBatch(batch, lacking, false);
 }
 
 asio::awaitable<void> GroupLeader::DeliverOrder(balance::SendOrder order) {
@@ -372,14 +425,18 @@
   call.epoch = order.epoch;
   call.order = order.order;
   if (m_known_map) call.known_map = m_known_map->version;
-  const std::optional<wire::RankReply> reply =
-      co_await m_dependencies.agents.Call(agent, call, AgentTimeout(m_own_report.size));
+  const bool map = std::holds_alternative<balance::PrepareMap>(order.order);
+  std::optional<wire::RankReply> reply;
+  if (forwarder != nullptr || member->agent_answers || map) {
+    reply = co_await m_dependencies.agents.Call(agent, call, AgentTimeout(m_own_report.size));
+    if (forwarder == nullptr) m_members.SetAgentAnswers(engine, reply.has_value());
+  }
   if (reply) {
     ended.result = reply->result;
     if (reply->report && reply->report->rank == order.rank) {
       ended.state = CompleteState(*reply->report);
     }
-  } else if (!std::holds_alternative<balance::PrepareMap>(order.order)) {
+  } else if (!map) {
     m_dependencies.log.Warning("agent_bypassed", {{"engine", core::ToString(engine)},
                                                   {"order", KindName(order.order)},
                                                   {"fence", order.fence}});
--- a/packages/ranks/src/group_reply.cc
+++ b/packages/ranks/src/group_reply.cc
@@ -6,7 +6,7 @@
 
 void GroupReply::Add(const core::Endpoint& agent, wire::RankReply reply) {
   AddExpertCounts(expert_counts, reply.expert_counts);
-  replies.push_back({agent, reply.result, std::move(reply.report)});
+  replies.push_back({agent, reply.result, std::move(reply.report), reply.lacks_map});
   for (wire::ForwardedReply& forwarded : reply.forwarded) replies.push_back(std::move(forwarded));
 }
 
--- a/packages/ranks/src/rank_process.cc
+++ b/packages/ranks/src/rank_process.cc
@@ -144,8 +144,11 @@
   }
   std::shared_ptr<GroupCall> forwarded;
   if (!call.forward_to.empty()) forwarded = m_agents.Forward(call);
-  reply.result = co_await m_engines.IssueOrder(call.engine.value_or(m_settings.engine), call.order,
-                                               call.epoch, call.fence);
+  reply.lacks_map = !ResolveMap(call);
+  if (!reply.lacks_map) {
+    reply.result = co_await m_engines.IssueOrder(call.engine.value_or(m_settings.engine),
+                                                 call.order, call.epoch, call.fence);
+  }
   if (!call.engine) {
     co_await AddOwnState(call, reply);
   }
@@ -157,6 +160,19 @@
   co_return reply;
 }
 
+bool RankProcess::ResolveMap(wire::RankCall& call) {
+  auto* prepare = std::get_if<balance::PrepareMap>(&call.order);
+  if (prepare == nullptr) return true;
+  if (!call.map_delta) {
+    m_maps.Add(prepare->map);
+    return true;
+  }
+  const auto map = m_maps.Resolve(*call.map_delta);
+  if (!map) return false;
+  prepare->map = *map;
+  return true;
+}
+
 asio::awaitable<void> RankProcess::AddOwnState(const wire::RankCall& call, wire::RankReply& reply) {
   reply.report = co_await m_engines.FetchReport(m_settings.engine);
   if (!reply.report) co_return;
--- a/packages/ranks/tests/group_members_test.cc
+++ b/packages/ranks/tests/group_members_test.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cornelrelay/ranks/group_reply.h"
+#include "cornelrelay/ranks/map_cache.h"
 #include "cornelrelay/ranks/order_outbox.h"
 
 namespace cornelrelay::ranks {
@@ -146,6 +147,70 @@
   CHECK(SplitForForwarding({}, 5).empty());
 }
 
+TEST_CASE("only agents that were called count as failed") {
+  std::vector<core::Endpoint> agents;
+  for (std::uint16_t port = 0; port < 39; ++port) agents.push_back({"10.0.0.1", port});
+  std::set<core::Endpoint> answered(agents.begin(), agents.end());
+  CHECK(FindFailedAgents(agents, answered).empty());
+  CHECK(FindFailedAgents(agents, {}) == std::vector<core::Endpoint>{agents[0]});
+  // The first of a part below the first agent: none of its part can have answered.
+  const auto parts = SplitForForwarding({agents.begin() + 1, agents.end()}, kForwardingFanOut);
+  for (const core::Endpoint& agent : parts[2]) answered.erase(agent);
+  CHECK(FindFailedAgents(agents, answered) == std::vector<core::Endpoint>{parts[2].front()});
+  answered.erase(agents.back());
+  CHECK(FindFailedAgents(agents, answered).size() == 2);
+  CHECK(ForwardingDepth(1) == 0);
+  CHECK(ForwardingDepth(6) == 1);
+  CHECK(ForwardingDepth(39) == 3);
+}
+
+// Load pattern: maps for a group of 192 ranks on links of 6 Mbit/s, one for each shift of the
+// demand.
+TEST_CASE("a map that differs from the last one in some places is sent as their difference") {
+  balance::LayerMap first(10, std::vector<std::vector<std::uint16_t>>(192));
+  for (auto& set : first) {
+    for (std::uint16_t rank = 0; rank < 192; ++rank) {
+      set[rank] = {rank, static_cast<std::uint16_t>(rank + 192)};
+    }
+  }
+  balance::LayerMap second = first;
+  for (std::size_t i = 0; i < 400; ++i) second[i % 10][(i * 7) % 192][1] = 383;
+  const auto delta = balance::DiffMaps(first, second);
+  REQUIRE(delta);
+  MapCache cache;
+  CHECK_FALSE(cache.Resolve(*delta));
+  cache.Add(balance::SharedLayerMap(first));
+  REQUIRE(cache.Resolve(*delta));
+  CHECK(cache.Resolve(*delta)->layers() == second);
+  wire::RankCall whole, difference;
+  whole.order = balance::PrepareMap{1, balance::SharedLayerMap(second)};
+  difference.order = balance::PrepareMap{1, {}};
+  difference.map_delta = delta;
+  CHECK(wire::Encode(difference).size() * 2 < wire::Encode(whole).size());
+  // A damaged difference describes no map.
+  balance::MapDelta damaged = *delta;
+  damaged.changes.front().experts.push_back(1);
+  damaged.result = 0;
+  CHECK_FALSE(cache.Resolve(damaged));
+  damaged.changes.front().rank = 192;
+  CHECK_FALSE(balance::ApplyDelta(first, damaged));
+  CHECK_FALSE(balance::DiffMaps(first, balance::LayerMap(9)));
+}
+
+TEST_CASE("an agent keeps a few maps, the latest ones") {
+  MapCache cache;
+  const balance::LayerMap base = {{{0}, {1}}};
+  cache.Add(balance::SharedLayerMap(base));
+  const balance::LayerMap next = {{{0, 1}, {1}}};
+  const auto delta = balance::DiffMaps(base, next);
+  REQUIRE(delta);
+  for (std::uint16_t i = 2; i < 5; ++i) cache.Add(balance::SharedLayerMap(balance::LayerMap{{{i}, {1}}}));
+  CHECK(cache.Resolve(*delta));
+  cache.Add(balance::SharedLayerMap(balance::LayerMap{{{7}, {1}}}));
+  const auto other = balance::DiffMaps(base, balance::LayerMap{{{0, 9}, {1}}});
+  CHECK_FALSE(cache.Resolve(*other));
+}
+
 TEST_CASE("the replies of a group are merged with those that its agents collected") {
   GroupReply reply;
   wire::RankReply first;
--- a/packages/settings/include/cornelrelay/settings/rank_settings.h
+++ b/packages/settings/include/cornelrelay/settings/rank_settings.h
@@ -22,6 +22,7 @@
   core::Endpoint metrics;
   core::Endpoint store;
   double store_calls_per_second = 10;
+  double link_mbit_per_second = 10;  ///< of the link of this host
 
   friend bool operator==(const RankSettings&, const RankSettings&) = default;
 };
--- a/packages/settings/src/rank_settings.cc
+++ b/packages/settings/src/rank_settings.cc
@@ -29,6 +29,10 @@
       settings.store_calls_per_second =
           table.Number("calls_per_second", {1, 10'000}, settings.store_calls_per_second);
     });
+    root.Section("limits", Presence::kOptional, [&](TableReader& table) {
+      settings.link_mbit_per_second =
+          table.Number("link_mbit_per_second", {0.1, 1'000'000}, settings.link_mbit_per_second);
+    });
   });
   return settings;
 }
--- a/packages/wire/include/cornelrelay/wire/rank_messages.h
+++ b/packages/wire/include/cornelrelay/wire/rank_messages.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "cornelrelay/balance/map_delta.h"
 #include "cornelrelay/balance/rank_order.h"
 #include "cornelrelay/balance/rank_report.h"
 #include "cornelrelay/core/endpoint.h"
@@ -21,11 +22,15 @@
   bool want_expert_counts = false;
   /// Engine that gets the order, if it is not the agent's own; its state is not told then.
   std::optional<core::Endpoint> engine{};
+  /// The map of a PrepareMap, which is empty then, as a difference to one that was sent before.
+  std::optional<balance::MapDelta> map_delta{};
   /// Version of a map whose experts the caller knows for all ranks. States with it omit them.
   std::optional<balance::MapVersion> known_map{};
   /// Agents to which the receiver passes the call on, and how long it may wait for their replies.
   std::vector<core::Endpoint> forward_to{};
   std::chrono::milliseconds forward_time{0};
+  /// Time that an agent needs besides waiting for those to which it passes the call on.
+  std::chrono::milliseconds hop_time{0};
 
   friend bool operator==(const RankCall&, const RankCall&) = default;
 };
@@ -35,6 +40,7 @@
   core::Endpoint agent;
   balance::OrderResult result = balance::OrderResult::kUnknown;
   std::optional<balance::RankReport> report;
+  bool lacks_map = false;  ///< the agent does not have the base of the map's difference
 
   friend bool operator==(const ForwardedReply&, const ForwardedReply&) = default;
 };
@@ -47,6 +53,7 @@
   /// over the agents that answered.
   std::vector<std::uint32_t> expert_counts;
   std::vector<ForwardedReply> forwarded{};  ///< of the agents that answered in time
+  bool lacks_map = false;  ///< the agent does not have the base of the map's difference
 
   friend bool operator==(const RankReply&, const RankReply&) = default;
 };
--- a/packages/wire/src/rank_messages.cc
+++ b/packages/wire/src/rank_messages.cc
@@ -14,6 +14,8 @@
 constexpr std::size_t kMaxRanks = 1024;
 constexpr std::size_t kMaxExperts = 4096;
 constexpr std::size_t kMaxExpertCounts = 65'536;
+/// Bytes of the change of a cell to no experts.
+constexpr std::size_t kLeastCellBytes = 3 * internal::kLeastVarintBytes;
 /// Bytes of an empty address.
 constexpr std::size_t kLeastAddressBytes = 3;
 
@@ -48,6 +50,24 @@
   }
 }
 
+template <class Ar>
+void CodeMilliseconds(Ar& ar, Ref<Ar, std::chrono::milliseconds> time) {
+  std::uint32_t count = static_cast<std::uint32_t>(time.count());
+  internal::Varint(ar, count);
+  if constexpr (Ar::kReads) time = std::chrono::milliseconds(count);
+}
+
+template <class Ar>
+void Code(Ar& ar, Ref<Ar, balance::MapDelta> delta) {
+  ar.archive(delta.base, delta.result);
+  internal::List<std::uint32_t>(ar, delta.changes, kMaxSets * kMaxRanks, kLeastCellBytes,
+                                [&](auto& change) {
+                                  internal::Varint(ar, change.set);
+                                  internal::Varint(ar, change.rank);
+                                  Experts(ar, change.experts);
+                                });
+}
+
 template <class Ar>
 void Code(Ar& ar, Ref<Ar, RankCall> call) {
   ar.archive(call.fence, call.epoch);
@@ -56,9 +76,9 @@
   internal::Optional(ar, call.known_map, [&](auto& version) { ar.archive(version); });
   internal::List<std::uint16_t>(ar, call.forward_to, kMaxRanks, kLeastAddressBytes,
                                 [&](auto& agent) { internal::Address(ar, agent); });
-  std::uint32_t forward_ms = static_cast<std::uint32_t>(call.forward_time.count());
-  internal::Varint(ar, forward_ms);
-  if constexpr (Ar::kReads) call.forward_time = std::chrono::milliseconds(forward_ms);
+  CodeMilliseconds(ar, call.forward_time);
+  CodeMilliseconds(ar, call.hop_time);
+  internal::Optional(ar, call.map_delta, [&](auto& delta) { Code(ar, delta); });
   internal::Alternative(
       ar, call.order,
       core::Overloaded{[&](Ref<Ar, balance::PrepareMap> o) {
@@ -94,6 +114,7 @@
   internal::Address(ar, reply.agent);
   internal::Choice(ar, reply.result, balance::OrderResult::kUnknown);
   internal::Optional(ar, reply.report, [&](auto& report) { Code(ar, report); });
+  internal::Flag(ar, reply.lacks_map);
 }
 
 template <class Ar>
@@ -105,6 +126,7 @@
                                 [&](auto& count) { internal::Varint(ar, count); });
   internal::List<std::uint16_t>(ar, reply.forwarded, kMaxRanks, kLeastAddressBytes,
                                 [&](auto& forwarded) { Code(ar, forwarded); });
+  internal::Flag(ar, reply.lacks_map);
 }
 
 /// Passes the overloads of Code on as one function.
--- a/packages/wire/tests/fleet_messages_test.cc
+++ b/packages/wire/tests/fleet_messages_test.cc
@@ -44,6 +44,8 @@
   call.known_map = 28673;
   call.forward_to = {{"10.1.0.44", 8228}, {"10.1.0.45", 8228}};
   call.forward_time = std::chrono::milliseconds(120);
+  call.hop_time = std::chrono::milliseconds(25);
+  call.map_delta = balance::MapDelta{7, 8, {{0, 3, {1, 2}}, {9, 191, {}}}};
   CHECK(DecodeRankCall(Encode(call)) == call);
   RankReply reply;
   reply.result = balance::OrderResult::kRefused;
@@ -54,7 +56,7 @@
   reply.report->state.experts = {{0, 2}, {5}};
   reply.expert_counts = {1, 65535, 0, 1'000'000};
   reply.forwarded = {{{"10.1.0.44", 8228}, balance::OrderResult::kDone, reply.report},
-                     {{"10.1.0.45", 8228}, balance::OrderResult::kRefused, std::nullopt}};
+                     {{"10.1.0.45", 8228}, balance::OrderResult::kRefused, std::nullopt, true}};
   CHECK(DecodeRankReply(Encode(reply)) == reply);
 }
 
