React to a shift of expert demand sooner: split its window, hold passes in time, keep links free

Cause: at 192 ranks a shift was answered 1.05 s after it began: 0.54 s until a map was proposed, because a window that saw a part of the shift was not planned from, and 0.5 s for the switch, in which rounds of counts filled the links and the group waited 0.2 s for the release of the held pass.

Change: the estimator tells from the experts that went out of demand when the shift began in its window, and subtracts what was before. A pass is held as far ahead as switches took from hold to release. No counts are asked for during a switch, and the next round begins when the last one has ended. An agent passes calls on to six others, so that two levels reach a data centre.

--- a/packages/balance/include/cornelrelay/balance/pass_selector.h
+++ b/packages/balance/include/cornelrelay/balance/pass_selector.h
@@ -13,6 +13,10 @@
   /// Time from the selection to the pass of a switch, so that all ranks are usually armed before
   /// the pass is due. An order takes a round trip and a call to the engine.
   core::Duration lead_time = std::chrono::milliseconds(30);
+  /// Longest lead time that is derived from the holds before.
+  core::Duration max_lead_time = std::chrono::milliseconds(400);
+  /// Weight of the last hold in the mean time from its order to its release.
+  double hold_time_gain = 0.4;
   /// Lead time while orders go unanswered.
   core::Duration extended_lead_time = std::chrono::milliseconds(120);
   /// Time after an unanswered order during which the extended lead time applies.
@@ -28,6 +32,9 @@
   explicit PassSelector(PassSelectorConfig config) : m_config(config) {}
 
   void RecordUnanswered(core::Instant now) { m_last_unanswered = now; }
+  /// \brief Records the time from the order to hold a pass to its release after a switch. A later
+  /// pass is held that much ahead, so that the group does not wait for the release.
+  void RecordHoldTime(core::Duration time);
   void RecordReleased(RankIndex rank, StepIndex step) { m_released.emplace(rank, step); }
   bool WasReleased(RankIndex rank, StepIndex step) const {
     return m_released.contains({rank, step});
@@ -43,6 +50,7 @@
   PassSelectorConfig m_config;
   std::set<std::pair<RankIndex, StepIndex>> m_released;
   std::optional<core::Instant> m_last_unanswered;  ///< time of the last order without an answer
+  core::Duration m_hold_time{};                    ///< mean of the times of RecordHoldTime()
 };
 
 }  // namespace cornelrelay::balance
--- a/packages/balance/include/cornelrelay/balance/switch_leader.h
+++ b/packages/balance/include/cornelrelay/balance/switch_leader.h
@@ -82,6 +82,8 @@
   std::optional<LayerMap> MapInUse() const { return m_ranks.MapInUse(); }
   /// \brief Returns true if orders to the ranks are due, so that SwitchTick must follow soon.
   bool Busy() const { return m_phase != Phase::kFollowing && m_phase != Phase::kIdle; }
+  /// \brief Returns true if a switch is in progress, or an unfinished one is being ended.
+  bool Switching() const { return Busy() && m_phase != Phase::kSurveying; }
   /// \brief Returns true if no switch is in progress or pending, so that a map can be requested.
   bool ReadyForSwitch() const {
     return m_phase == Phase::kIdle && !m_ranks.AnyArmed() && m_ranks.AllOpen();
@@ -121,7 +123,6 @@
   void Abort(core::Instant now, Actions& out);
   void Release(core::Instant now, Actions& out);
 
-  bool Switching() const { return Busy() && m_phase != Phase::kSurveying; }
   void EnterPhase(core::Instant now, Phase phase);
   void EndSwitch(core::Instant now, SwitchOutcome outcome, Actions& out);
   void BeginAbort(core::Instant now);
@@ -144,6 +145,7 @@
   std::uint32_t m_versions_used = 0;  ///< number of versions used under this fence
   core::Instant m_phase_start{};
   core::Instant m_switch_start{};
+  core::Instant m_hold_start{};       ///< when the pass of the switch was selected
   bool m_complete_on_release = true;  ///< the release completes the switch
 };
 
--- a/packages/balance/src/map_delta.cc
+++ b/packages/balance/src/map_delta.cc
@@ -43,8 +43,8 @@
   for (std::size_t set = 0; set < base.size(); ++set) {
     for (std::size_t rank = 0; rank < base[set].size(); ++rank) {
       if (base[set][rank] == result[set][rank]) continue;
-      delta.changes.push_back({static_cast<std::uint16_t>(set), static_cast<std::uint16_t>(rank),
-                               result[set][rank]});
+      delta.changes.push_back(
+          {static_cast<std::uint16_t>(set), static_cast<std::uint16_t>(rank), result[set][rank]});
     }
   }
   return delta;
--- a/packages/balance/src/switch_leader.cc
+++ b/packages/balance/src/switch_leader.cc
@@ -177,6 +177,7 @@
   }
   if (!m_ranks.AllPrepared(m_version)) return;
   m_switch_step = m_pass_selector.Select(now, m_ranks, m_hold_rank);
+  m_hold_start = now;
   EnterPhase(now, Phase::kHolding);
 }
 
@@ -238,6 +239,7 @@
     m_orders.Send(now, index, ArmMap{m_version, m_switch_step}, out);
   }
   if (m_ranks.ArmedByAll() == target) {
+    m_pass_selector.RecordHoldTime(now - m_hold_start);
     m_complete_on_release = true;
     return EnterPhase(now, Phase::kReleasing);
   }
--- a/packages/placement/include/cornelrelay/placement/demand_estimator.h
+++ b/packages/placement/include/cornelrelay/placement/demand_estimator.h
@@ -22,6 +22,11 @@
 
 /// \brief Estimates the demand for each expert of one set, from counts of windows of equal length.
 ///
+/// A shift of the demand usually begins within a window, which then contains choices of before and
+/// of after it. If several experts lost the same part of their choices, they are taken to have gone
+/// out of demand, and the part tells when the shift began. The choices of before it are then
+/// subtracted, so that the estimate need not wait for the next window.
+///
 /// \code
 /// estimator.AddCounts(counts_of_the_last_window);
 /// PlanLayout(layout, estimator.loads(), limits);
@@ -44,6 +49,11 @@
   bool shifted() const { return m_shifted; }
 
  private:
+  /// \brief Returns the part of the window that lies before a shift within it; 0 if that is not
+  /// clear.
+  /// \param total counts in the window, whose shares are in m_window
+  double PartBeforeShift(double total) const;
+
   DemandEstimatorConfig m_config;
   std::vector<double> m_window;  ///< counts since the last update of the estimate
   std::vector<double> m_loads;
--- a/packages/placement/tests/demand_estimator_test.cc
+++ b/packages/placement/tests/demand_estimator_test.cc
@@ -1,6 +1,8 @@
 #include "cornelrelay/placement/demand_estimator.h"
 
 #include <catch2/catch.hpp>
+#include <numeric>
+#include <vector>
 
 namespace cornelrelay::placement {
 
@@ -27,6 +29,49 @@
   CHECK(estimator.loads()[1] == Approx(0.2));
 }
 
+// Load pattern: a shift of the demand in the middle of a window. A map that fits the mixture of
+// both demands would have to be replaced at once.
+TEST_CASE("a window that saw only a part of a shift gives the demand after it") {
+  constexpr std::size_t kExperts = 64;
+  const auto demand = [&](std::size_t first) {
+    std::vector<double> counts(kExperts, 100);
+    for (std::size_t i = 0; i < 8; ++i) counts[(first + i * 5) % kExperts] = 4'000 / (1.0 + i);
+    return counts;
+  };
+  const auto before = demand(0), after = demand(2);
+  for (const double part : {0.3, 0.5, 0.7}) {
+    DemandEstimator estimator(kExperts, {});
+    for (int i = 0; i < 5; ++i) estimator.AddCounts(before);
+    std::vector<double> window(kExperts);
+    for (std::size_t i = 0; i < kExperts; ++i) {
+      window[i] = part * before[i] + (1 - part) * after[i];
+    }
+    estimator.AddCounts(window);
+    CHECK(estimator.shifted());
+    const double total = std::accumulate(after.begin(), after.end(), 0.0);
+    for (std::size_t i = 0; i < kExperts; ++i) {
+      CHECK(estimator.loads()[i] == Approx(after[i] / total).margin(0.01));
+    }
+  }
+}
+
+// Guards against a demand that is extrapolated although it did not shift within the window.
+TEST_CASE("experts that lose different parts of their choices do not show when a shift began") {
+  constexpr std::size_t kExperts = 64;
+  std::vector<double> counts(kExperts, 100);
+  for (std::size_t i = 0; i < 8; ++i) counts[i * 5] = 3'000;
+  DemandEstimator estimator(kExperts, {});
+  for (int i = 0; i < 5; ++i) estimator.AddCounts(counts);
+  for (std::size_t i = 0; i < 8; ++i) counts[i * 5] = 300.0 * static_cast<double>(i + 1);
+  counts[1] = 12'000;
+  estimator.AddCounts(counts);
+  CHECK(estimator.shifted());
+  const double total = std::accumulate(counts.begin(), counts.end(), 0.0);
+  for (std::size_t i = 0; i < kExperts; ++i) {
+    CHECK(estimator.loads()[i] == Approx(counts[i] / total));
+  }
+}
+
 TEST_CASE("windows with few counts are merged with the next one") {
   DemandEstimator estimator(2, {});
   estimator.AddCounts({100, 100});
--- a/packages/ranks/include/cornelrelay/ranks/forwarding.h
+++ b/packages/ranks/include/cornelrelay/ranks/forwarding.h
@@ -12,8 +12,9 @@
 /// others.
 using ForwardingGroups = std::vector<std::vector<core::Endpoint>>;
 
-/// Agents to which one agent passes a call on. Three levels reach 155 agents.
-inline constexpr std::size_t kForwardingFanOut = 5;
+/// Agents to which one agent passes a call on. Two levels reach 42 agents, as many as a data centre
+/// has of a group of 200 in five data centres.
+inline constexpr std::size_t kForwardingFanOut = 6;
 
 /// \brief Splits agents into groups of nearly equal size, in their order.
 /// \param max_groups number of groups; fewer if there are fewer agents
--- a/packages/ranks/include/cornelrelay/ranks/group_leader.h
+++ b/packages/ranks/include/cornelrelay/ranks/group_leader.h
@@ -118,6 +118,7 @@
   runtime::WakeTimer m_round_timer;
   runtime::WakeTimer m_tick_timer;
   core::Instant m_members_read_at{};
+  core::Instant m_round_start{};
   core::Instant m_next_plan_at{};
   std::size_t m_pending_polls = 0;  ///< calls of the round that have not ended
   bool m_leading = false;
--- a/packages/ranks/include/cornelrelay/ranks/rank_process.h
+++ b/packages/ranks/include/cornelrelay/ranks/rank_process.h
@@ -54,8 +54,8 @@
   /// \brief Passes the order to the local engine, or to the engine that the call names. The reply
   /// has no report in the latter case.
   boost::asio::awaitable<wire::RankReply> HandleCall(wire::RankCall call);
-  /// \brief Puts the map of a PrepareMap into the call if it has only the difference to another one.
-  /// \return false if this process does not have that other map
+  /// \brief Puts the map of a PrepareMap into the call if it has only the difference to another
+  /// one. \return false if this process does not have that other map
   bool ResolveMap(wire::RankCall& call);
   /// \brief Adds the state of the local engine to a reply, and its counts if the call wants them.
   boost::asio::awaitable<void> AddOwnState(const wire::RankCall& call, wire::RankReply& reply);
--- a/packages/ranks/src/group_leader.cc
+++ b/packages/ranks/src/group_leader.cc
@@ -19,9 +19,9 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
-/// Interval between rounds of polls, and length of a window of counts. Shorter windows show a shift
-/// sooner but contain fewer choices of experts.
-constexpr milliseconds kRoundInterval{120};
+/// Least interval between rounds of polls, and length of a window of counts. Shorter windows show a
+/// shift sooner but contain fewer choices of experts. A round of a large group takes longer.
+constexpr milliseconds kRoundInterval{80};
 /// Interval between ticks of the SwitchLeader while a switch is under way.
 constexpr milliseconds kSwitchTickInterval{20};
 /// Base time-out of a call to an agent. An agent calls its engine first and answers within some
@@ -42,9 +42,9 @@
 constexpr milliseconds kDirectCallTime{30};
 /// Time that an agent needs to handle a call, besides the transfer of messages.
 constexpr milliseconds kHopTime{25};
-/// Longest time to transfer a map to the agents to which one passes it on: five of 12 KB on a link of
-/// 6 Mbit/s.
-constexpr milliseconds kMapHopTime{80};
+/// Longest time to transfer a map to the agents to which one passes it on: six of 12 KB on a link
+/// of 6 Mbit/s.
+constexpr milliseconds kMapHopTime{100};
 /// Bytes of an increment of a count on the wire. Most take one.
 constexpr double kBytesPerCount = 1.2;
 constexpr double kBitsPerByte = 8;
@@ -176,9 +176,12 @@
     asio::co_spawn(
         m_dependencies.context, [this, engine] { return PollMember(engine); }, asio::detached);
   }
-  if (m_pending_polls == 0) {
+  // Orders of a switch do not wait behind counts on slow links. The next counts are of all the
+  // time.
+  if (m_pending_polls == 0 && !m_switch_leader.Switching()) {
     const ForwardingGroups groups = m_members.AnsweringAgents();
     m_pending_polls = groups.size();
+    m_round_start = now;
     for (const std::vector<core::Endpoint>& agents : groups) {
       asio::co_spawn(
           m_dependencies.context, [this, agents] { return PollGroup(agents); }, asio::detached);
@@ -225,9 +228,12 @@
 }
 
 void GroupLeader::EndRound() {
-  if (!m_leading || !m_map_planner) return;
-  m_map_planner->EndWindow();
-  PlanMap();
+  if (!m_leading) return;
+  if (m_map_planner) {
+    m_map_planner->EndWindow();
+    PlanMap();
+  }
+  m_round_timer.SetAt(std::max(m_dependencies.clock.Now(), m_round_start + kRoundInterval));
 }
 
 void GroupLeader::PlanMap() {
--- a/packages/ranks/tests/group_members_test.cc
+++ b/packages/ranks/tests/group_members_test.cc
@@ -160,8 +160,9 @@
   answered.erase(agents.back());
   CHECK(FindFailedAgents(agents, answered).size() == 2);
   CHECK(ForwardingDepth(1) == 0);
-  CHECK(ForwardingDepth(6) == 1);
-  CHECK(ForwardingDepth(39) == 3);
+  CHECK(ForwardingDepth(7) == 1);
+  CHECK(ForwardingDepth(39) == 2);
+  CHECK(ForwardingDepth(44) == 3);
 }
 
 // Load pattern: maps for a group of 192 ranks on links of 6 Mbit/s, one for each shift of the
@@ -204,7 +205,8 @@
   const balance::LayerMap next = {{{0, 1}, {1}}};
   const auto delta = balance::DiffMaps(base, next);
   REQUIRE(delta);
-  for (std::uint16_t i = 2; i < 5; ++i) cache.Add(balance::SharedLayerMap(balance::LayerMap{{{i}, {1}}}));
+  for (std::uint16_t i = 2; i < 5; ++i)
+    cache.Add(balance::SharedLayerMap(balance::LayerMap{{{i}, {1}}}));
   CHECK(cache.Resolve(*delta));
   cache.Add(balance::SharedLayerMap(balance::LayerMap{{{7}, {1}}}));
   const auto other = balance::DiffMaps(base, balance::LayerMap{{{0, 9}, {1}}});
