Let few processes follow the store; the others take changes from them

Change: in fleets of more than 12 entry processes, two of each data centre follow the store, the first ones by a hash of their names; others step in for those that are silent or not connected. Readers announce newer items at once, the others fetch them. Every process still reads once at its start. In a large fleet a peer counts as silent after three missed statuses. A PrefixReader can be paused, and repeats its calls rarely where others are to be followed.

--- a/packages/peers/include/cornelrelay/peers/peer_status.h
+++ b/packages/peers/include/cornelrelay/peers/peer_status.h
@@ -32,6 +32,7 @@
   std::uint64_t sequence = 0;       ///< increases with each status of an incarnation
   std::int64_t items_revision = 0;  ///< the sender holds the items of the store up to this revision
   bool store_connected = false;     ///< the sender itself is connected to the store
+  core::DataCentreId data_centre;
   std::vector<UpstreamLoad> loads;
   std::vector<ServiceQueue> queues;
 
--- a/packages/peers/include/cornelrelay/peers/peer_table.h
+++ b/packages/peers/include/cornelrelay/peers/peer_table.h
@@ -10,11 +10,13 @@
 #include "cornelrelay/core/random.h"
 #include "cornelrelay/core/time.h"
 #include "cornelrelay/peers/peer_messages.h"
+#include "cornelrelay/peers/store_role.h"
 
 namespace cornelrelay::peers {
 
 struct PeerTableConfig {
   core::HostId self;
+  core::DataCentreId data_centre;
   std::uint64_t seed = 0;
   /// Interval at which this process sends its status to each live peer while its load changes.
   core::Duration busy_interval = std::chrono::milliseconds(40);
@@ -24,6 +26,15 @@
   double datagrams_per_second = 200;
   /// A peer that sends nothing for this long is considered lost, and its requests no longer count.
   core::Duration silence_timeout = std::chrono::milliseconds(1'500);
+  /// The same as a multiple of the interval between statuses, where that is longer: in a large
+  /// fleet one lost datagram must not make a peer look lost.
+  int silent_intervals = 3;
+  /// Least interval between statuses that announce newer items.
+  core::Duration announcement_interval = std::chrono::milliseconds(100);
+  /// Up to this number of processes, all follow the store. They share its calls anyway.
+  std::size_t small_fleet = 12;
+  /// Processes of each data centre of a larger fleet that follow the store.
+  std::size_t readers_per_data_centre = 2;
   /// Minimum interval between statuses to a silent peer, which probe whether it is back.
   core::Duration probe_interval = std::chrono::seconds(1);
   /// A silent peer is no longer probed when this much time has passed since it fell silent or was
@@ -60,7 +71,10 @@
   std::size_t live_count() const;
   /// \brief Returns whether a live peer is connected to the store.
   bool AnyConnectedToStore() const;
-  /// \brief Returns a counter that changes when InFlight() or Waiting() may have changed.
+  /// \brief Returns whether this process is to follow the store itself.
+  StoreRole store_role() const;
+  /// \brief Returns a counter that changes when InFlight(), Waiting() or store_role() may have
+  /// changed.
   std::uint64_t version() const { return m_version; }
 
  private:
@@ -85,6 +99,8 @@
   /// \brief Returns `base`, or a longer interval if the statuses to all peers would exceed
   /// PeerTableConfig::datagrams_per_second.
   core::Duration SendInterval(core::Duration base) const;
+  core::Duration SilenceTimeout() const;
+  core::Instant NextSend() const;
   void MarkSilentPeers(core::Instant now, Actions& out);
   void SendDue(core::Instant now, Actions& out);
   void FetchIfBehind(core::Instant now, Actions& out);
@@ -98,6 +114,7 @@
   std::optional<core::Instant> m_fetching_since;
   core::Instant m_last_send{};
   bool m_load_changed = true;
+  bool m_items_announced = true;  ///< a status has told of the items that this process has
   std::uint64_t m_version = 0;
 };
 
--- a/packages/peers/src/peer_table.cc
+++ b/packages/peers/src/peer_table.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "cornelrelay/core/hash.h"
+
 namespace cornelrelay::peers {
 
 PeerTable::PeerTable(PeerTableConfig config)
@@ -42,11 +44,16 @@
   peer.last_received = now;
   peer.live = true;
   peer.endpoint = status.endpoint;
-  if (peer.status.loads != status.loads || peer.status.queues != status.queues) ++m_version;
+  if (peer.status.loads != status.loads || peer.status.queues != status.queues ||
+      peer.status.store_connected != status.store_connected) {
+    ++m_version;
+  }
   peer.status = status;
 }
 
 void PeerTable::Apply(core::Instant, const LocalItemsChanged& event, Actions&) {
+  // What a follower knows comes from a peer that announces it itself.
+  if (event.store_connected && event.revision > m_local_items_revision) m_items_announced = false;
   m_local_items_revision = event.revision;
   m_store_connected = event.store_connected;
 }
@@ -61,7 +68,7 @@
 
 void PeerTable::MarkSilentPeers(core::Instant now, Actions& out) {
   for (auto& [host, peer] : m_peers) {
-    if (!peer.live || now - *peer.last_received < m_config.silence_timeout) continue;
+    if (!peer.live || now - *peer.last_received < SilenceTimeout()) continue;
     peer.live = false;
     peer.inactive_since = now;
     ++m_version;
@@ -94,9 +101,19 @@
       base, std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(seconds)));
 }
 
+core::Duration PeerTable::SilenceTimeout() const {
+  return std::max(m_config.silence_timeout,
+                  m_config.silent_intervals * SendInterval(m_config.idle_interval));
+}
+
+core::Instant PeerTable::NextSend() const {
+  if (!m_items_announced) return m_last_send + m_config.announcement_interval;
+  return m_last_send +
+         SendInterval(m_load_changed ? m_config.busy_interval : m_config.idle_interval);
+}
+
 void PeerTable::SendDue(core::Instant now, Actions& out) {
-  const auto base = m_load_changed ? m_config.busy_interval : m_config.idle_interval;
-  if (now - m_last_send < SendInterval(base)) return;
+  if (now < NextSend()) return;
   SendStatus send;
   for (auto& [host, peer] : m_peers) {
     if (!peer.live) {
@@ -107,12 +124,31 @@
   }
   m_last_send = now;
   m_load_changed = false;
+  m_items_announced = true;
   if (!send.to.empty()) out.emplace_back(std::move(send));
 }
 
-core::Instant PeerTable::NextWake() const {
-  return m_last_send +
-         SendInterval(m_load_changed ? m_config.busy_interval : m_config.idle_interval);
+core::Instant PeerTable::NextWake() const { return NextSend(); }
+
+// Every process orders the processes of its data centre in the same way, by a hash of their names.
+// The first ones are the readers; the others step in for those that are not connected.
+StoreRole PeerTable::store_role() const {
+  std::size_t live = 1, before = 0, connected_before = 0;
+  const std::uint64_t own_place = core::Hash64(m_config.self.value());
+  for (const auto& [host, peer] : m_peers) {
+    if (!peer.live) continue;
+    ++live;
+    const bool earlier =
+        peer.status.data_centre == m_config.data_centre && core::Hash64(host.value()) < own_place;
+    if (!earlier) continue;
+    ++before;
+    if (peer.status.store_connected) ++connected_before;
+  }
+  if (live <= m_config.small_fleet || before < m_config.readers_per_data_centre) {
+    return StoreRole::kReader;
+  }
+  return connected_before < m_config.readers_per_data_centre ? StoreRole::kSubstitute
+                                                             : StoreRole::kFollower;
 }
 
 std::map<core::UpstreamId, std::uint32_t> PeerTable::InFlight() const {
--- a/packages/peers/tests/peer_table_test.cc
+++ b/packages/peers/tests/peer_table_test.cc
@@ -1,6 +1,8 @@
 #include "cornelrelay/peers/peer_table.h"
 
 #include <catch2/catch.hpp>
+#include <set>
+#include <string>
 
 namespace cornelrelay::peers {
 namespace {
@@ -95,4 +97,86 @@
   CHECK(sent <= 2'200);
 }
 
+// Load pattern: a fleet of hundreds of processes, where each watch of the store is paid for.
+TEST_CASE(
+    "two processes of each data centre of a large fleet follow the store, and others step in") {
+  constexpr std::size_t kDataCentres = 5, kEach = 30;
+  const auto name = [](std::size_t centre, std::size_t i) {
+    return "front-" + std::to_string(centre) + "-" + std::to_string(i);
+  };
+  const auto role_of = [&](std::size_t centre, std::size_t self,
+                           const std::set<std::string>& disconnected,
+                           const std::set<std::string>& silent) {
+    PeerTableConfig config;
+    config.self = core::HostId(name(centre, self));
+    config.data_centre = core::DataCentreId(std::to_string(centre));
+    PeerTable peers(config);
+    for (std::size_t c = 0; c < kDataCentres; ++c) {
+      for (std::size_t i = 0; i < kEach; ++i) {
+        if (silent.contains(name(c, i))) continue;
+        PeerStatus status = StatusFrom(name(c, i), 1);
+        status.data_centre = core::DataCentreId(std::to_string(c));
+        status.store_connected = !disconnected.contains(name(c, i));
+        peers.Step(At(0), PeerStatusReceived{status});
+      }
+    }
+    return peers.store_role();
+  };
+  const auto with_role = [&](StoreRole role, const std::set<std::string>& disconnected,
+                             const std::set<std::string>& silent) {
+    std::set<std::string> hosts;
+    for (std::size_t c = 0; c < kDataCentres; ++c) {
+      for (std::size_t i = 0; i < kEach; ++i) {
+        const bool has =
+            !silent.contains(name(c, i)) && role_of(c, i, disconnected, silent) == role;
+        if (has) hosts.insert(name(c, i));
+      }
+    }
+    return hosts;
+  };
+  const auto readers = with_role(StoreRole::kReader, {}, {});
+  CHECK(readers.size() == 2 * kDataCentres);
+  CHECK(with_role(StoreRole::kSubstitute, {}, {}).empty());
+  // Processes that the store turns away are replaced by the next ones of their data centres.
+  CHECK(with_role(StoreRole::kSubstitute, readers, {}).size() == 2 * kDataCentres);
+  CHECK(with_role(StoreRole::kReader, {}, readers).size() == 2 * kDataCentres);
+}
+
+TEST_CASE("all processes of a small fleet follow the store") {
+  PeerTable peers(Config());
+  CHECK(peers.store_role() == StoreRole::kReader);
+  for (int i = 0; i < 11; ++i) {
+    PeerStatus status = StatusFrom("peer-" + std::to_string(i), 1);
+    status.store_connected = true;
+    peers.Step(At(0), PeerStatusReceived{status});
+  }
+  CHECK(peers.store_role() == StoreRole::kReader);
+}
+
+// Load pattern: a new configuration in a large fleet, whose statuses are rare.
+TEST_CASE("a process that follows the store announces new items at once, the others do not") {
+  PeerTable peers(Config());
+  for (int i = 0; i < 150; ++i) {
+    peers.Step(At(0), PeerStatusReceived{StatusFrom("peer-" + std::to_string(i), 1)});
+  }
+  peers.Step(At(1'000), PeerTick{});
+  CHECK_FALSE(FindAction<SendStatus>(peers.Step(At(1'150), LocalItemsChanged{5, false})));
+  const auto announced = peers.Step(At(1'200), LocalItemsChanged{6, true});
+  REQUIRE(FindAction<SendStatus>(announced));
+  CHECK(FindAction<SendStatus>(announced)->to.size() == 150);
+  CHECK_FALSE(FindAction<SendStatus>(peers.Step(At(1'250), LocalItemsChanged{7, true})));
+  CHECK(peers.NextWake() == At(1'300));
+  CHECK(FindAction<SendStatus>(peers.Step(At(1'300), PeerTick{})));
+}
+
+TEST_CASE("a lost status of a peer in a large fleet does not make the peer look silent") {
+  PeerTable peers(Config());
+  for (int i = 0; i < 150; ++i) {
+    peers.Step(At(0), PeerStatusReceived{StatusFrom("peer-" + std::to_string(i), 1)});
+  }
+  // Statuses are 750 ms apart; the second one is lost.
+  CHECK_FALSE(FindAction<PeerSilent>(peers.Step(At(1'700), PeerTick{})));
+  CHECK(FindAction<PeerSilent>(peers.Step(At(2'400), PeerTick{})));
+}
+
 }  // namespace cornelrelay::peers
--- a/packages/ranks/include/cornelrelay/ranks/rank_process.h
+++ b/packages/ranks/include/cornelrelay/ranks/rank_process.h
@@ -9,6 +9,8 @@
 #include "cornelrelay/balance/fence_guard.h"
 #include "cornelrelay/net/http_client.h"
 #include "cornelrelay/net/http_server.h"
+#include "cornelrelay/ranks/agent_client.h"
+#include "cornelrelay/ranks/candidacy.h"
 #include "cornelrelay/ranks/engine_client.h"
 #include "cornelrelay/ranks/expert_count_tracker.h"
 #include "cornelrelay/ranks/group_leader.h"
@@ -59,6 +61,9 @@
   bool ResolveMap(wire::RankCall& call);
   /// \brief Adds the state of the local engine to a reply, and its counts if the call wants them.
   boost::asio::awaitable<void> AddOwnState(const wire::RankCall& call, wire::RankReply& reply);
+  /// \brief Records a call of the group's leader.
+  void NoteLeaderCall();
+  void StepCandidacy();
   void PerformReaderActions(const store::PrefixReader::Actions& actions);
   void ApplyItems(const std::vector<store::ItemChange>& items, bool complete);
   void StepLease(const LeaseEvent& event);
@@ -85,10 +90,12 @@
   runtime::MetricsServer m_metrics_server;
   std::string m_leader_key;
   std::optional<store::PrefixReader> m_reader;
+  std::optional<Candidacy> m_candidacy;
   std::optional<LeaderLease> m_lease;
   std::unique_ptr<GroupLeader> m_leader;
   runtime::WakeTimer m_reader_timer;
   runtime::WakeTimer m_lease_timer;
+  runtime::WakeTimer m_candidacy_timer;
 };
 
 }  // namespace cornelrelay::ranks
--- a/packages/ranks/src/rank_process.cc
+++ b/packages/ranks/src/rank_process.cc
@@ -22,9 +22,6 @@
 constexpr milliseconds kGroupRetryPause{500};
 /// Duration of a watch on the leader key. The key changes seldom, and every watch costs a call.
 constexpr milliseconds kLeaderKeyWatch{12'000};
-/// Candidates of consecutive ranks claim a free leadership this much apart.
-constexpr milliseconds kStaggerPerRank{15};
-constexpr milliseconds kMaxStagger{600};
 constexpr milliseconds kConnectTimeout{150};
 /// An answer of the store that is later than this counts as lost. The lease outlasts one such call,
 /// see LeaderLeaseConfig::ttl.
@@ -56,7 +53,8 @@
       m_metrics_server(context, m_clock, m_settings.metrics, m_metrics),
       m_reader_timer(context, m_clock,
                      [this] { PerformReaderActions(m_reader->OnTick(m_clock.Now())); }),
-      m_lease_timer(context, m_clock, [this] { StepLease(LeaseTick{}); }) {}
+      m_lease_timer(context, m_clock, [this] { StepLease(LeaseTick{}); }),
+      m_candidacy_timer(context, m_clock, [this] { StepCandidacy(); }) {}
 
 void RankProcess::Start() {
   m_server.Start();
@@ -101,7 +99,11 @@
   LeaderLeaseConfig lease;
   lease.key = m_leader_key;
   lease.value = m_settings.host.value();
-  lease.stagger = std::min(kStaggerPerRank * report.rank, kMaxStagger);
+  CandidacyConfig candidacy;
+  candidacy.rank = report.rank;
+  candidacy.ranks = report.size;
+  m_candidacy.emplace(candidacy, m_clock.Now());
+  lease.stagger = m_candidacy->Stagger();
   m_lease.emplace(lease);
   m_leader = std::make_unique<GroupLeader>(
       GroupLeader::Dependencies{m_context, m_clock, m_agents, m_engines, *m_store, m_ports, m_log,
@@ -109,7 +111,28 @@
       m_settings, report, [this] { StepLease(NewerLeaderFound{}); });
   m_reader.emplace(m_leader_key, store::PrefixReaderOptions{.watch_wait = kLeaderKeyWatch},
                    m_seed + 2);
+  // Every agent reads the key once, so that it knows a fence.
   PerformReaderActions(m_reader->Start(m_clock.Now()));
+  if (!m_candidacy->candidate()) m_reader->Pause();
+  StepCandidacy();
+}
+
+void RankProcess::NoteLeaderCall() {
+  if (!m_candidacy || m_leader->leading()) return;
+  if (m_candidacy->OnLeaderCall(m_clock.Now())) {
+    m_log.Info("candidacy_changed", {{"candidate", false}});
+    m_reader->Pause();
+  }
+  if (const auto wake = m_candidacy->NextWake()) m_candidacy_timer.SetAt(*wake);
+}
+
+void RankProcess::StepCandidacy() {
+  if (m_candidacy->OnTick(m_clock.Now())) {
+    m_log.Warning("candidacy_changed", {{"candidate", true}});
+    // Reads the key anew: the one that is known may be old.
+    PerformReaderActions(m_reader->Resume(m_clock.Now(), 0));
+  }
+  if (const auto wake = m_candidacy->NextWake()) m_candidacy_timer.SetAt(*wake);
 }
 
 asio::awaitable<void> RankProcess::HandleRequest(net::HttpRequest request,
@@ -142,6 +165,7 @@
     if (m_fence_guard.fence()) reply.result = balance::OrderResult::kFenced;
     co_return reply;
   }
+  NoteLeaderCall();
   std::shared_ptr<GroupCall> forwarded;
   if (!call.forward_to.empty()) forwarded = m_agents.Forward(call);
   reply.lacks_map = !ResolveMap(call);
@@ -212,16 +236,16 @@
     // Nobody has led since the store's start, or the last lease has expired. Any leader is newer
     // and has a fence above 0. A known fence is kept.
     m_fence_guard.RaiseFence(0);
-    StepLease(LeaderKeyObserved{});
+    if (m_candidacy->candidate()) StepLease(LeaderKeyObserved{});
   }
   for (const store::ItemChange& item : items) {
     if (item.key != m_leader_key) continue;
-    if (!item.value) {
-      StepLease(LeaderKeyObserved{});
-      continue;
+    std::optional<store::StoredValue> stored;
+    if (item.value) {
+      m_fence_guard.RaiseFence(static_cast<balance::Fence>(item.revision));
+      stored = store::StoredValue{*item.value, item.revision};
     }
-    m_fence_guard.RaiseFence(static_cast<balance::Fence>(item.revision));
-    StepLease(LeaderKeyObserved{store::StoredValue{*item.value, item.revision}});
+    if (m_candidacy->candidate()) StepLease(LeaderKeyObserved{stored});
   }
 }
 
--- a/packages/relay/include/cornelrelay/relay/fleet_view.h
+++ b/packages/relay/include/cornelrelay/relay/fleet_view.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cornelrelay/directory/upstream_directory.h"
+#include "cornelrelay/peers/store_role.h"
 #include "cornelrelay/relay/fleet_protocol.h"
 #include "cornelrelay/routes/route_table.h"
 #include "cornelrelay/runtime/process_clock.h"
@@ -53,13 +54,19 @@
 
   /// \brief Sets whether this process or at least one of its peers is connected to the store.
   void SetStoreReachable(bool reachable);
+  /// \brief Sets whether this process follows the store. All read it once.
+  void SetStoreRole(peers::StoreRole role);
 
   /// \brief Routing table of the configuration in force; null before the first configuration.
   std::shared_ptr<const routes::RouteTable> table() const { return m_table; }
   const directory::UpstreamDirectory& upstreams() const { return m_upstreams; }
   store::StoreRevision revision() const { return m_cache.revision(); }
-  /// \brief Whether this process is connected to the store.
+  /// \brief Whether this process follows the store and is connected to it.
   bool connected() const { return m_reader.linked(); }
+  /// \brief Whether this process has read the items and the store, as far as it knows, answers it.
+  bool may_call_store() const {
+    return m_loaded && (m_reader.linked() || m_store_role == peers::StoreRole::kFollower);
+  }
   /// \brief Whether this process or at least one of its peers is connected to the store.
   bool store_reachable() const { return m_store_reachable; }
   /// \brief Whether this process has read all items from the store at least once.
@@ -94,6 +101,7 @@
   runtime::WakeTimer m_directory_timer;
   bool m_loaded = false;
   bool m_store_reachable = true;
+  peers::StoreRole m_store_role = peers::StoreRole::kReader;
 };
 
 }  // namespace cornelrelay::relay
--- a/packages/relay/include/cornelrelay/relay/peer_transport.h
+++ b/packages/relay/include/cornelrelay/relay/peer_transport.h
@@ -30,9 +30,9 @@
   };
 
   PeerTransport(boost::asio::io_context& context, const runtime::ProcessClock& clock,
-                net::HttpClient& client, core::HostId self, core::Endpoint endpoint,
-                std::uint64_t seed, telemetry::JsonLog& log, telemetry::MetricRegistry& metrics,
-                Callbacks callbacks);
+                net::HttpClient& client, core::HostId self, core::DataCentreId data_centre,
+                core::Endpoint endpoint, std::uint64_t seed, telemetry::JsonLog& log,
+                telemetry::MetricRegistry& metrics, Callbacks callbacks);
 
   void Start();
   /// \brief Passes one event to the peer table and performs the actions that it returns.
@@ -52,6 +52,7 @@
   const runtime::ProcessClock& m_clock;
   net::HttpClient& m_client;
   core::HostId m_self;
+  core::DataCentreId m_data_centre;
   core::Endpoint m_endpoint;
   std::uint64_t m_incarnation;
   std::uint64_t m_sequence = 0;
--- a/packages/relay/src/fleet_view.cc
+++ b/packages/relay/src/fleet_view.cc
@@ -91,6 +91,18 @@
   }
 }
 
+void FleetView::SetStoreRole(peers::StoreRole role) {
+  if (!m_loaded || std::exchange(m_store_role, role) == role) return;
+  m_log.Info("store_role_changed", {{"role", ToString(role)}, {"revision", m_cache.revision()}});
+  m_reader.SetSlowRetries(role == peers::StoreRole::kSubstitute);
+  if (role == peers::StoreRole::kFollower) {
+    m_reader.Pause();
+  } else {
+    Run(m_reader.Resume(m_clock.Now(), m_cache.revision()));
+  }
+  m_listener.on_items_changed();
+}
+
 void FleetView::ApplyChanges(const std::vector<store::ItemChange>& changes,
                              std::string_view source) {
   directory::EntriesChanged entries;
--- a/packages/relay/src/peer_transport.cc
+++ b/packages/relay/src/peer_transport.cc
@@ -24,9 +24,11 @@
 /// routes.
 constexpr std::size_t kMaxTransferBytes = 8'388'608;
 
-peers::PeerTableConfig PeerTableConfigOf(core::HostId self, std::uint64_t seed) {
+peers::PeerTableConfig PeerTableConfigOf(core::HostId self, core::DataCentreId data_centre,
+                                         std::uint64_t seed) {
   peers::PeerTableConfig config;
   config.self = std::move(self);
+  config.data_centre = std::move(data_centre);
   config.seed = seed;
   return config;
 }
@@ -43,19 +45,21 @@
 }  // namespace
 
 PeerTransport::PeerTransport(asio::io_context& context, const runtime::ProcessClock& clock,
-                             net::HttpClient& client, core::HostId self, core::Endpoint endpoint,
+                             net::HttpClient& client, core::HostId self,
+                             core::DataCentreId data_centre, core::Endpoint endpoint,
                              std::uint64_t seed, telemetry::JsonLog& log,
                              telemetry::MetricRegistry& metrics, Callbacks callbacks)
     : m_context(context),
       m_clock(clock),
       m_client(client),
       m_self(std::move(self)),
+      m_data_centre(std::move(data_centre)),
       m_endpoint(std::move(endpoint)),
       m_incarnation(runtime::IncarnationAt(clock)),
       m_log(log),
       m_metrics(metrics),
       m_callbacks(std::move(callbacks)),
-      m_table(PeerTableConfigOf(m_self, seed)),
+      m_table(PeerTableConfigOf(m_self, m_data_centre, seed)),
       m_channel(context, m_endpoint,
                 [this](const core::Endpoint&, const std::string& bytes) { Receive(bytes); }),
       m_server(context, m_endpoint, net::HttpServerLimits{}, std::nullopt,
@@ -97,6 +101,7 @@
   status.endpoint = m_endpoint;
   status.incarnation = m_incarnation;
   status.sequence = ++m_sequence;
+  status.data_centre = m_data_centre;
   m_callbacks.fill_status(status);
   const std::string bytes = wire::Encode(status);
   for (const core::Endpoint& peer : action.to) m_channel.Send(peer, bytes);
--- a/packages/relay/src/relay_process.cc
+++ b/packages/relay/src/relay_process.cc
@@ -74,8 +74,8 @@
                                    kFleetWatchTimeout + kWatchReplyMargin),
           seed + 1)),
       m_retries(m_settings.retries),
-      m_peers(context, m_clock, m_store_client, m_settings.host, m_settings.peers, seed + 2, log,
-              m_metrics,
+      m_peers(context, m_clock, m_store_client, m_settings.host, m_settings.data_centre,
+              m_settings.peers, seed + 2, log, m_metrics,
               {[this](peers::PeerStatus& status) { FillStatus(status); }, [this] { OnPeers(); },
                [this](store::StoreRevision since) { return m_fleet.ItemsSince(since); },
                [this](const wire::ItemsTransfer& items) { m_fleet.Merge(items); }}),
@@ -165,15 +165,19 @@
 // restart.
 void RelayProcess::RegisterEndpoint() {
   const std::string value = core::ToString(m_settings.peers);
-  if (!m_fleet.loaded() || !m_fleet.connected() || m_registering || m_registration == value) return;
+  if (!m_fleet.may_call_store() || m_registering || m_registration == value) return;
   m_registering = true;
   store::CompareAndSwap write;
   write.key = EntryProcessKey(m_settings.host);
   write.expected = m_registration_revision;
   write.value = value;
-  m_store->Call(write, [this](const store::StoreReply& reply) {
+  m_store->Call(write, [this, value](const store::StoreReply& reply) {
     m_registering = false;
-    // The watch reports the written item even if this reply was lost.
+    // The written item is also seen with the other items, even if this reply was lost.
+    if (const auto* swapped = std::get_if<store::Swapped>(&reply)) {
+      m_registration_revision = swapped->revision;
+      m_registration = value;
+    }
     m_log.Info("registration_written", {{"reply", KindName(reply)}});
     m_registration_timer.SetAt(m_clock.Now() + kRegistrationRetryDelay);
   });
@@ -183,6 +187,7 @@
   m_dispatchers.SetPeers(m_peers.table());
   m_retries.SetProcessCount(m_peers.table().live_count() + 1);
   m_fleet.SetStoreReachable(m_fleet.connected() || m_peers.table().AnyConnectedToStore());
+  m_fleet.SetStoreRole(m_peers.table().store_role());
 }
 
 void RelayProcess::FillStatus(peers::PeerStatus& status) const {
--- a/packages/store/include/cornelrelay/store/prefix_reader.h
+++ b/packages/store/include/cornelrelay/store/prefix_reader.h
@@ -23,6 +23,8 @@
   core::Duration watch_spacing = std::chrono::milliseconds(400);
   core::Duration retry_base = std::chrono::milliseconds(100);
   core::Duration retry_ceiling = std::chrono::seconds(1);
+  /// Used instead of retry_ceiling after SetSlowRetries().
+  core::Duration slow_retry_ceiling = std::chrono::seconds(6);
 };
 
 /// \brief The reader wants this call made and its reply passed to OnReply().
@@ -69,12 +71,23 @@
   Actions OnReply(core::Instant now, const StoreReply& reply);
   Actions OnTick(core::Instant now);
 
-  std::optional<core::Instant> NextWake() const { return m_retry_at; }
-  bool linked() const { return m_linked; }
+  /// \brief Makes no further calls once all pages have been read, until Resume().
+  void Pause();
+  /// \brief Follows the changes after a revision up to which they are known from elsewhere.
+  Actions Resume(core::Instant now, StoreRevision known);
+  /// \brief Sets whether calls are repeated only rarely after a failure.
+  void SetSlowRetries(bool slow) { m_slow_retries = slow; }
+
+  std::optional<core::Instant> NextWake() const {
+    return WaitsForResume() ? std::nullopt : m_retry_at;
+  }
+  /// \brief Returns whether the store answers this reader. False while it is paused.
+  bool linked() const { return m_linked && !m_paused; }
   /// \brief When the store last answered.
   core::Instant last_answer() const { return m_last_answer; }
 
  private:
+  bool WaitsForResume() const { return m_paused && m_read; }
   void ReadPage(Actions& out);
   void Watch(core::Instant now, Actions& out);
   void ReadAll(Actions& out);
@@ -86,6 +99,11 @@
   std::string m_prefix;
   PrefixReaderOptions m_options;
   Backoff m_backoff;
+  Backoff m_slow_backoff;
+  bool m_slow_retries = false;
+  bool m_paused = false;
+  bool m_calling = false;  ///< a reply is awaited
+  bool m_read = false;     ///< all pages have been read at least once
   bool m_watching = false;
   bool m_linked = true;
   std::uint32_t m_failures = 0;
--- a/packages/store/src/prefix_reader.cc
+++ b/packages/store/src/prefix_reader.cc
@@ -1,5 +1,6 @@
 #include "cornelrelay/store/prefix_reader.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "cornelrelay/core/overloaded.h"
@@ -16,7 +17,8 @@
                            std::uint64_t seed)
     : m_prefix(std::move(prefix)),
       m_options(options),
-      m_backoff(options.retry_base, options.retry_ceiling, seed) {}
+      m_backoff(options.retry_base, options.retry_ceiling, seed),
+      m_slow_backoff(options.retry_ceiling, options.slow_retry_ceiling, seed + 1) {}
 
 PrefixReader::Actions PrefixReader::Start(core::Instant now) {
   Actions out;
@@ -27,6 +29,7 @@
 
 PrefixReader::Actions PrefixReader::OnReply(core::Instant now, const StoreReply& reply) {
   Actions out;
+  m_calling = false;
   std::visit(core::Overloaded{[&](const PrefixRead& page) { OnPage(now, page, out); },
                               [&](const PrefixChanged& changes) { OnChanges(now, changes, out); },
                               [&](const HistoryLost&) {
@@ -38,9 +41,25 @@
   return out;
 }
 
+void PrefixReader::Pause() { m_paused = true; }
+
+PrefixReader::Actions PrefixReader::Resume(core::Instant now, StoreRevision known) {
+  Actions out;
+  if (!std::exchange(m_paused, false)) return out;
+  m_revision = std::max(m_revision, known);
+  if (m_calling) return out;
+  m_retry_at.reset();
+  if (known > 0) {
+    Watch(now, out);
+  } else {
+    ReadAll(out);
+  }
+  return out;
+}
+
 PrefixReader::Actions PrefixReader::OnTick(core::Instant now) {
   Actions out;
-  if (!m_retry_at || now < *m_retry_at) return out;
+  if (WaitsForResume() || m_calling || !m_retry_at || now < *m_retry_at) return out;
   m_retry_at.reset();
   if (m_watching) {
     Watch(now, out);
@@ -58,10 +77,13 @@
 }
 
 void PrefixReader::ReadPage(Actions& out) {
+  m_calling = true;
   out.emplace_back(CallStore{ReadPrefix{m_prefix, m_after_key}});
 }
 
 void PrefixReader::Watch(core::Instant now, Actions& out) {
+  if (m_paused) return;
+  m_calling = true;
   m_watching = true;
   m_watched_at = now;
   out.emplace_back(CallStore{WatchPrefix{m_prefix, m_revision, m_options.watch_wait}});
@@ -77,6 +99,7 @@
     m_after_key = page.items.back().key;
     return ReadPage(out);
   }
+  m_read = true;
   out.emplace_back(ItemsRead{std::exchange(m_items, {}), m_revision});
   Watch(now, out);
 }
@@ -97,7 +120,7 @@
     out.emplace_back(StoreLinkLost{KindName(reply)});
   }
   if (!m_linked) m_watching = false;
-  m_retry_at = now + m_backoff.Delay(m_failures);
+  m_retry_at = now + (m_slow_retries ? m_slow_backoff : m_backoff).Delay(m_failures);
 }
 
 void PrefixReader::NoteAnswer(core::Instant now, Actions& out) {
--- a/packages/store/tests/prefix_reader_test.cc
+++ b/packages/store/tests/prefix_reader_test.cc
@@ -124,4 +124,68 @@
   CHECK_FALSE(changes.front().value);
 }
 
+// Load pattern: a large fleet, of which only a few processes follow the store.
+TEST_CASE("a paused reader makes no calls, and goes on from what is known when it resumes") {
+  PrefixReader reader("", {}, 1);
+  reader.Start(At(0));
+  // The pages are read to the end, as there is nothing to go on from before.
+  reader.Pause();
+  REQUIRE(Called<ReadPrefix>(reader.OnReply(At(1), PrefixRead{{{"a", "1", 4}}, true, 10})));
+  const auto read = reader.OnReply(At(2), PrefixRead{{}, false, 10});
+  CHECK(Find<ItemsRead>(read));
+  CHECK_FALSE(Find<CallStore>(read));
+  CHECK_FALSE(reader.linked());
+  CHECK(reader.OnTick(At(60'000)).empty());
+  const auto resumed = reader.Resume(At(60'001), 25);
+  REQUIRE(Called<WatchPrefix>(resumed));
+  CHECK(Called<WatchPrefix>(resumed)->after == 25);
+  CHECK(reader.linked());
+  CHECK(reader.Resume(At(60'002), 25).empty());
+  // A watch that was begun before is not repeated.
+  reader.Pause();
+  CHECK(reader.Resume(At(60'003), 26).empty());
+  CHECK(Called<WatchPrefix>(reader.OnReply(At(62'000), PrefixChanged{{}, 26})));
+}
+
+// A time that stays due would keep the process busy.
+TEST_CASE("a reader that is paused between two watches is not due") {
+  PrefixReader reader("", {}, 1);
+  reader.Start(At(0));
+  reader.OnReply(At(1), PrefixRead{{}, false, 10});
+  reader.OnReply(At(100), PrefixChanged{{{"a", "1", 11}}, 11});
+  REQUIRE(reader.NextWake());
+  reader.Pause();
+  CHECK_FALSE(reader.NextWake());
+  CHECK(reader.OnTick(At(1'000)).empty());
+  CHECK(Called<WatchPrefix>(reader.Resume(At(1'001), 11)));
+}
+
+TEST_CASE("a reader that is paused before it has read anything repeats its read after a failure") {
+  PrefixReader reader("", {}, 1);
+  reader.Start(At(0));
+  reader.Pause();
+  reader.OnReply(At(1), Unavailable{});
+  REQUIRE(Called<ReadPrefix>(reader.OnTick(At(1'000))));
+  CHECK(Find<ItemsRead>(reader.OnReply(At(1'001), PrefixRead{{}, false, 10})));
+  CHECK(reader.OnTick(At(9'000)).empty());
+}
+
+TEST_CASE("a reader with slow retries calls a store that fails a few times a minute") {
+  for (const bool slow : {false, true}) {
+    PrefixReader reader("", {}, 7);
+    reader.SetSlowRetries(slow);
+    reader.Start(At(0));
+    int calls = 1;
+    reader.OnReply(At(1), Unavailable{});
+    for (std::int64_t ms = 2; ms < 60'000; ms += 10) {
+      if (Find<CallStore>(reader.OnTick(At(ms)))) {
+        ++calls;
+        reader.OnReply(At(ms + 1), Unavailable{});
+      }
+    }
+    CAPTURE(slow, calls);
+    CHECK((calls <= 25) == slow);
+  }
+}
+
 }  // namespace cornelrelay::store
--- a/packages/wire/src/fleet_messages.cc
+++ b/packages/wire/src/fleet_messages.cc
@@ -22,6 +22,7 @@
   internal::Address(ar, b.endpoint);
   ar.archive(b.incarnation, b.sequence, b.items_revision);
   internal::Flag(ar, b.store_connected);
+  internal::Identifier(ar, b.data_centre);
   internal::List<std::uint16_t>(ar, b.loads, kMaxLoads, kLoadBytes, [&](auto& load) {
     internal::Identifier(ar, load.upstream);
     internal::Number<std::uint16_t>(ar, load.in_flight);
