--- a/packages/relay/include/cornelrelay/relay/relay_request.h
+++ b/packages/relay/include/cornelrelay/relay/relay_request.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "cornelrelay/core/ids.h"
 #include "cornelrelay/core/time.h"
@@ -22,6 +23,8 @@
   std::optional<core::Duration> timeout;      ///< how long the caller waits for the response
   std::optional<std::uint64_t> resume_after;  ///< id of the last event that the caller received
   double prompt_tokens = 0;                   ///< 0 if the request does not state it
+  /// Ids of the segments of the prompt that other requests may share, in the order of the prompt.
+  std::vector<std::string> shared_segments;
 
   friend bool operator==(const RelayRequest&, const RelayRequest&) = default;
 };
--- a/packages/relay/include/cornelrelay/relay/upstream_call.h
+++ b/packages/relay/include/cornelrelay/relay/upstream_call.h
@@ -69,6 +69,7 @@
   std::optional<UpstreamResponseHead> m_head;
   std::string m_failure_body;
   std::optional<std::uint64_t> m_last_event_id;
+  bool m_output = false;               ///< an event with an id has arrived
   std::size_t m_unnumbered_bytes = 0;  ///< of events without an id since the last one with an id
   /// When the first byte after the last event with an id arrived.
   std::optional<core::Instant> m_no_progress_since;
--- a/packages/relay/src/upstream_call.cc
+++ b/packages/relay/src/upstream_call.cc
@@ -27,6 +27,12 @@
 /// Added to the request's deadline, so that the deadline ends the call before the read times out.
 constexpr std::chrono::milliseconds kReadTimeoutMargin{1'000};
 
+std::string Join(const std::vector<std::string>& words) {
+  std::string joined;
+  for (const std::string& word : words) joined.append(joined.empty() ? "" : " ").append(word);
+  return joined;
+}
+
 bool IsFailure(int status) {
   return status == core::kStatusTooManyRequests || status >= core::kFirstServerErrorStatus;
 }
@@ -86,6 +92,8 @@
                                    {"upstream", m_request.upstream},
                                    {"attempt", attempt()},
                                    {"cause", ToString(cause)},
+                                   {"output", m_output},
+                                   {"shared_segments", Join(m_request.request.shared_segments)},
                                    {"reason", error.what()}});
   m_metrics
       .GetCounter("cornelrelay_broken_responses_total", "Responses of upstreams that broke off.",
@@ -172,6 +180,7 @@
     return request::Gap{*m_last_event_id + 1, *id};
   }
   if (id) {
+    m_output = true;
     m_last_event_id = id;
     m_unnumbered_bytes = 0;
     m_no_progress_since.reset();
