--- a/tests/system/platform_stand_ins.py
+++ b/tests/system/platform_stand_ins.py
@@ -116,6 +116,13 @@
         self.plan = ["ok"]
         self.seen = []
         self.left_at = None  # when the caller of the last `until left` was gone
+        self.address = address
+        self.crashing_segment = None  # crashes when it begins to answer a prompt with this segment
+        self.crashes = []
+        self.down_s = 0.5  # after a crash
+        self.connections = set()
+        self.down = threading.Lock()  # held from a crash until the replica is back
+        self.stopped = False
         replica = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -137,6 +144,14 @@
                 self.close_connection = True
                 self.connection.shutdown(socket.SHUT_RDWR)
 
+            def setup(self):
+                super().setup()
+                replica.connections.add(self.connection)
+
+            def finish(self):
+                replica.connections.discard(self.connection)
+                super().finish()
+
             def do_GET(self):
                 self.serve()
 
@@ -148,6 +163,12 @@
                 step = replica.plan.pop(0) if len(replica.plan) > 1 else replica.plan[0]
                 replica.seen.append({"path": self.path, "body": body, "headers": dict(self.headers),
                                      "at": time.monotonic()})
+                segments = [part.split(":")[0] for part in self.headers.get("Prompt-Prefix", "").split(",")]
+                if replica.crashing_segment in segments:
+                    self.head(200, Replica_Seal="seal-" + replica.name, Content_Type="text/event-stream",
+                              Transfer_Encoding="chunked")
+                    self.wfile.flush()
+                    return replica.crash()
                 if step == "refuse":
                     return self.head(503, 0, Not_Executed="1")
                 if step == "fail":
@@ -200,14 +221,42 @@
                         return self.hang_up()
                 return self.wfile.write(b"0\r\n\r\n")
 
-        self.server = Server(address, Handler)
+        self.handler = Handler
+        self.start()
+
+    def start(self):
+        self.server = Server(self.address, self.handler)
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
     def stop(self):
+        self.stopped = True
+        self.end()
+
+    def end(self):
         self.server.shutdown()
         self.server.server_close()
 
+    def crash(self):
+        """Ends all connections and refuses new ones until the replica is back."""
+        if not self.down.acquire(blocking=False):
+            return
+        self.crashes.append(time.monotonic())
+        # Called on a thread of the server, which must not wait for itself.
+        threading.Thread(target=self.crash_and_return, daemon=True).start()
+
+    def crash_and_return(self):
+        self.end()
+        for connection in list(self.connections):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # its caller has closed it
+        time.sleep(self.down_s)
+        if not self.stopped:
+            self.start()
+        self.down.release()
+
     def entry(self, service, state="ready"):
-        host, port = self.server.server_address
+        host, port = self.address
         return {"service": service, "address": f"{host}:{port}", "zone": "a", "version": "v1", "slots": 4,
                 "state": state, "cold_remaining_ms": 0, "sequence": 0, "born": 1}
--- /dev/null
+++ b/tests/system/test_crashing_segment.py
@@ -0,0 +1,83 @@
+"""A prompt segment that crashes each replica that begins to answer it, over several entry processes."""
+
+import http.client
+import itertools
+import threading
+import time
+import unittest
+
+from relay_case import RelayCase
+
+CRASHING = "dead"
+CONTACT_S = 1.0  # contact_ms of the rules, shortened like the times of the stand-ins
+
+
+class CrashingSegmentTest(RelayCase):
+    ENTRIES = 3
+    REPLICAS = 6
+
+    def setUp(self):
+        self.numbers = itertools.count(1)
+        super().setUp()
+        self.plan("stream")
+
+    def ask_stream(self, segments, entry):
+        """Asks with a prompt of these segments and one of its own. Returns the status, or none without an answer."""
+        number = next(self.numbers)
+        headers = {"Attempt-Id": f"id-{number}",
+                   "Prompt-Prefix": ",".join([f"{s}:40" for s in segments] + [f"own{number}:100"])}
+        try:
+            response, body = self.ask("POST", "/story/1", body=b"x%d" % number, entry=entry, **headers)
+            return response.status if isinstance(body, bytes) else None
+        except (OSError, http.client.HTTPException):
+            return None
+
+    def send_for(self, seconds, segments, pause_s, results):
+        """Each entry process gets such requests, one after the other."""
+        until = time.monotonic() + seconds
+
+        def send(entry):
+            while time.monotonic() < until:
+                asked = time.monotonic()
+                results.append((asked, self.ask_stream(segments, entry)))
+                time.sleep(pause_s)
+
+        threads = [threading.Thread(target=send, args=(entry,)) for entry in range(self.ENTRIES)]
+        for thread in threads:
+            thread.start()
+        return threads
+
+    def crashes(self):
+        return sorted(at for replica in self.replicas for at in replica.crashes)
+
+    # Guards against BUDGET and LOST of issue 24: requests that share a segment crashed one replica after the other.
+    def test_segment_that_crashes_replicas_is_held_back_and_others_are_served(self):
+        before = []
+        for thread in self.send_for(1.0, ["first"], 0.05, before):
+            thread.join()
+        self.assertEqual({status for _, status in before}, {200})
+        for replica in self.replicas:
+            replica.crashing_segment = CRASHING
+        crashing, sound = [], []
+        threads = self.send_for(8.0, ["first", CRASHING], 0.2, crashing)
+        threads += self.send_for(8.0, ["first"], 0.1, sound)
+        for thread in threads:
+            thread.join()
+
+        crashes = self.crashes()
+        self.assertGreaterEqual(len(crashes), 1)
+        fifth = crashes[min(4, len(crashes) - 1)]
+        late = [at for at in crashes if at > fifth + CONTACT_S]
+        self.assertLessEqual(len(late), 3, f"{len(crashes)} crashes")
+        # What is held back is told to have not run.
+        last = [status for asked, status in crashing if asked > fifth + CONTACT_S]
+        self.assertGreaterEqual(len(last), 20)
+        self.assertGreaterEqual(last.count(503), len(last) - 3)
+        # Sound requests with the same first segment and account are served meanwhile.
+        served = [status for asked, status in sound if asked > fifth + 2 * CONTACT_S]
+        self.assertGreaterEqual(len(served), 20)
+        self.assertGreater(served.count(200), len(served) / 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/system/test_relay.py
+++ b/tests/system/test_relay.py
@@ -1,136 +1,16 @@
 """The entry process on the users' platform, against stand-ins of its store and replicas."""
 
 import http.client
-import pathlib
 import signal
 import socket
-import subprocess
-import tempfile
 import threading
 import time
 import unittest
 
-from platform_stand_ins import Replica, Store
-from system_case import BIN
+from relay_case import HOST, ROUTES, RelayCase, configuration, route
 
-HOST = "127.0.9.1"
-
-
-def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for s in sockets:
-        s.bind((HOST, 0))
-    ports = [s.getsockname()[1] for s in sockets]
-    for s in sockets:
-        s.close()
-    return ports
-
-
-def route(name, kind, **more):
-    return {"name": name, "host": "shop.example", "prefix": f"/{name}/", "kind": kind, "timeout_ms": 3000,
-            "target_latency_ms": 1000, "priority": 1, "service": "svc", "max_attempts": 2, "public": False, **more}
-
-
-def configuration(version, routes, keys=("key-1",)):
-    return {"version": version, "routes": routes, "services": [{"name": "svc", "health_path": "/healthz"}],
-            "limits": {"max_header_bytes": 16384, "max_body_bytes": 100000, "header_timeout_ms": 1000,
-                       "idle_timeout_ms": 15000},
-            "tenants": [{"name": "acme", "api_keys": list(keys)}]}
-
-
-ROUTES = [route("look", "idempotent"), route("order", "non_idempotent"),
-          route("story", "streaming", stream_resume=True), route("tale", "streaming")]
-
-
-class RelayTest(unittest.TestCase):
-    def setUp(self):
-        ports = free_ports(7)
-        self.store = Store((HOST, ports[0]))
-        self.addCleanup(self.store.stop)
-        self.replicas = [Replica(f"i-{n}", (HOST, ports[1 + n])) for n in range(2)]
-        for replica in self.replicas:
-            self.addCleanup(replica.stop)
-            self.store.put("servers/" + replica.name, replica.entry("svc"))
-        self.store.put("servers/broken", b"\xff not JSON")
-        self.store.put("op/config", configuration(3, ROUTES))
-        self.callers, self.health = ports[3], ports[4]
-        directory = tempfile.TemporaryDirectory()
-        self.addCleanup(directory.cleanup)
-        settings = pathlib.Path(directory.name) / "relay.toml"
-        settings.write_text(f"""
-host_id = "relay-1"
-data_centre = "a"
-shutdown_limit_s = 6
-[listen]
-callers = "{HOST}:{ports[3]}"
-health = "{HOST}:{ports[4]}"
-peers = "{HOST}:{ports[5]}"
-metrics = "{HOST}:{ports[6]}"
-[store]
-endpoint = "{HOST}:{ports[0]}"
-[retries]
-ratio = 1.0
-slack = 200
-window_s = 10
-""")
-        self.settings = settings
-        self.log = open(pathlib.Path(directory.name) / "log", "wb")
-        self.addCleanup(self.log.close)
-        self.addCleanup(self.end)
-        self.start()
-        self.wait_for(lambda: self.ready() == 200)
-        # Requests earn the retries that the tests need.
-        for _ in range(20):
-            self.ask("GET", "/look/earn")
-        for replica in self.replicas:
-            replica.seen.clear()
-
-    def start(self):
-        self.process = subprocess.Popen([f"{BIN}/cornelrelay", "relay", "--settings", str(self.settings)],
-                                        stdout=self.log)
-
-    def end(self):
-        if self.process.poll() is None:
-            self.process.kill()
-        self.process.wait()
-
-    def wait_for(self, condition, limit=8.0):
-        until = time.monotonic() + limit
-        while not condition():
-            self.assertLess(time.monotonic(), until)
-            time.sleep(0.02)
-
-    def ready(self):
-        try:
-            connection = http.client.HTTPConnection(HOST, self.health, timeout=2)
-            connection.request("GET", "/")
-            return connection.getresponse().status
-        except OSError:
-            return 0
-
-    def ask(self, method, path, key="key-1", body=None, **headers):
-        connection = http.client.HTTPConnection(HOST, self.callers, timeout=6)
-        sent = {"Host": "shop.example", "Attempt-Id": "id-1", "Deadline-Ms": "3000", **headers}
-        if key:
-            sent["Api-Key"] = key
-        connection.request(method, path, body=body, headers=sent)
-        response = connection.getresponse()
-        try:
-            return response, response.read()
-        except http.client.IncompleteRead as error:
-            return response, error
-        finally:
-            connection.close()
-
-    def runs(self):
-        return sum(len(replica.seen) for replica in self.replicas)
-
-    def plan(self, *steps):
-        """The same steps for whichever replica is asked first."""
-        shared = list(steps)
-        for replica in self.replicas:
-            replica.plan = shared
 
+class RelayTest(RelayCase):
     def test_answer_and_headers(self):
         response, body = self.ask("POST", "/order/7?x=1", body=b"payload", Tenant="forged")
         self.assertEqual(response.status, 200)
@@ -218,7 +98,7 @@
         running = threading.Thread(target=lambda: results.append(self.ask("POST", "/order/1", body=b"x")[0].status))
         running.start()
         self.wait_for(lambda: self.runs() == 1)
-        self.process.send_signal(signal.SIGHUP)
+        self.entries[0].process.send_signal(signal.SIGHUP)
         running.join()
         self.assertEqual(results, [200])
         self.plan("ok")
@@ -229,20 +109,20 @@
         running = threading.Thread(target=lambda: self.ask("POST", "/order/1", body=b"x"))
         running.start()
         self.wait_for(lambda: self.runs() == 1)
-        self.process.send_signal(signal.SIGTERM)
-        self.wait_for(lambda: self.ready() != 200, 2.0)
+        self.entries[0].process.send_signal(signal.SIGTERM)
+        self.wait_for(lambda: self.entries[0].ready() != 200, 2.0)
         running.join()
 
     def test_killed_process_serves_again(self):
-        self.end()
-        self.start()
-        self.wait_for(lambda: self.ready() == 200)
+        self.entries[0].end()
+        self.entries[0].start()
+        self.wait_for(lambda: self.entries[0].ready() == 200)
         self.assertEqual(self.ask("GET", "/look/1")[0].status, 200)
 
     def test_restart_in_an_outage_denies_nothing(self):
-        self.end()
+        self.entries[0].end()
         self.store.down = True
-        self.start()
+        self.entries[0].start()
 
         def status():
             try:
@@ -254,9 +134,9 @@
         for _ in range(10):
             self.assertEqual(status(), 503)
             time.sleep(0.1)
-        self.assertNotEqual(self.ready(), 200)
+        self.assertNotEqual(self.entries[0].ready(), 200)
         self.store.down = False
-        self.wait_for(lambda: self.ready() == 200 and status() == 200)
+        self.wait_for(lambda: self.entries[0].ready() == 200 and status() == 200)
 
     def test_caller_that_leaves_ends_the_run(self):
         for path in ("/look/1", "/order/1"):
@@ -264,7 +144,7 @@
             for replica in self.replicas:
                 replica.seen.clear()
                 replica.left_at = None
-            caller = socket.create_connection((HOST, self.callers), timeout=6)
+            caller = socket.create_connection((HOST, self.entries[0].callers), timeout=6)
             method = "GET" if "look" in path else "POST"
             caller.sendall(f"{method} {path} HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: id-1\r\nApi-Key: key-1\r\n"
                            "Content-Length: 0\r\n\r\n".encode())
@@ -287,7 +167,7 @@
     def test_serves_on_while_the_store_is_away(self):
         self.store.down = True
         time.sleep(2.5)
-        self.assertEqual(self.ready(), 200)
+        self.assertEqual(self.entries[0].ready(), 200)
         self.assertEqual(self.ask("GET", "/look/1")[0].status, 200)
         self.assertEqual(self.ask("GET", "/none/1")[0].status, 503)
         self.store.down = False
@@ -300,13 +180,13 @@
         running = threading.Thread(target=lambda: results.append(self.ask("POST", "/order/1", body=b"x")[0].status))
         running.start()
         self.wait_for(lambda: self.runs() == 1)
-        self.process.send_signal(signal.SIGTERM)
-        self.wait_for(lambda: self.ready() == 503, 1.0)
+        self.entries[0].process.send_signal(signal.SIGTERM)
+        self.wait_for(lambda: self.entries[0].ready() == 503, 1.0)
         self.plan("ok")
         self.assertEqual(self.ask("GET", "/look/1")[0].status, 200)
         running.join()
         self.assertEqual(results, [200])
-        self.assertEqual(self.process.wait(8), 0)
+        self.assertEqual(self.entries[0].process.wait(8), 0)
 
 
 if __name__ == "__main__":
