--- a/packages/driver/include/cornelrelay/driver/request_driver.h
+++ b/packages/driver/include/cornelrelay/driver/request_driver.h
@@ -33,6 +33,9 @@
   /// \brief Ends the request because the time limit of the graceful shutdown has passed.
   void EndForShutdown();
 
+  /// \brief Ends the request because requests like it crash upstreams.
+  void EndForQuarantine();
+
   request::RequestSnapshot snapshot() const { return m_machine.snapshot(); }
 
  protected:
--- a/packages/driver/src/request_driver.cc
+++ b/packages/driver/src/request_driver.cc
@@ -24,6 +24,7 @@
 RequestDriver::~RequestDriver() { m_mailbox->Close(); }
 
 void RequestDriver::EndForShutdown() { m_mailbox->Push(request::ShutdownLimitReached{}); }
+void RequestDriver::EndForQuarantine() { m_mailbox->Push(request::Quarantined{}); }
 
 core::Instant RequestDriver::NextWake() const {
   return m_machine.WakeAt().value_or(core::Instant::max());
--- a/packages/net/include/cornelrelay/net/errors.h
+++ b/packages/net/include/cornelrelay/net/errors.h
@@ -11,7 +11,13 @@
 /// \brief No connection was established, so the peer received no byte of the request.
 class ConnectFailed : public core::Error {
  public:
-  ConnectFailed(const core::Endpoint& peer, const std::string& reason);
+  ConnectFailed(const core::Endpoint& peer, const std::string& reason, bool refused = false);
+
+  /// \brief Whether the peer's host answered that no process listens there.
+  bool refused() const { return m_refused; }
+
+ private:
+  bool m_refused;
 };
 
 /// \brief The connection failed after the request was at least partly sent.
--- a/packages/net/src/errors.cc
+++ b/packages/net/src/errors.cc
@@ -4,8 +4,9 @@
 
 namespace cornelrelay::net {
 
-ConnectFailed::ConnectFailed(const core::Endpoint& peer, const std::string& reason)
-    : Error("connect_failed", "connection to " + core::ToString(peer) + " failed: " + reason) {}
+ConnectFailed::ConnectFailed(const core::Endpoint& peer, const std::string& reason, bool refused)
+    : Error("connect_failed", "connection to " + core::ToString(peer) + " failed: " + reason),
+      m_refused(refused) {}
 
 std::string_view ToString(BreakCause cause) {
   switch (cause) {
--- a/packages/net/src/http_client.cc
+++ b/packages/net/src/http_client.cc
@@ -53,7 +53,9 @@
     connection->stream.expires_after(m_limits.connect_timeout);
     co_await connection->stream.async_connect(tcp::endpoint(address, peer.port),
                                               asio::redirect_error(asio::use_awaitable, ec));
-    if (ec) throw ConnectFailed(peer, ec.message());
+    if (ec) {
+      throw ConnectFailed(peer, ec.message(), ec == boost::system::errc::connection_refused);
+    }
     auto& socket = connection->stream.socket();
     socket.set_option(tcp::no_delay(true), ec);
     socket.set_option(
--- a/packages/peers/include/cornelrelay/peers/peer_messages.h
+++ b/packages/peers/include/cornelrelay/peers/peer_messages.h
@@ -28,14 +28,18 @@
 };
 /// \brief The load of this process changed, so the next status is due sooner.
 struct LocalLoadChanged {};
+/// \brief This process has seen a crash that its peers do not know of, so the next status is due
+/// sooner.
+struct LocalSuspectsChanged {};
 /// \brief A fetch of items from a peer has ended.
 struct FetchEnded {
   bool succeeded = false;
 };
 struct PeerTick {};
 
-using PeerEvent = std::variant<PeerRegistered, PeerUnregistered, PeerStatusReceived,
-                               LocalItemsChanged, LocalLoadChanged, FetchEnded, PeerTick>;
+using PeerEvent =
+    std::variant<PeerRegistered, PeerUnregistered, PeerStatusReceived, LocalItemsChanged,
+                 LocalLoadChanged, LocalSuspectsChanged, FetchEnded, PeerTick>;
 
 /// \brief Send a status to these peers.
 struct SendStatus {
--- a/packages/peers/include/cornelrelay/peers/peer_status.h
+++ b/packages/peers/include/cornelrelay/peers/peer_status.h
@@ -5,6 +5,7 @@
 
 #include "cornelrelay/core/endpoint.h"
 #include "cornelrelay/core/ids.h"
+#include "cornelrelay/quarantine/suspect_report.h"
 
 namespace cornelrelay::peers {
 
@@ -35,6 +36,7 @@
   core::DataCentreId data_centre;
   std::vector<UpstreamLoad> loads;
   std::vector<ServiceQueue> queues;
+  std::vector<quarantine::SuspectReport> suspects;
 
   friend bool operator==(const PeerStatus&, const PeerStatus&) = default;
 };
--- a/packages/peers/include/cornelrelay/peers/peer_table.h
+++ b/packages/peers/include/cornelrelay/peers/peer_table.h
@@ -29,7 +29,7 @@
   /// The same as a multiple of the interval between statuses, where that is longer: in a large
   /// fleet one lost datagram must not make a peer look lost.
   int silent_intervals = 3;
-  /// Least interval between statuses that announce newer items.
+  /// Least interval between statuses that announce newer items or a crash.
   core::Duration announcement_interval = std::chrono::milliseconds(100);
   /// Up to this number of processes, all follow the store. They share its calls anyway.
   std::size_t small_fleet = 12;
@@ -93,6 +93,7 @@
   void Apply(core::Instant now, const PeerStatusReceived& event, Actions& out);
   void Apply(core::Instant now, const LocalItemsChanged& event, Actions& out);
   void Apply(core::Instant now, const LocalLoadChanged& event, Actions& out);
+  void Apply(core::Instant now, const LocalSuspectsChanged& event, Actions& out);
   void Apply(core::Instant now, const FetchEnded& event, Actions& out);
   void Apply(core::Instant now, const PeerTick& event, Actions& out);
 
@@ -114,7 +115,7 @@
   std::optional<core::Instant> m_fetching_since;
   core::Instant m_last_send{};
   bool m_load_changed = true;
-  bool m_items_announced = true;  ///< a status has told of the items that this process has
+  bool m_news_sent = true;  ///< a status has told of the newest items and crashes
   std::uint64_t m_version = 0;
 };
 
--- a/packages/peers/src/peer_table.cc
+++ b/packages/peers/src/peer_table.cc
@@ -53,12 +53,13 @@
 
 void PeerTable::Apply(core::Instant, const LocalItemsChanged& event, Actions&) {
   // What a follower knows comes from a peer that announces it itself.
-  if (event.store_connected && event.revision > m_local_items_revision) m_items_announced = false;
+  if (event.store_connected && event.revision > m_local_items_revision) m_news_sent = false;
   m_local_items_revision = event.revision;
   m_store_connected = event.store_connected;
 }
 
 void PeerTable::Apply(core::Instant, const LocalLoadChanged&, Actions&) { m_load_changed = true; }
+void PeerTable::Apply(core::Instant, const LocalSuspectsChanged&, Actions&) { m_news_sent = false; }
 void PeerTable::Apply(core::Instant, const FetchEnded& event, Actions&) {
   // After a failure, the next fetch waits until the retry interval since the start of the failed
   // one has passed.
@@ -107,7 +108,7 @@
 }
 
 core::Instant PeerTable::NextSend() const {
-  if (!m_items_announced) return m_last_send + m_config.announcement_interval;
+  if (!m_news_sent) return m_last_send + m_config.announcement_interval;
   return m_last_send +
          SendInterval(m_load_changed ? m_config.busy_interval : m_config.idle_interval);
 }
@@ -124,7 +125,7 @@
   }
   m_last_send = now;
   m_load_changed = false;
-  m_items_announced = true;
+  m_news_sent = true;
   if (!send.to.empty()) out.emplace_back(std::move(send));
 }
 
--- a/packages/quarantine/include/cornelrelay/quarantine/fingerprint.h
+++ b/packages/quarantine/include/cornelrelay/quarantine/fingerprint.h
@@ -23,6 +23,9 @@
   static Fingerprint Of(const core::ClientAccountId& account, const core::ServiceId& service,
                         std::string_view body);
 
+  /// \brief Identifies a segment of prompts by its id.
+  static Fingerprint OfSegment(const core::ServiceId& service, std::string_view id);
+
   constexpr std::uint64_t value() const { return m_value; }
 
   friend bool operator==(const Fingerprint&, const Fingerprint&) = default;
--- /dev/null
+++ b/packages/quarantine/include/cornelrelay/quarantine/suspect_settings.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+
+#include "cornelrelay/core/time.h"
+
+namespace cornelrelay::quarantine {
+
+/// \brief Times and limits of a SuspectTable.
+struct SuspectSettings {
+  /// A crash counts for this long.
+  core::Duration memory = std::chrono::hours(1);
+  /// Time from a crash to the first trial of what it put in quarantine. Each further crash doubles
+  /// it. Several times the 5 s that a group of ranks needs to form again after a crash.
+  core::Duration trial_delay = std::chrono::seconds(30);
+  /// Processes wait up to this share of the delay longer, each its own, so that not all of them
+  /// make the trial at once.
+  double trial_jitter = 0.5;
+  /// A suspect gets no further trial after this many crashes.
+  std::size_t max_crashes = 4;
+  /// A trial without output or crash is over after this time, the longest that callers wait.
+  core::Duration trial_time = std::chrono::seconds(10);
+  /// A suspect that is not quarantined is reported for this long after its last crash.
+  core::Duration report_time = std::chrono::minutes(1);
+  /// Number of features with output that are remembered, 40 bytes each.
+  std::size_t max_known_features = 20'000;
+  /// Number of suspects that are remembered and reported.
+  std::size_t max_suspects = 32;
+
+  friend bool operator==(const SuspectSettings&, const SuspectSettings&) = default;
+};
+
+}  // namespace cornelrelay::quarantine
--- /dev/null
+++ b/packages/quarantine/include/cornelrelay/quarantine/suspect_table.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "cornelrelay/core/ids.h"
+#include "cornelrelay/core/time.h"
+#include "cornelrelay/quarantine/request_features.h"
+#include "cornelrelay/quarantine/suspect_events.h"
+#include "cornelrelay/quarantine/suspect_report.h"
+#include "cornelrelay/quarantine/suspect_settings.h"
+
+namespace cornelrelay::quarantine {
+
+/// \brief Finds what the requests that crash upstreams have in common, and holds back other
+/// requests that have it.
+///
+/// A feature is a suspect if a request with it was running, without output, on an upstream that
+/// crashed, and no request with it has ever given output in any entry process. It is quarantined
+/// after one crash of an upstream that had begun to answer, or two crashes of upstreams that may
+/// not have begun. Output clears it. Requests with a quarantined feature are held back, but for one
+/// trial at a time, each after twice the time of the one before.
+///
+/// CrashLedger finds one request that comes again and again and needs a crash of its own for each;
+/// this class finds what different requests share.
+///
+/// \code
+/// SuspectTable table(settings, seed);
+/// for (const SuspectAction& a : table.Step(now, RequestLostInCrash{...})) Perform(a);
+/// if (const auto retry_after = table.HoldBack(now, request, features)) Refuse(*retry_after);
+/// \endcode
+class SuspectTable {
+ public:
+  SuspectTable(SuspectSettings settings, std::uint64_t seed);
+
+  std::vector<SuspectAction> Step(core::Instant now, const SuspectEvent& event);
+
+  /// \brief Returns nothing if the request may run, otherwise the time after which one like it may
+  /// run as a trial.
+  /// \param request may be asked about more than once; if it is the trial, it stays so
+  std::optional<core::Duration> HoldBack(core::Instant now, const core::RequestId& request,
+                                         const RequestFeatures& features);
+
+  /// \brief Whether a crash could make a feature of the request a suspect.
+  bool CanSuspect(const RequestFeatures& features) const;
+
+  /// \brief What this process knows about the suspects that the others must know of.
+  std::vector<SuspectReport> Reports(core::Instant now) const;
+
+  std::size_t quarantined_count() const { return m_quarantined.size(); }
+
+ private:
+  struct Crash {
+    core::Instant time;
+    bool answer_begun = false;
+  };
+  struct Suspect {
+    std::map<std::uint64_t, Crash> crashes;
+    std::optional<core::RequestId> trial;
+    core::Instant trial_end{};
+  };
+  using Actions = std::vector<SuspectAction>;
+
+  void Apply(core::Instant now, const OutputBegan& event, Actions& out);
+  void Apply(core::Instant now, const RequestLostInCrash& event, Actions& out);
+  void Apply(core::Instant now, const SuspectsReported& event, Actions& out);
+
+  /// \brief Adds a crash. Returns whether it is new.
+  bool AddCrash(Fingerprint suspect, std::uint64_t crash, const Crash& seen);
+  /// \brief Forgets a cleared suspect if the table is full. Returns whether there is room.
+  bool MakeRoom();
+  void RememberOutput(Fingerprint feature, core::Instant at);
+  bool IsQuarantined(Fingerprint feature) const { return m_quarantined.contains(feature); }
+  void UpdateQuarantine(Fingerprint feature, Actions& out);
+  void Expire(core::Instant now, Actions& out);
+  /// \brief When a trial of the suspect may begin; max() if there is none.
+  core::Instant NextTrial(Fingerprint feature, const Suspect& suspect) const;
+
+  SuspectSettings m_settings;
+  std::uint64_t m_seed;
+  std::map<Fingerprint, Suspect> m_suspects;
+  std::map<Fingerprint, core::Instant> m_outputs;  ///< last output of each feature
+  std::set<Fingerprint> m_quarantined;
+};
+
+}  // namespace cornelrelay::quarantine
--- a/packages/quarantine/src/records.cc
+++ b/packages/quarantine/src/records.cc
@@ -18,6 +18,10 @@
       core::Hash64(body, core::Hash64(service.value(), core::Hash64(account.value()))));
 }
 
+Fingerprint Fingerprint::OfSegment(const core::ServiceId& service, std::string_view id) {
+  return Fingerprint(core::Hash64(id, core::Hash64(service.value())));
+}
+
 CrashRecord Merge(const CrashRecord& a, const CrashRecord& b) {
   assert(a.id == b.id);
   CrashRecord merged = a;
--- /dev/null
+++ b/packages/quarantine/src/suspect_table.cc
@@ -0,0 +1,192 @@
+#include "cornelrelay/quarantine/suspect_table.h"
+
+#include <algorithm>
+#include <cassert>
+#include <string>
+#include <utility>
+
+#include "cornelrelay/core/hash.h"
+
+namespace cornelrelay::quarantine {
+namespace {
+
+/// Weights of a crash as evidence, and the sum that quarantines a suspect.
+constexpr int kAnswerBegunWeight = 2;
+constexpr int kAnswerNotBegunWeight = 1;
+constexpr int kQuarantineWeight = 2;
+
+constexpr std::size_t kMaxDoublings = 16;
+
+}  // namespace
+
+SuspectTable::SuspectTable(SuspectSettings settings, std::uint64_t seed)
+    : m_settings(settings), m_seed(seed) {
+  assert(settings.max_known_features > 0 && settings.max_suspects > 0);
+}
+
+std::vector<SuspectAction> SuspectTable::Step(core::Instant now, const SuspectEvent& event) {
+  Actions out;
+  Expire(now, out);
+  std::visit([&](const auto& e) { Apply(now, e, out); }, event);
+  return out;
+}
+
+void SuspectTable::Apply(core::Instant now, const OutputBegan& event, Actions& out) {
+  for (const Fingerprint feature : event.features.shared_segments) {
+    RememberOutput(feature, now);
+    UpdateQuarantine(feature, out);
+  }
+}
+
+void SuspectTable::Apply(core::Instant now, const RequestLostInCrash& event, Actions& out) {
+  const std::uint64_t crash = core::Hash64(event.upstream.value(), event.incarnation);
+  for (const Fingerprint feature : event.features.shared_segments) {
+    if (m_outputs.contains(feature)) continue;
+    if (AddCrash(feature, crash, {now, event.answer_begun})) out.emplace_back(SuspectsChanged{});
+    UpdateQuarantine(feature, out);
+  }
+}
+
+void SuspectTable::Apply(core::Instant now, const SuspectsReported& event, Actions& out) {
+  for (const SuspectReport& report : event.reports) {
+    for (const CrashSighting& sighting : report.crashes) {
+      if (sighting.age >= m_settings.memory) continue;
+      AddCrash(report.suspect, sighting.crash, {now - sighting.age, sighting.answer_begun});
+    }
+    if (report.output_age) RememberOutput(report.suspect, now - *report.output_age);
+    UpdateQuarantine(report.suspect, out);
+  }
+}
+
+bool SuspectTable::AddCrash(Fingerprint suspect, std::uint64_t crash, const Crash& seen) {
+  if (!m_suspects.contains(suspect) && !MakeRoom()) return false;
+  Suspect& entry = m_suspects[suspect];
+  const auto [found, added] = entry.crashes.try_emplace(crash, seen);
+  if (added) {
+    entry.trial.reset();  // it has failed, or says nothing any more
+    return true;
+  }
+  found->second.time = std::min(found->second.time, seen.time);
+  found->second.answer_begun |= seen.answer_begun;
+  return false;
+}
+
+bool SuspectTable::MakeRoom() {
+  if (m_suspects.size() < m_settings.max_suspects) return true;
+  const auto cleared =
+      std::find_if(m_suspects.begin(), m_suspects.end(),
+                   [this](const auto& entry) { return m_outputs.contains(entry.first); });
+  if (cleared == m_suspects.end()) return false;
+  m_suspects.erase(cleared);
+  return true;
+}
+
+void SuspectTable::RememberOutput(Fingerprint feature, core::Instant at) {
+  const auto [found, added] = m_outputs.try_emplace(feature, at);
+  if (!added) {
+    found->second = std::max(found->second, at);
+    return;
+  }
+  if (m_outputs.size() <= m_settings.max_known_features) return;
+  // Evicts the half that gave output longest ago, so that the next eviction is far away.
+  std::vector<core::Instant> times;
+  times.reserve(m_outputs.size());
+  for (const auto& [known, time] : m_outputs) times.push_back(time);
+  const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+  std::nth_element(times.begin(), middle, times.end());
+  std::erase_if(m_outputs, [&](const auto& entry) { return entry.second < *middle; });
+}
+
+void SuspectTable::UpdateQuarantine(Fingerprint feature, Actions& out) {
+  const auto found = m_suspects.find(feature);
+  int weight = 0;
+  if (found != m_suspects.end() && !m_outputs.contains(feature)) {
+    for (const auto& [id, crash] : found->second.crashes) {
+      weight += crash.answer_begun ? kAnswerBegunWeight : kAnswerNotBegunWeight;
+    }
+  }
+  if (weight >= kQuarantineWeight) {
+    if (m_quarantined.insert(feature).second) {
+      out.emplace_back(SuspectQuarantined{feature, found->second.crashes.size()});
+    }
+  } else if (m_quarantined.erase(feature) > 0) {
+    out.emplace_back(SuspectCleared{feature});
+  }
+}
+
+void SuspectTable::Expire(core::Instant now, Actions& out) {
+  std::vector<Fingerprint> changed;
+  for (auto& [feature, suspect] : m_suspects) {
+    const auto forgotten = std::erase_if(suspect.crashes, [&](const auto& entry) {
+      return entry.second.time + m_settings.memory <= now;
+    });
+    if (forgotten > 0) changed.push_back(feature);
+  }
+  for (const Fingerprint feature : changed) {
+    if (m_suspects.at(feature).crashes.empty()) m_suspects.erase(feature);
+    UpdateQuarantine(feature, out);
+  }
+}
+
+core::Instant SuspectTable::NextTrial(Fingerprint feature, const Suspect& suspect) const {
+  if (suspect.crashes.size() >= m_settings.max_crashes) return core::Instant::max();
+  core::Instant last{};
+  for (const auto& [id, crash] : suspect.crashes) last = std::max(last, crash.time);
+  const std::size_t doublings = std::min(suspect.crashes.size() - 1, kMaxDoublings);
+  const core::Duration delay = m_settings.trial_delay * (std::int64_t{1} << doublings);
+  constexpr std::uint64_t kSteps = 1'000;
+  const std::uint64_t step = core::Hash64(std::to_string(feature.value()), m_seed) % kSteps;
+  const double jitter =
+      m_settings.trial_jitter * static_cast<double>(step) / static_cast<double>(kSteps);
+  return last + delay +
+         core::Duration(
+             static_cast<core::Duration::rep>(static_cast<double>(delay.count()) * jitter));
+}
+
+std::optional<core::Duration> SuspectTable::HoldBack(core::Instant now,
+                                                     const core::RequestId& request,
+                                                     const RequestFeatures& features) {
+  std::optional<core::Instant> next;
+  std::vector<Suspect*> trials;
+  for (const Fingerprint feature : features.shared_segments) {
+    if (!IsQuarantined(feature)) continue;
+    Suspect& suspect = m_suspects.at(feature);
+    if (suspect.trial == request) continue;
+    core::Instant free = NextTrial(feature, suspect);
+    if (suspect.trial) free = std::max(free, suspect.trial_end);
+    if (free > now) {
+      next = std::max(next.value_or(free), free);
+    } else {
+      trials.push_back(&suspect);
+    }
+  }
+  if (next) return std::min(*next, now + m_settings.memory) - now;
+  for (Suspect* suspect : trials) {
+    suspect->trial = request;
+    suspect->trial_end = now + m_settings.trial_time;
+  }
+  return std::nullopt;
+}
+
+bool SuspectTable::CanSuspect(const RequestFeatures& features) const {
+  return std::any_of(features.shared_segments.begin(), features.shared_segments.end(),
+                     [this](Fingerprint feature) { return !m_outputs.contains(feature); });
+}
+
+std::vector<SuspectReport> SuspectTable::Reports(core::Instant now) const {
+  std::vector<SuspectReport> reports;
+  for (const auto& [feature, suspect] : m_suspects) {
+    SuspectReport report{feature, {}, std::nullopt};
+    bool recent = false;
+    for (const auto& [id, crash] : suspect.crashes) {
+      report.crashes.push_back({id, now - crash.time, crash.answer_begun});
+      recent |= now - crash.time < m_settings.report_time;
+    }
+    const auto output = m_outputs.find(feature);
+    if (output != m_outputs.end()) report.output_age = now - output->second;
+    if (recent || IsQuarantined(feature)) reports.push_back(std::move(report));
+  }
+  return reports;
+}
+
+}  // namespace cornelrelay::quarantine
--- /dev/null
+++ b/packages/quarantine/tests/suspect_table_test.cc
@@ -0,0 +1,199 @@
+#include "cornelrelay/quarantine/suspect_table.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "cornelrelay/core/random.h"
+
+namespace cornelrelay::quarantine {
+namespace {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const core::Instant kStart{seconds(100)};
+const core::ServiceId kService("assistant");
+
+Fingerprint Segment(const std::string& id) { return Fingerprint::OfSegment(kService, id); }
+
+RequestFeatures Features(const std::vector<std::string>& segments) {
+  RequestFeatures features;
+  for (const std::string& id : segments) features.shared_segments.push_back(Segment(id));
+  return features;
+}
+
+RequestLostInCrash Lost(const std::string& upstream, const std::vector<std::string>& segments,
+                        bool answer_begun = true) {
+  return {core::UpstreamId(upstream), 1, answer_begun, Features(segments)};
+}
+
+bool Held(SuspectTable& table, core::Instant now, const std::vector<std::string>& segments,
+          const std::string& request = "r") {
+  return table.HoldBack(now, core::RequestId(request), Features(segments)).has_value();
+}
+
+SuspectTable Table(std::uint64_t seed = 1) { return SuspectTable(SuspectSettings{}, seed); }
+
+}  // namespace
+
+TEST_CASE("a segment without output that was running in a crash is held back at once") {
+  SuspectTable table = Table();
+  table.Step(kStart, OutputBegan{Features({"shared"})});
+  table.Step(kStart, Lost("u1", {"shared", "crashing"}));
+  CHECK(Held(table, kStart, {"shared", "crashing"}));
+  CHECK(Held(table, kStart, {"other", "crashing"}));
+  CHECK_FALSE(Held(table, kStart, {"shared"}));
+  CHECK_FALSE(Held(table, kStart, {"other"}));
+}
+
+TEST_CASE("a request that its upstream had not begun to answer needs two crashes") {
+  SuspectTable table = Table();
+  table.Step(kStart, Lost("u1", {"a"}, false));
+  CHECK_FALSE(Held(table, kStart, {"a"}));
+  table.Step(kStart, Lost("u1", {"a"}, false));  // the same crash, seen with another request
+  CHECK_FALSE(Held(table, kStart, {"a"}));
+  table.Step(kStart, Lost("u2", {"a"}, false));
+  CHECK(Held(table, kStart, {"a"}));
+}
+
+TEST_CASE("output in another entry process clears a segment in all of them") {
+  SuspectTable here = Table();
+  SuspectTable there = Table();
+  there.Step(kStart, OutputBegan{Features({"a"})});
+  here.Step(kStart, Lost("u1", {"a"}));
+  CHECK(Held(here, kStart, {"a"}));
+  there.Step(kStart, SuspectsReported{here.Reports(kStart)});
+  CHECK_FALSE(Held(there, kStart, {"a"}));
+  here.Step(kStart, SuspectsReported{there.Reports(kStart)});
+  CHECK_FALSE(Held(here, kStart, {"a"}));
+}
+
+TEST_CASE("an entry process that starts anew learns from the others what is held back") {
+  SuspectTable first = Table();
+  first.Step(kStart, Lost("u1", {"a"}));
+  SuspectTable second = Table();
+  second.Step(kStart + seconds(1), SuspectsReported{first.Reports(kStart + seconds(1))});
+  SuspectTable third = Table();
+  third.Step(kStart + seconds(2), SuspectsReported{second.Reports(kStart + seconds(2))});
+  CHECK(Held(third, kStart + seconds(2), {"a"}));
+}
+
+TEST_CASE("one trial at a time is made, and each crash doubles the time to the next") {
+  SuspectTable table = Table();
+  const SuspectSettings settings;
+  const auto latest = [&](core::Duration delay) {
+    return std::chrono::duration_cast<core::Duration>(delay * (1 + settings.trial_jitter));
+  };
+  table.Step(kStart, Lost("u1", {"a"}));
+  CHECK(Held(table, kStart + settings.trial_delay - seconds(1), {"a"}));
+  core::Instant now = kStart + latest(settings.trial_delay);
+  CHECK_FALSE(Held(table, now, {"a"}, "trial"));
+  CHECK_FALSE(Held(table, now, {"a"}, "trial"));
+  CHECK(Held(table, now, {"a"}, "other"));
+  SECTION("output of the trial clears the segment") {
+    table.Step(now, OutputBegan{Features({"a"})});
+    CHECK_FALSE(Held(table, now, {"a"}, "other"));
+  }
+  SECTION("a crash ends the trial, and its request is not sent again") {
+    table.Step(now, Lost("u2", {"a"}));
+    CHECK(Held(table, now, {"a"}, "trial"));
+    CHECK(Held(table, now + 2 * settings.trial_delay - seconds(1), {"a"}));
+    CHECK_FALSE(Held(table, now + latest(2 * settings.trial_delay), {"a"}));
+  }
+  SECTION("a trial that says nothing makes room for another") {
+    now += settings.trial_time;
+    CHECK_FALSE(Held(table, now, {"a"}, "other"));
+  }
+}
+
+TEST_CASE("after its last trial a segment is held back until its crashes are forgotten") {
+  SuspectTable table = Table();
+  const SuspectSettings settings;
+  for (std::size_t n = 0; n < settings.max_crashes; ++n) {
+    table.Step(kStart, Lost("u" + std::to_string(n), {"a"}));
+  }
+  CHECK(Held(table, kStart + settings.memory - seconds(1), {"a"}));
+  table.Step(kStart + settings.memory, OutputBegan{Features({"b"})});
+  CHECK_FALSE(Held(table, kStart + settings.memory, {"a"}));
+}
+
+TEST_CASE("reports of the same crashes merge in any order and any number of times") {
+  CHECK(rc::check([](std::uint64_t seed) {
+    core::Random random(seed);
+    std::vector<SuspectTable> tables(3, Table());
+    for (int n = 0; n < 30; ++n) {
+      const std::vector<std::string> segments = {std::to_string(random.Below(6))};
+      SuspectTable& table = tables[random.Below(tables.size())];
+      if (random.Below(3) == 0) {
+        table.Step(kStart, OutputBegan{Features(segments)});
+      } else {
+        table.Step(kStart, Lost(std::to_string(random.Below(4)), segments, random.Below(2) == 0));
+      }
+      if (random.Below(4) == 0) {
+        tables[random.Below(tables.size())].Step(kStart, SuspectsReported{table.Reports(kStart)});
+      }
+    }
+    for (int round = 0; round < 2; ++round) {
+      for (const SuspectTable& from : tables) {
+        const auto reports = from.Reports(kStart);
+        for (SuspectTable& to : tables) to.Step(kStart, SuspectsReported{reports});
+      }
+    }
+    for (int id = 0; id < 6; ++id) {
+      const bool held = Held(tables[0], kStart, {std::to_string(id)});
+      for (SuspectTable& table : tables)
+        RC_ASSERT(Held(table, kStart, {std::to_string(id)}) == held);
+    }
+  }));
+}
+
+// Pattern: five in a hundred requests share a crashing segment, the others come from few common
+// segments and many rare ones; upstreams also crash for other reasons. All requests meet any of the
+// entry processes, whose reports need 100 ms.
+TEST_CASE("under mixed load a crashing segment costs few crashes and sound ones keep running") {
+  CHECK(rc::check([](std::uint64_t seed) {
+    core::Random random(seed);
+    constexpr int kProcesses = 8;
+    constexpr int kRequests = 4'000;
+    std::vector<SuspectTable> tables;
+    for (int n = 0; n < kProcesses; ++n) tables.push_back(Table(static_cast<std::uint64_t>(n)));
+    core::Instant now = kStart;
+    int crashes = 0;
+    int sound = 0;
+    int sound_held = 0;
+    for (int n = 0; n < kRequests; ++n) {
+      now += milliseconds(13);
+      SuspectTable& table = tables[random.Below(kProcesses)];
+      const bool common = random.Below(4) > 0;
+      std::vector<std::string> segments = {"s" + std::to_string(random.Below(common ? 5 : 100))};
+      const bool crashing = n > 200 && random.Below(20) == 0;
+      if (crashing) segments.emplace_back("crashing");
+      if (!crashing) ++sound;
+      const std::string id = std::to_string(n);
+      if (Held(table, now, segments, id)) {
+        if (!crashing) ++sound_held;
+      } else if (crashing || random.Below(500) == 0) {
+        if (crashing) ++crashes;
+        table.Step(now, Lost(id, segments, crashing || random.Below(2) == 0));
+      } else {
+        table.Step(now, OutputBegan{Features(segments)});
+      }
+      if (n % 8 != 0) continue;
+      for (const SuspectTable& from : tables) {
+        const auto reports = from.Reports(now);
+        for (SuspectTable& to : tables) to.Step(now, SuspectsReported{reports});
+      }
+    }
+    // The rule allows five crashes and three requests more.
+    RC_ASSERT(crashes <= 8);
+    RC_ASSERT(sound_held * 20 < sound);
+  }));
+}
+
+}  // namespace cornelrelay::quarantine
--- a/packages/relay/include/cornelrelay/relay/failure.h
+++ b/packages/relay/include/cornelrelay/relay/failure.h
@@ -16,6 +16,7 @@
   kNoConfiguration,  ///< this process does not know the current configuration
   kOverloaded,       ///< no upstream could accept the request in time
   kDeadline,         ///< the request's deadline has passed
+  kQuarantined,      ///< requests like this one crash upstreams
   kUpstreamFailed,   ///< the upstream failed and no other upstream may be tried
   kShutdown,         ///< this process is shutting down
 };
--- a/packages/relay/include/cornelrelay/relay/peer_transport.h
+++ b/packages/relay/include/cornelrelay/relay/peer_transport.h
@@ -27,6 +27,7 @@
     /// Returns the items that have changed after `since`, to send them to a peer.
     std::function<wire::ItemsTransfer(store::StoreRevision since)> items_since;
     std::function<void(const wire::ItemsTransfer&)> on_items_received;
+    std::function<void(const peers::PeerStatus&)> on_status_received;
   };
 
   PeerTransport(boost::asio::io_context& context, const runtime::ProcessClock& clock,
--- a/packages/relay/include/cornelrelay/relay/relay_gateway.h
+++ b/packages/relay/include/cornelrelay/relay/relay_gateway.h
@@ -29,6 +29,8 @@
   /// \brief Ends all requests with an error because the time limit of the graceful shutdown has
   /// passed.
   void AbortAll();
+  /// \brief Ends the requests without output that may no longer run.
+  void EndQuarantined();
   /// \brief Number of requests in progress.
   std::size_t active() const { return m_tasks.size(); }
 
--- a/packages/relay/include/cornelrelay/relay/relay_process.h
+++ b/packages/relay/include/cornelrelay/relay/relay_process.h
@@ -10,6 +10,7 @@
 #include "cornelrelay/relay/fleet_view.h"
 #include "cornelrelay/relay/peer_transport.h"
 #include "cornelrelay/relay/platform_ports.h"
+#include "cornelrelay/relay/quarantine_service.h"
 #include "cornelrelay/relay/relay_gateway.h"
 #include "cornelrelay/relay/retry_budgets.h"
 #include "cornelrelay/relay/service_dispatchers.h"
@@ -72,6 +73,7 @@
   PeerTransport m_peers;
   ServiceDispatchers m_dispatchers;
   FleetView m_fleet;
+  QuarantineService m_quarantine;
   RelayGateway m_gateway;
   net::HttpServer m_caller_server;
   net::HttpServer m_health_server;
--- a/packages/relay/include/cornelrelay/relay/relay_task.h
+++ b/packages/relay/include/cornelrelay/relay/relay_task.h
@@ -7,6 +7,7 @@
 #include "cornelrelay/dispatch/stall_detector.h"
 #include "cornelrelay/driver/request_driver.h"
 #include "cornelrelay/net/response_stream.h"
+#include "cornelrelay/quarantine/request_features.h"
 #include "cornelrelay/relay/relay_services.h"
 #include "cornelrelay/relay/relay_writer.h"
 #include "cornelrelay/relay/request_record.h"
@@ -26,6 +27,9 @@
   /// \brief Returns when the response has been written.
   boost::asio::awaitable<void> Run();
 
+  /// \brief Ends the request if it has given no output and requests like it are now held back.
+  void EndIfQuarantined();
+
  private:
   std::size_t pending() const override { return m_writer.pending(); }
   boost::asio::awaitable<void> WriteAnswer() override { return m_writer.Flush(); }
@@ -45,6 +49,11 @@
   void Perform(const request::RecordOutcome& action) override;
 
   void OnDecision(const ServiceDispatchers::Decision& decision);
+  /// \brief Refuses the request if it may not run now. Returns whether it did.
+  bool RefuseIfQuarantined();
+  void DecideRetry();
+  /// \brief Has the upstream of a lost attempt examined before a retry is decided.
+  void ExamineLostAttempt(const core::UpstreamId& upstream);
   void RecordOutput();
   dispatch::AttemptEnd AttemptEndOf(const request::RecordAttempt& action) const;
   std::optional<dispatch::ServiceActivity> CurrentActivity() const;
@@ -55,11 +64,14 @@
   RelayServices& m_services;
   RoutedRequest m_routed;
   core::RequestId m_internal_id;
+  quarantine::RequestFeatures m_features;
   RelayWriter m_writer;
   std::shared_ptr<UpstreamCall> m_call;
   std::shared_ptr<UpstreamCall> m_failed_call;  ///< call that received the last error response
   request::AttemptResult m_last_result = request::AttemptResult::kCancelled;
   std::optional<std::uint64_t> m_last_event_id;  ///< of the stream, as far as it was forwarded
+  bool m_examining = false;      ///< it is not known yet whether the upstream has crashed
+  bool m_retry_waiting = false;  ///< a retry is decided once it is known
   dispatch::StallDetector m_stall_detector;
   RequestRecord m_record;
 };
--- a/packages/relay/include/cornelrelay/relay/upstream_call.h
+++ b/packages/relay/include/cornelrelay/relay/upstream_call.h
@@ -42,6 +42,8 @@
   const std::string& failure_body() const { return m_failure_body; }
   /// \brief Id of the last event of a stream; the id after which it resumes before the first one.
   std::optional<std::uint64_t> last_event_id() const { return m_last_event_id; }
+  /// \brief Whether the upstream ended the connection before it gave any output.
+  bool lost_before_output() const { return m_connection_ended && !m_output; }
 
  private:
   boost::asio::awaitable<void> Exchange() override;
@@ -70,6 +72,7 @@
   std::string m_failure_body;
   std::optional<std::uint64_t> m_last_event_id;
   bool m_output = false;               ///< an event with an id has arrived
+  bool m_connection_ended = false;     ///< by the upstream, before the end of the response
   std::size_t m_unnumbered_bytes = 0;  ///< of events without an id since the last one with an id
   /// When the first byte after the last event with an id arrived.
   std::optional<core::Instant> m_no_progress_since;
--- a/packages/relay/src/failure.cc
+++ b/packages/relay/src/failure.cc
@@ -18,6 +18,8 @@
       return "overloaded";
     case FailureKind::kDeadline:
       return "deadline_exceeded";
+    case FailureKind::kQuarantined:
+      return "request_quarantined";
     case FailureKind::kUpstreamFailed:
       return "upstream_failed";
     case FailureKind::kShutdown:
--- a/packages/relay/src/peer_transport.cc
+++ b/packages/relay/src/peer_transport.cc
@@ -87,7 +87,9 @@
 
 void PeerTransport::Receive(const std::string& bytes) {
   try {
-    Step(peers::PeerStatusReceived{wire::DecodePeerStatus(bytes)});
+    const peers::PeerStatus status = wire::DecodePeerStatus(bytes);
+    Step(peers::PeerStatusReceived{status});
+    m_callbacks.on_status_received(status);
   } catch (const core::Error& error) {
     m_metrics.GetCounter("cornelrelay_bad_datagrams_total", "Datagrams that could not be read.")
         .Add();
--- /dev/null
+++ b/packages/relay/src/quarantine_service.cc
@@ -0,0 +1,123 @@
+#include "cornelrelay/relay/quarantine_service.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <chrono>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "cornelrelay/net/errors.h"
+#include "cornelrelay/runtime/pause.h"
+
+namespace cornelrelay::relay {
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+/// Limit for the connection that shows whether an upstream is alive; nothing is sent on it.
+constexpr milliseconds kProbeTimeout{250};
+/// A process that is just ending may still accept connections for a moment.
+constexpr milliseconds kSecondProbeDelay{50};
+
+}  // namespace
+
+QuarantineService::QuarantineService(asio::io_context& context, const runtime::ProcessClock& clock,
+                                     net::HttpClient& client,
+                                     const directory::UpstreamDirectory& directory,
+                                     std::uint64_t seed, telemetry::JsonLog& log,
+                                     telemetry::MetricRegistry& metrics, Callbacks callbacks)
+    : m_context(context),
+      m_clock(clock),
+      m_client(client),
+      m_directory(directory),
+      m_log(log),
+      m_metrics(metrics),
+      m_callbacks(std::move(callbacks)),
+      m_table(quarantine::SuspectSettings{}, seed) {}
+
+std::optional<core::Duration> QuarantineService::HoldBack(
+    const core::RequestId& request, const quarantine::RequestFeatures& features) {
+  return m_table.HoldBack(m_clock.Now(), request, features);
+}
+
+void QuarantineService::RecordOutput(const quarantine::RequestFeatures& features) {
+  Step(quarantine::OutputBegan{features});
+}
+
+bool QuarantineService::Examine(const LostAttempt& attempt, std::function<void()> on_done) {
+  const auto entry = m_directory.Find(attempt.upstream);
+  // An upstream that leaves may end its connections; that is no crash.
+  if (!entry || entry->leaving || !m_table.CanSuspect(attempt.features)) return false;
+  asio::co_spawn(
+      m_context,
+      [this, attempt, incarnation = entry->incarnation, endpoint = entry->endpoint,
+       on_done = std::move(on_done)] {
+        return ExamineUpstream(attempt, incarnation, endpoint, on_done);
+      },
+      asio::detached);
+  return true;
+}
+
+asio::awaitable<void> QuarantineService::ExamineUpstream(LostAttempt attempt,
+                                                         std::uint64_t incarnation,
+                                                         core::Endpoint endpoint,
+                                                         std::function<void()> on_done) {
+  bool crashed = co_await RefusesConnections(endpoint);
+  if (!crashed) {
+    co_await runtime::Pause(m_context, kSecondProbeDelay);
+    crashed = co_await RefusesConnections(endpoint);
+  }
+  m_log.Warning("lost_attempt_examined", {{"upstream", attempt.upstream},
+                                          {"incarnation", incarnation},
+                                          {"crashed", crashed},
+                                          {"answer_begun", attempt.answer_begun}});
+  if (crashed) {
+    Step(quarantine::RequestLostInCrash{attempt.upstream, incarnation, attempt.answer_begun,
+                                        attempt.features});
+  }
+  on_done();
+}
+
+// A host that does not answer at all says nothing about the process on it.
+asio::awaitable<bool> QuarantineService::RefusesConnections(core::Endpoint endpoint) {
+  try {
+    co_await m_client.Open(std::move(endpoint), net::HttpClient::ConnectionUse::kFresh,
+                           {kProbeTimeout, kProbeTimeout});
+  } catch (const net::ConnectFailed& error) {
+    co_return error.refused();
+  }
+  co_return false;
+}
+
+void QuarantineService::Merge(const std::vector<quarantine::SuspectReport>& reports) {
+  if (!reports.empty()) Step(quarantine::SuspectsReported{reports});
+}
+
+std::vector<quarantine::SuspectReport> QuarantineService::Reports() const {
+  return m_table.Reports(m_clock.Now());
+}
+
+void QuarantineService::Step(const quarantine::SuspectEvent& event) {
+  for (const quarantine::SuspectAction& action : m_table.Step(m_clock.Now(), event)) {
+    std::visit([this](const auto& a) { Perform(a); }, action);
+  }
+}
+
+void QuarantineService::Perform(const quarantine::SuspectQuarantined& action) {
+  m_log.Warning("segment_quarantined",
+                {{"fingerprint", action.suspect.value()}, {"crashes", action.crashes}});
+  m_metrics.GetCounter("cornelrelay_quarantines_total", "Prompt segments put in quarantine.").Add();
+  m_callbacks.on_quarantined();
+}
+
+void QuarantineService::Perform(const quarantine::SuspectCleared& action) {
+  m_log.Info("segment_cleared", {{"fingerprint", action.suspect.value()}});
+}
+
+void QuarantineService::Perform(const quarantine::SuspectsChanged&) {
+  m_callbacks.on_reports_changed();
+}
+
+}  // namespace cornelrelay::relay
--- a/packages/relay/src/relay_gateway.cc
+++ b/packages/relay/src/relay_gateway.cc
@@ -103,6 +103,10 @@
   co_await response.SendWhole(std::move(answer));
 }
 
+void RelayGateway::EndQuarantined() {
+  for (RelayTask* task : m_tasks) task->EndIfQuarantined();
+}
+
 void RelayGateway::AbortAll() {
   for (RelayTask* task : m_tasks) task->EndForShutdown();
 }
--- a/packages/relay/src/relay_process.cc
+++ b/packages/relay/src/relay_process.cc
@@ -78,7 +78,8 @@
               m_settings.peers, seed + 2, log, m_metrics,
               {[this](peers::PeerStatus& status) { FillStatus(status); }, [this] { OnPeers(); },
                [this](store::StoreRevision since) { return m_fleet.ItemsSince(since); },
-               [this](const wire::ItemsTransfer& items) { m_fleet.Merge(items); }}),
+               [this](const wire::ItemsTransfer& items) { m_fleet.Merge(items); },
+               [this](const peers::PeerStatus& status) { m_quarantine.Merge(status.suspects); }}),
       m_dispatchers(context, m_clock, log, m_metrics, seed + 3,
                     [this] { m_peers.Step(peers::LocalLoadChanged{}); }),
       m_fleet(context, m_clock, *m_store, ports.fleet,
@@ -87,10 +88,14 @@
                [this] { m_dispatchers.SetUpstreams(m_fleet.upstreams()); },
                [this] { OnItemsChanged(); },
                [this](const store::ItemChange& item) { OnInternalItem(item); }}),
+      m_quarantine(context, m_clock, m_upstream_client, m_fleet.upstreams(), seed + 6, log,
+                   m_metrics,
+                   {[this] { m_peers.Step(peers::LocalSuspectsChanged{}); },
+                    [this] { m_gateway.EndQuarantined(); }}),
       m_gateway(
           RelayServices{
               context, m_clock, m_upstream_client, ports.callers, ports.upstreams, m_dispatchers,
-              m_fleet.upstreams(), m_retries,
+              m_fleet.upstreams(), m_retries, m_quarantine,
               std::make_shared<limits::ByteBudget>(m_settings.memory_bytes / kBodyMemoryDivisor),
               std::make_shared<limits::ByteBudget>(m_settings.memory_bytes / kBodyMemoryDivisor),
               m_metrics, log},
@@ -195,6 +200,7 @@
   status.store_connected = m_fleet.connected() && m_fleet.loaded();
   status.loads = m_dispatchers.Loads();
   status.queues = m_dispatchers.Queues();
+  status.suspects = m_quarantine.Reports();
 }
 
 bool RelayProcess::IsReady() const {
--- a/packages/relay/src/relay_task.cc
+++ b/packages/relay/src/relay_task.cc
@@ -35,6 +35,14 @@
   return attributes;
 }
 
+quarantine::RequestFeatures FeaturesOf(const RoutedRequest& routed) {
+  quarantine::RequestFeatures features;
+  for (const std::string& segment : routed.request.shared_segments) {
+    features.shared_segments.push_back(quarantine::Fingerprint::OfSegment(routed.service, segment));
+  }
+  return features;
+}
+
 FailureKind FailureKindOf(request::RequestError error) {
   switch (error) {
     case request::RequestError::kOverloaded:
@@ -45,6 +53,8 @@
       return FailureKind::kDeadline;
     case request::RequestError::kShutdown:
       return FailureKind::kShutdown;
+    case request::RequestError::kRequestQuarantined:
+      return FailureKind::kQuarantined;
     default:
       return FailureKind::kUpstreamFailed;
   }
@@ -60,6 +70,7 @@
       m_services(services),
       m_routed(std::move(routed)),
       m_internal_id(std::move(internal_id)),
+      m_features(FeaturesOf(m_routed)),
       m_writer(response),
       m_stall_detector(m_routed.route.kind == routes::RequestKind::kStream) {}
 
@@ -80,7 +91,23 @@
 // upstream.
 void RelayTask::Perform(const request::AcquireAdmission&) { mailbox()->Push(request::Admitted{}); }
 
+bool RelayTask::RefuseIfQuarantined() {
+  const auto retry_after = m_services.quarantine.HoldBack(m_internal_id, m_features);
+  if (!retry_after) return false;
+  m_services.log.Warning("request_held_back", {{"request", m_routed.request.id},
+                                               {"service", m_routed.service},
+                                               {"retry_after_us", *retry_after}});
+  mailbox()->Push(request::Refused{request::RequestError::kRequestQuarantined, *retry_after});
+  return true;
+}
+
+void RelayTask::EndIfQuarantined() {
+  if (m_writer.has_head() || !m_services.quarantine.HoldBack(m_internal_id, m_features)) return;
+  EndForQuarantine();
+}
+
 void RelayTask::Perform(const request::ChooseUpstream& action) {
+  if (RefuseIfQuarantined()) return;
   dispatch::RequestArrived arrival;
   arrival.request = m_internal_id;
   if (m_routed.account) arrival.account = m_routed.account->id;
@@ -109,6 +136,10 @@
                                               {"waited_us", assigned.waited},
                                               {"configuration", m_routed.configuration_version},
                                               {"directory", m_services.directory.version()}});
+                         if (RefuseIfQuarantined()) {
+                           m_services.dispatchers.Withdraw(m_routed.service, m_internal_id);
+                           return;
+                         }
                          mailbox()->Push(request::UpstreamChosen{assigned.upstream});
                        },
                        [this](const dispatch::Rejected& rejected) {
@@ -128,6 +159,29 @@
 }
 
 void RelayTask::Perform(const request::AcquireRetryToken&) {
+  if (m_examining) {
+    m_retry_waiting = true;
+  } else {
+    DecideRetry();
+  }
+}
+
+void RelayTask::ExamineLostAttempt(const core::UpstreamId& upstream) {
+  const bool answer_begun = m_call->head().has_value();
+  const auto on_done = [this, mailbox = mailbox()] {
+    if (mailbox->closed()) return;
+    m_examining = false;
+    if (!std::exchange(m_retry_waiting, false)) return;
+    if (m_services.quarantine.HoldBack(m_internal_id, m_features)) {
+      EndForQuarantine();
+    } else {
+      DecideRetry();
+    }
+  };
+  m_examining = m_services.quarantine.Examine({upstream, answer_begun, m_features}, on_done);
+}
+
+void RelayTask::DecideRetry() {
   // A failed connection causes no work on any upstream, so it does not use the retry budget.
   const bool nothing_sent = m_last_result == request::AttemptResult::kConnectFailed;
   const bool granted = nothing_sent || m_services.retries.ForService(m_routed.service).TryRetry();
@@ -176,6 +230,7 @@
 void RelayTask::RecordOutput() {
   m_stall_detector.RecordOutput(m_services.clock.Now());
   m_services.dispatchers.RecordFirstOutput(m_routed.service, m_internal_id);
+  m_services.quarantine.RecordOutput(m_features);
 }
 
 void RelayTask::Perform(const request::ForwardChunk& action) {
@@ -242,6 +297,9 @@
   m_last_result = action.result;
   if (action.result == request::AttemptResult::kFailed) m_failed_call = m_call;
   m_services.dispatchers.RecordAttemptEnd(m_routed.service, m_internal_id, AttemptEndOf(action));
+  if (action.result == request::AttemptResult::kBroken && m_call->lost_before_output()) {
+    ExamineLostAttempt(action.upstream);
+  }
   m_record.AddAttempt(action);
   m_stall_detector.EndAttempt();
 }
--- a/packages/relay/src/upstream_call.cc
+++ b/packages/relay/src/upstream_call.cc
@@ -88,6 +88,7 @@
 }
 
 void UpstreamCall::OnBroken(net::BreakCause cause, const core::Error& error) {
+  m_connection_ended = cause == net::BreakCause::kConnection;
   m_log.Warning("attempt_broken", {{"request", m_request.request.id},
                                    {"upstream", m_request.upstream},
                                    {"attempt", attempt()},
@@ -166,6 +167,7 @@
   request::ChunkChecked closed;
   closed.attempt = attempt();
   if (splitter.HasPartialEvent()) {
+    m_connection_ended = true;
     closed.verdict = request::Truncated{m_last_event_id.value_or(0)};
   } else {
     closed.verdict = request::End{};
--- a/packages/request/include/cornelrelay/request/request_event.h
+++ b/packages/request/include/cornelrelay/request/request_event.h
@@ -100,11 +100,14 @@
 /// \brief The process is shutting down and the time limit for open requests has passed.
 struct ShutdownLimitReached {};
 
+/// \brief The request has to end because requests like it crash upstreams.
+struct Quarantined {};
+
 /// \brief What the driver reports to RequestMachine.
 using RequestEvent =
     std::variant<Started, Admitted, Refused, ClaimGranted, ClaimDenied, ClaimTimedOut,
                  UpstreamChosen, NoUpstream, RetryGranted, RetryDenied, ConnectFailed, BytesSent,
                  HeadReceived, ChunkChecked, UpstreamClosed, AttemptRefused, ErrorResponseReceived,
-                 CallerGone, TimePassed, ShutdownLimitReached>;
+                 CallerGone, TimePassed, ShutdownLimitReached, Quarantined>;
 
 }  // namespace cornelrelay::request
--- a/packages/request/src/request_machine.cc
+++ b/packages/request/src/request_machine.cc
@@ -149,6 +149,9 @@
   void Process(const ShutdownLimitReached&) {
     m_fsm.process_event(Stopped{RequestError::kShutdown});
   }
+  void Process(const Quarantined&) {
+    m_fsm.process_event(Stopped{RequestError::kRequestQuarantined});
+  }
   void Process(const TimePassed&) {}
 
   internal::RequestCore m_core;
--- a/packages/wire/src/fleet_messages.cc
+++ b/packages/wire/src/fleet_messages.cc
@@ -1,5 +1,7 @@
 #include "cornelrelay/wire/fleet_messages.h"
 
+#include <chrono>
+
 #include "message_codec.h"
 
 namespace cornelrelay::wire {
@@ -9,12 +11,31 @@
 
 constexpr std::size_t kMaxLoads = 1024;
 constexpr std::size_t kMaxQueues = 64;
+constexpr std::size_t kMaxSuspects = 64;
+constexpr std::size_t kMaxCrashes = 64;
+constexpr std::chrono::milliseconds kAgeUnit{1};
 constexpr std::size_t kMaxItems = 100'000;
 constexpr std::size_t kMaxKeyBytes = 200;
 constexpr std::size_t kMaxValueBytes = 1'048'576;
 /// The least that one element of a list takes, for the check before allocation.
 constexpr std::size_t kLoadBytes = 3;
 constexpr std::size_t kItemBytes = 10;
+constexpr std::size_t kSuspectBytes = 10;
+constexpr std::size_t kCrashBytes = 13;
+
+template <class Ar>
+void CodeSuspect(Ar& ar, Ref<Ar, quarantine::SuspectReport> suspect) {
+  std::uint64_t fingerprint = suspect.suspect.value();
+  ar.archive(fingerprint);
+  if constexpr (Ar::kReads) suspect.suspect = quarantine::Fingerprint(fingerprint);
+  internal::List<std::uint8_t>(ar, suspect.crashes, kMaxCrashes, kCrashBytes, [&](auto& crash) {
+    ar.archive(crash.crash);
+    internal::DurationNear<std::uint32_t>(ar, crash.age, kAgeUnit);
+    internal::Flag(ar, crash.answer_begun);
+  });
+  internal::Optional(ar, suspect.output_age,
+                     [&](auto& age) { internal::DurationNear<std::uint32_t>(ar, age, kAgeUnit); });
+}
 
 template <class Ar>
 void Code(Ar& ar, Ref<Ar, peers::PeerStatus> b) {
@@ -31,6 +52,8 @@
     internal::Identifier(ar, queue.service);
     internal::Number<std::uint16_t>(ar, queue.waiting);
   });
+  internal::List<std::uint8_t>(ar, b.suspects, kMaxSuspects, kSuspectBytes,
+                               [&](auto& suspect) { CodeSuspect<Ar>(ar, suspect); });
 }
 
 template <class Ar>
--- a/packages/wire/tests/fleet_messages_test.cc
+++ b/packages/wire/tests/fleet_messages_test.cc
@@ -3,6 +3,7 @@
 #include <rapidcheck.h>
 
 #include <catch2/catch.hpp>
+#include <chrono>
 
 #include "cornelrelay/core/error.h"
 #include "cornelrelay/wire/malformed_message.h"
@@ -21,6 +22,10 @@
   b.store_connected = true;
   b.loads = {{core::UpstreamId("i-1"), 3}, {core::UpstreamId("i-2"), 12}};
   b.queues = {{core::ServiceId("llm"), 5}};
+  b.suspects = {{quarantine::Fingerprint(7), {{1, std::chrono::milliseconds(12), true}}, {}},
+                {quarantine::Fingerprint(8),
+                 {{1, std::chrono::seconds(3), false}, {2, std::chrono::seconds(4), true}},
+                 std::chrono::milliseconds(5)}};
   return b;
 }
 
