--- a/packages/net/include/cornelrelay/net/testing/raw_server.h
+++ b/packages/net/include/cornelrelay/net/testing/raw_server.h
@@ -21,7 +21,7 @@
 /// \brief One accepted connection of a RawServer.
 class RawConnection {
  public:
-  explicit RawConnection(int fd) : m_fd(fd) {}
+  RawConnection(int fd, int listener) : m_fd(fd), m_listener(listener) {}
   ~RawConnection() { close(m_fd); }
   RawConnection(const RawConnection&) = delete;
   RawConnection& operator=(const RawConnection&) = delete;
@@ -48,10 +48,18 @@
     if (count > 0) bytes.assign(buffer, static_cast<std::size_t>(count));
     return count;
   }
+  /// \brief Has the connection reset when it is closed.
+  void ResetOnClose() {
+    const linger none{1, 0};
+    setsockopt(m_fd, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
+  }
+  /// \brief Has the server refuse further connections.
+  void StopListening() { shutdown(m_listener, SHUT_RDWR); }
   std::size_t sent() const { return m_sent; }
 
  private:
   int m_fd;
+  int m_listener;
   std::size_t m_sent = 0;
 };
 
@@ -90,7 +98,7 @@
     while (!m_stopping) {
       const int fd = accept(m_listener, nullptr, nullptr);
       if (fd < 0) return;
-      RawConnection connection(fd);
+      RawConnection connection(fd, m_listener);
       m_handler(connection);
       m_sent += connection.sent();
     }
--- a/packages/relay/include/cornelrelay/relay/quarantine_service.h
+++ b/packages/relay/include/cornelrelay/relay/quarantine_service.h
@@ -11,10 +11,10 @@
 #include "cornelrelay/core/ids.h"
 #include "cornelrelay/core/time.h"
 #include "cornelrelay/directory/upstream_directory.h"
-#include "cornelrelay/net/http_client.h"
 #include "cornelrelay/quarantine/request_features.h"
 #include "cornelrelay/quarantine/suspect_report.h"
 #include "cornelrelay/quarantine/suspect_table.h"
+#include "cornelrelay/relay/crash_probe.h"
 #include "cornelrelay/runtime/process_clock.h"
 #include "cornelrelay/telemetry/json_log.h"
 #include "cornelrelay/telemetry/metric_registry.h"
@@ -40,7 +40,7 @@
   };
 
   QuarantineService(boost::asio::io_context& context, const runtime::ProcessClock& clock,
-                    net::HttpClient& client, const directory::UpstreamDirectory& directory,
+                    const CrashProbe& probe, const directory::UpstreamDirectory& directory,
                     std::uint64_t seed, telemetry::JsonLog& log, telemetry::MetricRegistry& metrics,
                     Callbacks callbacks);
 
@@ -59,9 +59,7 @@
 
  private:
   boost::asio::awaitable<void> ExamineUpstream(LostAttempt attempt, std::uint64_t incarnation,
-                                               core::Endpoint endpoint,
                                                std::function<void()> on_done);
-  boost::asio::awaitable<bool> RefusesConnections(core::Endpoint endpoint);
   void Step(const quarantine::SuspectEvent& event);
   void Perform(const quarantine::SuspectQuarantined& action);
   void Perform(const quarantine::SuspectCleared& action);
@@ -69,7 +67,7 @@
 
   boost::asio::io_context& m_context;
   const runtime::ProcessClock& m_clock;
-  net::HttpClient& m_client;
+  const CrashProbe& m_probe;
   const directory::UpstreamDirectory& m_directory;
   telemetry::JsonLog& m_log;
   telemetry::MetricRegistry& m_metrics;
--- a/packages/relay/include/cornelrelay/relay/relay_process.h
+++ b/packages/relay/include/cornelrelay/relay/relay_process.h
@@ -7,6 +7,7 @@
 
 #include "cornelrelay/net/http_client.h"
 #include "cornelrelay/net/http_server.h"
+#include "cornelrelay/relay/crash_probe.h"
 #include "cornelrelay/relay/fleet_view.h"
 #include "cornelrelay/relay/peer_transport.h"
 #include "cornelrelay/relay/platform_ports.h"
@@ -73,6 +74,7 @@
   PeerTransport m_peers;
   ServiceDispatchers m_dispatchers;
   FleetView m_fleet;
+  CrashProbe m_crash_probe;
   QuarantineService m_quarantine;
   RelayGateway m_gateway;
   net::HttpServer m_caller_server;
--- a/packages/relay/include/cornelrelay/relay/relay_services.h
+++ b/packages/relay/include/cornelrelay/relay/relay_services.h
@@ -7,6 +7,7 @@
 #include "cornelrelay/limits/byte_budget.h"
 #include "cornelrelay/net/http_client.h"
 #include "cornelrelay/relay/caller_protocol.h"
+#include "cornelrelay/relay/crash_probe.h"
 #include "cornelrelay/relay/quarantine_service.h"
 #include "cornelrelay/relay/retry_budgets.h"
 #include "cornelrelay/relay/service_dispatchers.h"
@@ -27,6 +28,7 @@
   ServiceDispatchers& dispatchers;
   const directory::UpstreamDirectory& directory;
   RetryBudgets& retries;
+  const CrashProbe& crash_probe;
   QuarantineService& quarantine;
   std::shared_ptr<limits::ByteBudget> request_bytes;   ///< bodies of the requests in progress
   std::shared_ptr<limits::ByteBudget> response_bytes;  ///< parts of responses, before they are sent
--- a/packages/relay/include/cornelrelay/relay/upstream_call.h
+++ b/packages/relay/include/cornelrelay/relay/upstream_call.h
@@ -11,6 +11,7 @@
 #include "cornelrelay/driver/attempt_call.h"
 #include "cornelrelay/limits/byte_budget.h"
 #include "cornelrelay/net/http_client.h"
+#include "cornelrelay/relay/crash_probe.h"
 #include "cornelrelay/relay/upstream_protocol.h"
 #include "cornelrelay/relay/upstream_request.h"
 #include "cornelrelay/request/request_event.h"
@@ -28,6 +29,7 @@
     const runtime::ProcessClock& clock;
     net::HttpClient& client;
     const UpstreamProtocol& protocol;
+    const CrashProbe& crash_probe;
     std::shared_ptr<limits::ByteBudget> response_bytes;
     telemetry::MetricRegistry& metrics;
     telemetry::JsonLog& log;
@@ -58,12 +60,16 @@
   void Hold(std::size_t bytes);
   boost::asio::awaitable<void> ReadStream();
   request::StreamVerdict CheckSequence(std::string_view event);
+  /// \brief Throws ExchangeBroken if only the end of the connection ended the response, and the
+  /// upstream has crashed: its host then ends connections as after a complete response.
+  boost::asio::awaitable<void> CheckEnd();
   /// \brief Throws ExchangeBroken if bytes of the stream have arrived for too long, or too many,
   /// without an event that has an id.
   void CheckProgress();
 
   const runtime::ProcessClock& m_clock;
   const UpstreamProtocol& m_protocol;
+  const CrashProbe& m_crash_probe;
   telemetry::MetricRegistry& m_metrics;
   telemetry::JsonLog& m_log;
   UpstreamRequest m_request;
@@ -71,9 +77,10 @@
   std::optional<UpstreamResponseHead> m_head;
   std::string m_failure_body;
   std::optional<std::uint64_t> m_last_event_id;
-  bool m_output = false;               ///< an event with an id has arrived
-  bool m_connection_ended = false;     ///< by the upstream, before the end of the response
-  std::size_t m_unnumbered_bytes = 0;  ///< of events without an id since the last one with an id
+  bool m_ends_with_connection = false;  ///< the response has neither a length nor chunks
+  bool m_output = false;                ///< an event with an id has arrived
+  bool m_connection_ended = false;      ///< by the upstream, before the end of the response
+  std::size_t m_unnumbered_bytes = 0;   ///< of events without an id since the last one with an id
   /// When the first byte after the last event with an id arrived.
   std::optional<core::Instant> m_no_progress_since;
 };
--- a/packages/relay/src/quarantine_service.cc
+++ b/packages/relay/src/quarantine_service.cc
@@ -7,7 +7,6 @@
 #include <utility>
 #include <variant>
 
-#include "cornelrelay/net/errors.h"
 #include "cornelrelay/runtime/pause.h"
 
 namespace cornelrelay::relay {
@@ -16,21 +15,19 @@
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
-/// Limit for the connection that shows whether an upstream is alive; nothing is sent on it.
-constexpr milliseconds kProbeTimeout{250};
 /// A process that is just ending may still accept connections for a moment.
 constexpr milliseconds kSecondProbeDelay{50};
 
 }  // namespace
 
 QuarantineService::QuarantineService(asio::io_context& context, const runtime::ProcessClock& clock,
-                                     net::HttpClient& client,
+                                     const CrashProbe& probe,
                                      const directory::UpstreamDirectory& directory,
                                      std::uint64_t seed, telemetry::JsonLog& log,
                                      telemetry::MetricRegistry& metrics, Callbacks callbacks)
     : m_context(context),
       m_clock(clock),
-      m_client(client),
+      m_probe(probe),
       m_directory(directory),
       m_log(log),
       m_metrics(metrics),
@@ -52,9 +49,8 @@
   if (!entry || entry->leaving || !m_table.CanSuspect(attempt.features)) return false;
   asio::co_spawn(
       m_context,
-      [this, attempt, incarnation = entry->incarnation, endpoint = entry->endpoint,
-       on_done = std::move(on_done)] {
-        return ExamineUpstream(attempt, incarnation, endpoint, on_done);
+      [this, attempt, incarnation = entry->incarnation, on_done = std::move(on_done)] {
+        return ExamineUpstream(attempt, incarnation, on_done);
       },
       asio::detached);
   return true;
@@ -62,12 +58,11 @@
 
 asio::awaitable<void> QuarantineService::ExamineUpstream(LostAttempt attempt,
                                                          std::uint64_t incarnation,
-                                                         core::Endpoint endpoint,
                                                          std::function<void()> on_done) {
-  bool crashed = co_await RefusesConnections(endpoint);
+  bool crashed = co_await m_probe.HasCrashed(attempt.upstream);
   if (!crashed) {
     co_await runtime::Pause(m_context, kSecondProbeDelay);
-    crashed = co_await RefusesConnections(endpoint);
+    crashed = co_await m_probe.HasCrashed(attempt.upstream);
   }
   m_log.Warning("lost_attempt_examined", {{"upstream", attempt.upstream},
                                           {"incarnation", incarnation},
@@ -80,17 +75,6 @@
   on_done();
 }
 
-// A host that does not answer at all says nothing about the process on it.
-asio::awaitable<bool> QuarantineService::RefusesConnections(core::Endpoint endpoint) {
-  try {
-    co_await m_client.Open(std::move(endpoint), net::HttpClient::ConnectionUse::kFresh,
-                           {kProbeTimeout, kProbeTimeout});
-  } catch (const net::ConnectFailed& error) {
-    co_return error.refused();
-  }
-  co_return false;
-}
-
 void QuarantineService::Merge(const std::vector<quarantine::SuspectReport>& reports) {
   if (!reports.empty()) Step(quarantine::SuspectsReported{reports});
 }
--- a/packages/relay/src/relay_process.cc
+++ b/packages/relay/src/relay_process.cc
@@ -88,14 +88,14 @@
                [this] { m_dispatchers.SetUpstreams(m_fleet.upstreams()); },
                [this] { OnItemsChanged(); },
                [this](const store::ItemChange& item) { OnInternalItem(item); }}),
-      m_quarantine(context, m_clock, m_upstream_client, m_fleet.upstreams(), seed + 6, log,
-                   m_metrics,
+      m_crash_probe(m_upstream_client, m_fleet.upstreams()),
+      m_quarantine(context, m_clock, m_crash_probe, m_fleet.upstreams(), seed + 6, log, m_metrics,
                    {[this] { m_peers.Step(peers::LocalSuspectsChanged{}); },
                     [this] { m_gateway.EndQuarantined(); }}),
       m_gateway(
           RelayServices{
               context, m_clock, m_upstream_client, ports.callers, ports.upstreams, m_dispatchers,
-              m_fleet.upstreams(), m_retries, m_quarantine,
+              m_fleet.upstreams(), m_retries, m_crash_probe, m_quarantine,
               std::make_shared<limits::ByteBudget>(m_settings.memory_bytes / kBodyMemoryDivisor),
               std::make_shared<limits::ByteBudget>(m_settings.memory_bytes / kBodyMemoryDivisor),
               m_metrics, log},
--- a/packages/relay/src/upstream_call.cc
+++ b/packages/relay/src/upstream_call.cc
@@ -50,6 +50,7 @@
                   std::move(mailbox)),
       m_clock(dependencies.clock),
       m_protocol(dependencies.protocol),
+      m_crash_probe(dependencies.crash_probe),
       m_metrics(dependencies.metrics),
       m_log(dependencies.log),
       m_request(std::move(request)),
@@ -118,6 +119,7 @@
     }
     Hold(body.size());
   }
+  co_await CheckEnd();
   co_return body;
 }
 
@@ -135,6 +137,8 @@
 asio::awaitable<void> UpstreamCall::ReadMatchingHead() {
   for (int skipped = 0; skipped < kMaxStaleResponses; ++skipped) {
     net::HttpResponseHead head = co_await exchange().ReadHead();
+    m_ends_with_connection = !net::FindHeader(head.headers, "Content-Length") &&
+                             !net::FindHeader(head.headers, "Transfer-Encoding");
     UpstreamResponseHead answer = m_protocol.Decode(std::move(head));
     if (answer.request_id == m_request.request.id) {
       m_head = std::move(answer);
@@ -146,6 +150,15 @@
                             "too many responses to earlier requests");
 }
 
+asio::awaitable<void> UpstreamCall::CheckEnd() {
+  if (!m_ends_with_connection || cancelled()) co_return;
+  const bool empty_stream = m_head->event_stream && !m_output;
+  if (empty_stream || co_await m_crash_probe.HasCrashed(m_request.upstream)) {
+    throw net::ExchangeBroken(upstream(), net::BreakCause::kConnection,
+                              "the connection ended, but not the response");
+  }
+}
+
 asio::awaitable<void> UpstreamCall::ReadStream() {
   request::SseSplitter splitter(kMaxEventBytes);
   while (!cancelled()) {
@@ -164,6 +177,7 @@
     CheckProgress();
     co_await mailbox().UntilTaken();
   }
+  if (!splitter.HasPartialEvent()) co_await CheckEnd();
   request::ChunkChecked closed;
   closed.attempt = attempt();
   if (splitter.HasPartialEvent()) {
--- a/packages/relay/tests/upstream_call_test.cc
+++ b/packages/relay/tests/upstream_call_test.cc
@@ -13,6 +13,7 @@
 #include <thread>
 #include <variant>
 
+#include "cornelrelay/directory/upstream_directory.h"
 #include "cornelrelay/net/http_headers.h"
 #include "cornelrelay/net/testing/raw_server.h"
 
@@ -28,6 +29,7 @@
 /// both sides of a loopback connection.
 constexpr std::size_t kMaxTaken = 25'165'824;
 constexpr std::size_t kBudget = 8'388'608;
+constexpr std::size_t kMaxPayload = 1'024;
 
 class PlainProtocol : public UpstreamProtocol {
  public:
@@ -50,6 +52,8 @@
   bool refused = false;
   bool closed = false;     ///< the attempt was reported as broken
   bool completed = false;  ///< the answer was reported as complete
+  bool truncated = false;  ///< the stream was reported as cut inside an event
+  std::string payload;     ///< the first bytes that were reported
   std::size_t chunks = 0;
   std::size_t sent = 0;  ///< bytes that the upstream got rid of
   std::size_t held_after = 0;
@@ -70,6 +74,12 @@
     runtime::ProcessClock clock;
     net::HttpClient client(context, {});
     const PlainProtocol protocol;
+    directory::UpstreamDirectory directory({});
+    directory::UpstreamEntry entry;
+    entry.id = core::UpstreamId("u-1");
+    entry.endpoint = server.endpoint();
+    directory.Step(clock.Now(), directory::EntriesChanged{{{entry.id, entry}}});
+    const CrashProbe probe(client, directory);
     const auto budget = std::make_shared<limits::ByteBudget>(kBudget);
     telemetry::MetricRegistry metrics;
     telemetry::JsonLog log("test", telemetry::LogLevel::kError,
@@ -81,7 +91,7 @@
     request.request.id = core::RequestId("r-1");
     request.deadline = clock.Now() + time_left;
     const auto call = std::make_shared<UpstreamCall>(
-        UpstreamCall::Dependencies{context, clock, client, protocol, budget, metrics, log},
+        UpstreamCall::Dependencies{context, clock, client, protocol, probe, budget, metrics, log},
         core::AttemptId("a-1"), std::move(request), net::HttpClient::ConnectionUse::kFresh,
         mailbox);
     call->Start();
@@ -98,9 +108,11 @@
               if (const auto* chunk = std::get_if<request::ChunkChecked>(&*event)) {
                 ++outcome.chunks;
                 outcome.completed = std::holds_alternative<request::End>(chunk->verdict);
+                outcome.truncated = std::holds_alternative<request::Truncated>(chunk->verdict);
+                if (outcome.payload.size() < kMaxPayload) outcome.payload += chunk->payload;
               }
             }
-            over = outcome.closed || outcome.refused || outcome.completed;
+            over = outcome.closed || outcome.refused || outcome.completed || outcome.truncated;
             mailbox->MarkTaken();
           }
         },
@@ -181,4 +193,69 @@
   CHECK(outcome.held_after == 0);
 }
 
+// The cases below guard against MIXED and ORDER of issue 24: an answer without length and chunks
+// that broke off and looks complete, or that is complete and counts as broken.
+TEST_CASE("an answer that ends with its connection is complete") {
+  const Outcome outcome = CallUpstream(
+      [](RawConnection& connection) { connection.Send("HTTP/1.1 200 OK\r\n\r\nwhole answer"); });
+  CHECK(outcome.completed);
+  CHECK(outcome.payload == "whole answer");
+}
+
+TEST_CASE("an answer without length whose connection is reset is broken off") {
+  const Outcome outcome = CallUpstream([](RawConnection& connection) {
+    connection.Send("HTTP/1.1 200 OK\r\n\r\nhalf");
+    connection.ResetOnClose();
+  });
+  CHECK(outcome.closed);
+  CHECK_FALSE(outcome.completed);
+}
+
+TEST_CASE("a stream that ends with its connection is complete after an event") {
+  const Outcome outcome =
+      CallUpstream([](RawConnection& connection) { connection.Send(kStreamHead + kFirstEvent); });
+  CHECK(outcome.completed);
+  CHECK(outcome.payload == kFirstEvent);
+}
+
+TEST_CASE("a stream that ends inside an event is broken off, however it is framed") {
+  const std::string part = "id: 2\ndata: y\n";
+  const Outcome unframed = CallUpstream(
+      [&](RawConnection& connection) { connection.Send(kStreamHead + kFirstEvent + part); });
+  CHECK(unframed.truncated);
+  CHECK_FALSE(unframed.completed);
+  CHECK(unframed.payload == kFirstEvent);
+  const std::string body = kFirstEvent + part;
+  const Outcome with_length = CallUpstream([&](RawConnection& connection) {
+    connection.Send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: " +
+                    std::to_string(body.size()) + "\r\n\r\n" + body);
+  });
+  CHECK(with_length.truncated);
+  CHECK(with_length.payload == kFirstEvent);
+}
+
+TEST_CASE("a stream without length whose connection is reset between events is broken off") {
+  const Outcome outcome = CallUpstream([](RawConnection& connection) {
+    connection.Send(kStreamHead + kFirstEvent);
+    connection.ResetOnClose();
+  });
+  CHECK_FALSE(outcome.completed);
+  CHECK(outcome.closed);
+}
+
+TEST_CASE("a stream that ends with its connection before its first event is broken off") {
+  const Outcome outcome =
+      CallUpstream([](RawConnection& connection) { connection.Send(kStreamHead); });
+  CHECK_FALSE(outcome.completed);
+}
+
+TEST_CASE("a stream that ends with its connection is broken off if its upstream is gone") {
+  const Outcome outcome = CallUpstream([](RawConnection& connection) {
+    connection.Send(kStreamHead + kFirstEvent);
+    connection.StopListening();
+  });
+  CHECK_FALSE(outcome.completed);
+  CHECK(outcome.payload == kFirstEvent);
+}
+
 }  // namespace cornelrelay::relay
--- a/tests/system/platform_stand_ins.py
+++ b/tests/system/platform_stand_ins.py
@@ -4,6 +4,7 @@
 import http.server
 import json
 import socket
+import struct
 import threading
 import time
 import urllib.parse
@@ -182,6 +183,8 @@
                     return self.wfile.write(b"fail")
                 if step == "reset":
                     return self.hang_up()
+                if step.startswith("unframed"):
+                    return self.unframed(step)
                 if step.startswith("stream"):
                     return self.stream(step)
                 if step == "until left":
@@ -205,6 +208,27 @@
                     pass
                 return time.monotonic()
 
+            def unframed(self, step):
+                """Answers without length and chunks: `unframed`, `unframed reset`, `unframed N` as `stream N`."""
+                self.close_connection = True
+                last = int(self.headers["Last-Event-Id"] or 0)
+                how = step.partition(" ")[2]
+                if self.path.startswith("/look"):
+                    self.head(200, Replica_Seal="seal-" + replica.name, Connection="close")
+                    self.wfile.write(b"answer of " + replica.name.encode())
+                else:
+                    self.head(200, Replica_Seal="seal-" + replica.name, Content_Type="text/event-stream",
+                              Connection="close")
+                    for number in range(last + 1, 7):
+                        event = f"id: {number}\ndata: piece {number}\n\n".encode()
+                        if how == str(number):
+                            return self.wfile.write(event[: len(event) // 2])
+                        self.wfile.write(event)
+                self.wfile.flush()
+                if how == "reset":
+                    self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                    self.connection.close()
+
             def stream(self, step):
                 """`stream N` sends events up to 6; with N it breaks off in the middle of event N."""
                 last = int(self.headers["Last-Event-Id"] or 0)
--- a/tests/system/test_relay.py
+++ b/tests/system/test_relay.py
@@ -59,6 +59,19 @@
         self.assertEqual(response.status, 200)
         self.assertEqual(body, b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 7)))
 
+    # Guards against MIXED and ORDER of issue 24: an answer whose end is only that of its connection.
+    def test_answers_that_end_with_their_connection(self):
+        events = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 7))
+        self.plan("unframed")
+        self.assertRegex(self.ask("GET", "/look/1")[1], b"answer of i-[01]")
+        self.assertEqual(self.ask("POST", "/tale/1", body=b"x")[1], events)
+        self.plan("unframed reset", "ok")
+        self.assertRegex(self.ask("GET", "/look/2")[1], b"answer of i-[01]")
+        self.plan("unframed 4", "unframed")
+        self.assertEqual(self.ask("POST", "/story/2", body=b"x")[1], events)
+        self.plan("unframed 4")
+        self.assertIsInstance(self.ask("POST", "/tale/2", body=b"x")[1], http.client.IncompleteRead)
+
     def test_broken_stream_ends_as_broken(self):
         self.plan("stream 4", "stream")
         _, body = self.ask("POST", "/tale/1", body=b"x")
