--- a/packages/relay/include/cornelrelay/relay/upstream_response_head.h
+++ b/packages/relay/include/cornelrelay/relay/upstream_response_head.h
@@ -18,6 +18,9 @@
   bool event_stream = false;   ///< true if the body is a stream of server-sent events
   std::optional<core::UpstreamId> blocked_by;  ///< unavailable upstream that made this one refuse
   std::optional<core::Duration> retry_after;
+  /// Requests a second that the upstream takes from all entry processes together, for as long as
+  /// its answers say so.
+  std::optional<double> rate_limit;
 
   friend bool operator==(const UpstreamResponseHead&, const UpstreamResponseHead&) = default;
 };
