--- a/packages/dispatch/include/cornelrelay/dispatch/dispatch_action.h
+++ b/packages/dispatch/include/cornelrelay/dispatch/dispatch_action.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <variant>
 
@@ -54,6 +55,14 @@
   bool blocked = false;
 };
 
-using DispatchAction = std::variant<Assigned, Rejected, HealthChanged, ServiceBlocked>;
+/// \brief An upstream named another rate limit, or none any more.
+struct RateLimitChanged {
+  core::UpstreamId upstream;
+  std::optional<double> per_second;
+  double own_per_second = 0;  ///< share of this process
+};
+
+using DispatchAction =
+    std::variant<Assigned, Rejected, HealthChanged, ServiceBlocked, RateLimitChanged>;
 
 }  // namespace cornelrelay::dispatch
--- a/packages/dispatch/include/cornelrelay/dispatch/dispatch_event.h
+++ b/packages/dispatch/include/cornelrelay/dispatch/dispatch_event.h
@@ -10,6 +10,7 @@
 
 #include "cornelrelay/core/ids.h"
 #include "cornelrelay/core/time.h"
+#include "cornelrelay/dispatch/rate_limit_share.h"
 
 namespace cornelrelay::dispatch {
 
@@ -33,6 +34,18 @@
   std::uint32_t waiting = 0;                            ///< queued requests of this service
 };
 
+/// \brief An answer of the upstream named a rate limit, or none.
+struct RateLimitObserved {
+  core::UpstreamId upstream;
+  std::optional<double> per_second;
+};
+
+/// \brief The other entry processes, or what they have heard of rate limits, changed.
+struct PeerRateLimitsChanged {
+  std::vector<core::HostId> processes;  ///< the live ones, this one included
+  std::map<core::UpstreamId, RateLimitObservation> observations;
+};
+
 /// \brief A new configuration changed how strongly unread prompts count towards the load of an
 /// upstream.
 struct PromptWeightChanged {
@@ -81,7 +94,8 @@
 struct DispatchTick {};
 
 using DispatchEvent =
-    std::variant<UpstreamsChanged, PeerLoadChanged, PromptWeightChanged, RequestArrived,
-                 RequestWithdrawn, FirstOutputReceived, AttemptEnded, DispatchTick>;
+    std::variant<UpstreamsChanged, PeerLoadChanged, RateLimitObserved, PeerRateLimitsChanged,
+                 PromptWeightChanged, RequestArrived, RequestWithdrawn, FirstOutputReceived,
+                 AttemptEnded, DispatchTick>;
 
 }  // namespace cornelrelay::dispatch
--- a/packages/dispatch/include/cornelrelay/dispatch/dispatcher.h
+++ b/packages/dispatch/include/cornelrelay/dispatch/dispatcher.h
@@ -56,6 +56,11 @@
   core::Duration mean_service_time() const { return m_mean_service_time; }
   /// \brief Returns the moving average of the time from assignment to the first output.
   core::Duration mean_time_to_first_output() const { return m_mean_time_to_first_output; }
+  /// \brief Returns what answers to this process said of rate limits, for upstreams that have or
+  /// had one.
+  std::map<core::UpstreamId, RateLimitObservation> OwnRateLimits(core::Instant now) const {
+    return m_upstreams.OwnRateLimits(now);
+  }
   /// \brief Returns when a request of the service last gave output.
   core::Instant last_output() const { return m_upstreams.last_output(); }
 
@@ -75,6 +80,8 @@
 
   void Apply(core::Instant now, const UpstreamsChanged& event, Actions& out);
   void Apply(core::Instant now, const PeerLoadChanged& event, Actions& out);
+  void Apply(core::Instant now, const RateLimitObserved& event, Actions& out);
+  void Apply(core::Instant now, const PeerRateLimitsChanged& event, Actions& out);
   void Apply(core::Instant now, const PromptWeightChanged& event, Actions& out);
   void Apply(core::Instant now, const RequestArrived& event, Actions& out);
   void Apply(core::Instant now, const RequestWithdrawn& event, Actions& out);
@@ -82,7 +89,7 @@
   void Apply(core::Instant now, const AttemptEnded& event, Actions& out);
   void Apply(core::Instant now, const DispatchTick& event, Actions& out);
 
-  core::Duration ExpectedWait(const RequestArrived& event) const;
+  core::Duration ExpectedWait(core::Instant now, const RequestArrived& event) const;
   core::Duration JitteredRetryAfter(core::Duration min_delay);
   void Assign(core::Instant now, const core::UpstreamId& upstream, const WaitingRequest& waiting,
               Actions& out);
@@ -92,6 +99,7 @@
   void RejectOverdueOrBlocked(core::Instant now, Actions& out);
 
   DispatcherConfig m_config;
+  core::Instant m_now{};  ///< time of the last step
   core::Random m_random;
   UpstreamPool m_upstreams;
   std::map<core::RequestId, WaitingRequest> m_waiting;
--- a/packages/dispatch/include/cornelrelay/dispatch/upstream_pool.h
+++ b/packages/dispatch/include/cornelrelay/dispatch/upstream_pool.h
@@ -5,16 +5,19 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "cornelrelay/core/random.h"
 #include "cornelrelay/dispatch/dispatch_action.h"
 #include "cornelrelay/dispatch/dispatch_event.h"
+#include "cornelrelay/dispatch/rate_limit_share.h"
 #include "cornelrelay/dispatch/upstream_health.h"
 
 namespace cornelrelay::dispatch {
 
 struct UpstreamPoolConfig {
+  core::HostId self;  ///< this entry process
   HealthConfig health{};
   /// Number of unread prompt tokens that load an upstream as much as one generating request.
   double prompt_tokens_per_slot = 800;
@@ -22,6 +25,8 @@
   /// depends on is unavailable. Also the time without output after which such refusals can block
   /// the whole service.
   core::Duration block_time = std::chrono::milliseconds(300);
+  /// How long peers are told that an upstream names no limit any more.
+  core::Duration limit_end_report_time = std::chrono::minutes(1);
 };
 
 /// \brief The upstreams of one service with their load and health.
@@ -32,10 +37,16 @@
  public:
   using Actions = std::vector<DispatchAction>;
 
-  /// \brief Slots of all listed upstreams together.
+  /// \brief Slots of all listed upstreams together. An upstream with a rate limit has as many as
+  /// the limit keeps in use.
   struct Capacity {
-    std::uint64_t slots = 0;
-    std::uint64_t used = 0;  ///< slots in use by any entry process
+    double slots = 0;
+    double used = 0;  ///< slots in use by any entry process
+  };
+  /// \brief What this process may send if all listed upstreams have rate limits.
+  struct RateCapacity {
+    double own_per_second = 0;
+    double own_saved = 0;  ///< requests that this process may send now
   };
   /// \brief Requests in flight on one upstream.
   struct Load {
@@ -43,11 +54,21 @@
     std::uint32_t peers_in_flight = 0;  ///< requests of the other entry processes
   };
 
-  UpstreamPool(UpstreamPoolConfig config, std::uint64_t seed) : m_config(config), m_random(seed) {}
+  UpstreamPool(UpstreamPoolConfig config, std::uint64_t seed)
+      : m_config(std::move(config)), m_random(seed), m_processes({m_config.self}) {}
 
   void SetUpstreams(const std::vector<UpstreamSpec>& upstreams);
   void SetPeerLoad(const std::map<core::UpstreamId, std::uint32_t>& in_flight);
 
+  void ObserveRateLimit(core::Instant now, const core::UpstreamId& id,
+                        const RateLimitObservation& observation, Actions& out);
+  /// \param processes the live entry processes, this one included
+  void SetProcesses(core::Instant now, const std::vector<core::HostId>& processes);
+  /// \brief Returns what this process has heard itself of upstreams that have or recently had a
+  /// limit.
+  std::map<core::UpstreamId, RateLimitObservation> OwnRateLimits(core::Instant now) const;
+  void RecordOwnObservation(const core::UpstreamId& id, const RateLimitObservation& observation);
+
   void SetPromptWeight(double prompt_tokens_per_slot) {
     m_config.prompt_tokens_per_slot = prompt_tokens_per_slot;
   }
@@ -58,7 +79,7 @@
                                          const std::set<core::UpstreamId>& excluded);
   /// \brief Counts a new attempt.
   /// \returns the load of the upstream, the attempt included
-  Load StartAttempt(const core::UpstreamId& id, double prompt_tokens);
+  Load StartAttempt(core::Instant now, const core::UpstreamId& id, double prompt_tokens);
   /// \brief Records the first output of an attempt: the upstream has read the prompt.
   /// \param prompt_tokens the value given to StartAttempt()
   void RecordFirstOutput(const core::UpstreamId& id, double prompt_tokens, Actions& out);
@@ -73,7 +94,12 @@
   /// \brief Returns whether all listed upstreams are blocked by an unavailable one and none may be
   /// tried now.
   bool AllBlocked(core::Instant now) const;
-  Capacity TotalCapacity() const;
+  /// \param service_time mean time of a request on its upstream
+  Capacity TotalCapacity(core::Duration service_time) const;
+  /// \brief Returns none unless all listed upstreams have rate limits.
+  std::optional<RateCapacity> LimitedCapacity(core::Instant now) const;
+  /// \brief Returns when the next upstream with a rate limit may be used; none if none will.
+  std::optional<core::Instant> NextRateAdmission(core::Instant now) const;
   /// \brief Returns when the first blocked upstream may be tried again; none if none is blocked.
   std::optional<core::Instant> NextUnblock() const;
   /// \brief Returns the number of requests of this process on each upstream that has any.
@@ -92,6 +118,8 @@
     double unread_prompt_tokens = 0;  ///< of requests of this process without output so far
     /// Set when the upstream is blocked by an unavailable one; cleared by an output.
     std::optional<core::Instant> blocked_until;
+    RateLimitShare rate;
+    std::optional<RateLimitObservation> own_observation;
   };
 
   bool HasFreeSlot(const Upstream& upstream) const;
@@ -103,6 +131,7 @@
 
   UpstreamPoolConfig m_config;
   core::Random m_random;
+  std::vector<core::HostId> m_processes;
   std::map<core::UpstreamId, Upstream> m_upstreams;
   core::Instant m_last_output{};
   bool m_service_blocked = false;
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -12,6 +12,9 @@
 /// Share of the target latency that a request may wait even where the mean time to the first output
 /// uses up the whole target: a late response is worth more to a caller than a rejection.
 constexpr double kMinWaitShare = 0.1;
+/// Expected wait in a process that has no share of the rate limits of its upstreams. Its callers
+/// reach another process when they come back.
+constexpr std::chrono::milliseconds kNoShareWait{1'000};
 /// With a shorter retry-after, a caller would retry within the round trip of its rejection.
 constexpr std::chrono::milliseconds kMinRetryAfter{100};
 
@@ -20,6 +23,10 @@
       static_cast<core::Duration::rep>(kTimeGain * static_cast<double>((sample - mean).count())));
 }
 
+core::Duration SecondsToDuration(double seconds) {
+  return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(seconds));
+}
+
 core::Duration Scale(core::Duration duration, double factor) {
   return core::Duration(
       static_cast<core::Duration::rep>(static_cast<double>(duration.count()) * factor));
@@ -52,6 +59,7 @@
 
 std::vector<DispatchAction> Dispatcher::Step(core::Instant now, const DispatchEvent& event) {
   Actions out;
+  m_now = now;
   std::visit([&](const auto& e) { Apply(now, e, out); }, event);
   AssignWaiting(now, out);
   RejectOverdueOrBlocked(now, out);
@@ -67,6 +75,19 @@
   m_upstreams.SetPeerLoad(event.in_flight);
 }
 
+void Dispatcher::Apply(core::Instant now, const RateLimitObserved& event, Actions& out) {
+  const RateLimitObservation observation{event.per_second, now};
+  m_upstreams.ObserveRateLimit(now, event.upstream, observation, out);
+  m_upstreams.RecordOwnObservation(event.upstream, observation);
+}
+
+void Dispatcher::Apply(core::Instant now, const PeerRateLimitsChanged& event, Actions& out) {
+  m_upstreams.SetProcesses(now, event.processes);
+  for (const auto& [upstream, observation] : event.observations) {
+    m_upstreams.ObserveRateLimit(now, upstream, observation, out);
+  }
+}
+
 void Dispatcher::Apply(core::Instant, const PromptWeightChanged& event, Actions&) {
   m_upstreams.SetPromptWeight(event.prompt_tokens_per_slot);
 }
@@ -85,7 +106,7 @@
   const core::Duration max_wait =
       std::max(Scale(slack, m_config.max_wait_share), Scale(event.target_latency, kMinWaitShare));
   WaitingRequest waiting{event, now, std::min(now + max_wait, event.deadline)};
-  const core::Duration wait = ExpectedWait(event);
+  const core::Duration wait = ExpectedWait(now, event);
   if (now + wait > waiting.start_by) {
     return Reject(event.request, RejectReason::kOverloaded, wait, JitteredRetryAfter(wait), out);
   }
@@ -132,13 +153,19 @@
 
 void Dispatcher::Apply(core::Instant, const DispatchTick&, Actions&) {}
 
-core::Duration Dispatcher::ExpectedWait(const RequestArrived& event) const {
-  const auto [slots, used] = m_upstreams.TotalCapacity();
-  const std::size_t ahead = m_queue.AheadOf(event.account, event.priority) + m_peers_waiting;
-  if (used + ahead < slots || slots == 0) return {};
+core::Duration Dispatcher::ExpectedWait(core::Instant now, const RequestArrived& event) const {
+  const std::size_t own_ahead = m_queue.AheadOf(event.account, event.priority);
+  const auto ahead = static_cast<double>(own_ahead + m_peers_waiting);
+  if (const auto limited = m_upstreams.LimitedCapacity(now)) {
+    const double over = static_cast<double>(own_ahead) + 1 - limited->own_saved;
+    if (over <= 0) return {};
+    if (limited->own_per_second <= 0) return kNoShareWait;
+    return SecondsToDuration(over / limited->own_per_second);
+  }
+  const auto [slots, used] = m_upstreams.TotalCapacity(m_mean_service_time);
+  if (used + ahead + 1 <= slots || slots == 0) return {};
   // Assumes that the slots become free at an even rate.
-  const auto slots_to_free = static_cast<double>(used + ahead - slots + 1);
-  return Scale(m_mean_service_time, slots_to_free / static_cast<double>(slots));
+  return Scale(m_mean_service_time, (used + ahead - slots + 1) / slots);
 }
 
 // Callers that are rejected together must not retry together.
@@ -167,7 +194,7 @@
 void Dispatcher::Assign(core::Instant now, const core::UpstreamId& upstream,
                         const WaitingRequest& waiting, Actions& out) {
   const RequestArrived& arrival = waiting.arrival;
-  const UpstreamPool::Load load = m_upstreams.StartAttempt(upstream, arrival.prompt_tokens);
+  const UpstreamPool::Load load = m_upstreams.StartAttempt(now, upstream, arrival.prompt_tokens);
   m_running.emplace(arrival.request, RunningRequest{upstream, now, arrival.prompt_tokens, false});
   out.emplace_back(Assigned{arrival.request, upstream, load.own_in_flight, load.peers_in_flight,
                             now - waiting.arrived});
@@ -200,6 +227,7 @@
   for (const auto& [request, waiting] : m_waiting) consider(waiting.start_by);
   if (m_waiting.empty()) return wake;
   if (const auto unblock = m_upstreams.NextUnblock()) consider(*unblock);
+  if (const auto admission = m_upstreams.NextRateAdmission(m_now)) consider(*admission);
   return wake;
 }
 
--- a/packages/dispatch/src/upstream_pool.cc
+++ b/packages/dispatch/src/upstream_pool.cc
@@ -22,6 +22,8 @@
     if (upstream.spec.incarnation != spec.incarnation) {
       upstream.health = UpstreamHealth(m_config.health);
       upstream.blocked_until.reset();
+      upstream.rate = {};
+      upstream.own_observation.reset();
     }
     upstream.spec = spec;
     upstream.listed = true;
@@ -38,8 +40,57 @@
   }
 }
 
-UpstreamPool::Load UpstreamPool::StartAttempt(const core::UpstreamId& id, double prompt_tokens) {
+void UpstreamPool::ObserveRateLimit(core::Instant now, const core::UpstreamId& id,
+                                    const RateLimitObservation& observation, Actions& out) {
+  const auto found = m_upstreams.find(id);
+  if (found == m_upstreams.end()) return;
+  RateLimitShare& rate = found->second.rate;
+  // Most upstreams never name a limit; nothing is kept of them.
+  if (!observation.per_second && !rate.observation()) return;
+  if (!rate.Observe(observation)) return;
+  // What this process heard before is no longer true.
+  found->second.own_observation.reset();
+  const auto limit = rate.limit();
+  rate.SetShare(now, limit ? RateShareOf(*limit, id, m_config.self, m_processes) : 0);
+  out.emplace_back(RateLimitChanged{id, limit, rate.share()});
+}
+
+void UpstreamPool::RecordOwnObservation(const core::UpstreamId& id,
+                                        const RateLimitObservation& observation) {
+  const auto found = m_upstreams.find(id);
+  if (found == m_upstreams.end()) return;
+  const bool had_limit = found->second.rate.observation().has_value();
+  auto& own = found->second.own_observation;
+  // The end of a limit keeps the time of the first answer without it, so that it is not reported
+  // for ever.
+  if (observation.per_second || (had_limit && (!own || own->per_second))) own = observation;
+}
+
+void UpstreamPool::SetProcesses(core::Instant now, const std::vector<core::HostId>& processes) {
+  if (m_processes == processes) return;
+  m_processes = processes;
+  for (auto& [id, upstream] : m_upstreams) {
+    const auto limit = upstream.rate.limit();
+    if (limit) upstream.rate.SetShare(now, RateShareOf(*limit, id, m_config.self, m_processes));
+  }
+}
+
+std::map<core::UpstreamId, RateLimitObservation> UpstreamPool::OwnRateLimits(
+    core::Instant now) const {
+  std::map<core::UpstreamId, RateLimitObservation> observations;
+  for (const auto& [id, upstream] : m_upstreams) {
+    const auto& own = upstream.own_observation;
+    if (!own) continue;
+    const bool recent = now - own->at < m_config.limit_end_report_time;
+    if (own->per_second || recent) observations[id] = *own;
+  }
+  return observations;
+}
+
+UpstreamPool::Load UpstreamPool::StartAttempt(core::Instant now, const core::UpstreamId& id,
+                                              double prompt_tokens) {
   Upstream& upstream = m_upstreams.at(id);
+  upstream.rate.Take(now);
   ++upstream.own_in_flight;
   upstream.unread_prompt_tokens += prompt_tokens;
   return {upstream.own_in_flight, upstream.peers_in_flight};
@@ -74,17 +125,41 @@
                      [](const auto& entry) { return entry.second.listed; });
 }
 
-UpstreamPool::Capacity UpstreamPool::TotalCapacity() const {
+UpstreamPool::Capacity UpstreamPool::TotalCapacity(core::Duration service_time) const {
   Capacity capacity;
+  const double seconds = std::chrono::duration<double>(service_time).count();
+  for (const auto& [id, upstream] : m_upstreams) {
+    if (!upstream.listed) continue;
+    double slots = upstream.spec.slots;
+    if (const auto limit = upstream.rate.limit()) slots = std::min(slots, *limit * seconds);
+    capacity.slots += slots;
+    capacity.used += std::min<double>(upstream.own_in_flight + upstream.peers_in_flight, slots);
+  }
+  return capacity;
+}
+
+std::optional<UpstreamPool::RateCapacity> UpstreamPool::LimitedCapacity(core::Instant now) const {
+  RateCapacity capacity;
   for (const auto& [id, upstream] : m_upstreams) {
     if (!upstream.listed) continue;
-    capacity.slots += upstream.spec.slots;
-    capacity.used +=
-        std::min(upstream.own_in_flight + upstream.peers_in_flight, upstream.spec.slots);
+    const auto limit = upstream.rate.limit();
+    if (!limit) return std::nullopt;
+    capacity.own_per_second += upstream.rate.share();
+    if (upstream.rate.Admits(now)) capacity.own_saved += 1;
   }
   return capacity;
 }
 
+std::optional<core::Instant> UpstreamPool::NextRateAdmission(core::Instant now) const {
+  std::optional<core::Instant> next;
+  for (const auto& [id, upstream] : m_upstreams) {
+    if (!upstream.listed || upstream.rate.Admits(now)) continue;
+    const auto admission = upstream.rate.NextAdmission(now);
+    if (admission) next = next ? std::min(*next, *admission) : *admission;
+  }
+  return next;
+}
+
 std::optional<core::Instant> UpstreamPool::NextUnblock() const {
   std::optional<core::Instant> next;
   for (const auto& [id, upstream] : m_upstreams) {
@@ -175,6 +250,7 @@
   std::vector<const Upstream*> others;
   for (const auto& [id, upstream] : m_upstreams) {
     if (!upstream.listed || excluded.contains(id) || !HasFreeSlot(upstream)) continue;
+    if (!upstream.rate.Admits(now)) continue;
     if (Admits(now, upstream)) {
       admitted.push_back(&upstream);
     } else if (!upstream.blocked_until) {
--- a/packages/peers/include/cornelrelay/peers/peer_status.h
+++ b/packages/peers/include/cornelrelay/peers/peer_status.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "cornelrelay/core/endpoint.h"
 #include "cornelrelay/core/ids.h"
+#include "cornelrelay/core/time.h"
 #include "cornelrelay/quarantine/suspect_report.h"
 
 namespace cornelrelay::peers {
@@ -25,6 +27,15 @@
   friend bool operator==(const ServiceQueue&, const ServiceQueue&) = default;
 };
 
+/// \brief What an answer of an upstream to the sender said of a rate limit.
+struct RateLimitReport {
+  core::UpstreamId upstream;
+  std::optional<double> per_second;  ///< empty: the upstream names no limit any more
+  core::Duration age{};              ///< time since the answer
+
+  friend bool operator==(const RateLimitReport&, const RateLimitReport&) = default;
+};
+
 /// \brief Status that an entry process sends to the others several times a second.
 struct PeerStatus {
   core::HostId host;
@@ -37,6 +48,7 @@
   std::vector<UpstreamLoad> loads;
   std::vector<ServiceQueue> queues;
   std::vector<quarantine::SuspectReport> suspects;
+  std::vector<RateLimitReport> rate_limits;
 
   friend bool operator==(const PeerStatus&, const PeerStatus&) = default;
 };
--- a/packages/peers/include/cornelrelay/peers/peer_table.h
+++ b/packages/peers/include/cornelrelay/peers/peer_table.h
@@ -68,6 +68,14 @@
   std::map<core::UpstreamId, std::uint32_t> InFlight() const;
   /// \brief Returns the number of requests of the service that are queued in all live peers.
   std::uint32_t Waiting(const core::ServiceId& service) const;
+  /// \brief The latest that live peers have heard of the rate limit of an upstream.
+  struct HeardRateLimit {
+    std::optional<double> per_second;
+    core::Instant at;
+  };
+  std::map<core::UpstreamId, HeardRateLimit> RateLimits() const;
+  /// \brief Returns this process and the live peers.
+  std::vector<core::HostId> LiveProcesses() const;
   std::size_t live_count() const;
   /// \brief Returns whether a live peer is connected to the store.
   bool AnyConnectedToStore() const;
--- a/packages/peers/src/peer_table.cc
+++ b/packages/peers/src/peer_table.cc
@@ -45,7 +45,8 @@
   peer.live = true;
   peer.endpoint = status.endpoint;
   if (peer.status.loads != status.loads || peer.status.queues != status.queues ||
-      peer.status.store_connected != status.store_connected) {
+      peer.status.store_connected != status.store_connected || !peer.status.rate_limits.empty() ||
+      !status.rate_limits.empty()) {
     ++m_version;
   }
   peer.status = status;
@@ -172,6 +173,27 @@
   return sum;
 }
 
+std::map<core::UpstreamId, PeerTable::HeardRateLimit> PeerTable::RateLimits() const {
+  std::map<core::UpstreamId, HeardRateLimit> latest;
+  for (const auto& [host, peer] : m_peers) {
+    if (!peer.live) continue;
+    for (const RateLimitReport& report : peer.status.rate_limits) {
+      const HeardRateLimit heard{report.per_second, *peer.last_received - report.age};
+      const auto [found, added] = latest.try_emplace(report.upstream, heard);
+      if (!added && found->second.at < heard.at) found->second = heard;
+    }
+  }
+  return latest;
+}
+
+std::vector<core::HostId> PeerTable::LiveProcesses() const {
+  std::vector<core::HostId> processes = {m_config.self};
+  for (const auto& [host, peer] : m_peers) {
+    if (peer.live) processes.push_back(host);
+  }
+  return processes;
+}
+
 std::size_t PeerTable::live_count() const {
   return static_cast<std::size_t>(std::count_if(
       m_peers.begin(), m_peers.end(), [](const auto& entry) { return entry.second.live; }));
--- a/packages/relay/include/cornelrelay/relay/service_dispatchers.h
+++ b/packages/relay/include/cornelrelay/relay/service_dispatchers.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -28,7 +29,7 @@
 
   /// \param on_load_change called after each change of this process's requests in flight or waiting
   ServiceDispatchers(boost::asio::io_context& context, const runtime::ProcessClock& clock,
-                     telemetry::JsonLog& log, telemetry::MetricRegistry& metrics,
+                     telemetry::JsonLog& log, telemetry::MetricRegistry& metrics, core::HostId self,
                      std::uint64_t seed, std::function<void()> on_load_change);
 
   void SetConfiguration(const routes::Configuration& configuration);
@@ -46,6 +47,10 @@
   void RecordAttemptEnd(const core::ServiceId& service, const core::RequestId& request,
                         dispatch::AttemptEnd end);
 
+  /// \param per_second the rate limit that an answer of the upstream named; empty if it named none
+  void RecordRateLimit(const core::ServiceId& service, const core::UpstreamId& upstream,
+                       std::optional<double> per_second);
+
   /// \brief Returns null for a service that no configuration has named so far.
   const dispatch::Dispatcher* FindDispatcher(const core::ServiceId& service) const;
 
@@ -53,6 +58,8 @@
   std::vector<peers::UpstreamLoad> Loads() const;
   /// \brief Number of this process's waiting requests, for each service that has any.
   std::vector<peers::ServiceQueue> Queues() const;
+  /// \brief What answers to this process said of rate limits.
+  std::vector<peers::RateLimitReport> RateLimits() const;
 
  private:
   struct Service {
@@ -68,6 +75,7 @@
   void Perform(const core::ServiceId& service, const dispatch::Rejected& action);
   void Perform(const core::ServiceId& service, const dispatch::HealthChanged& action);
   void Perform(const core::ServiceId& service, const dispatch::ServiceBlocked& action);
+  void Perform(const core::ServiceId& service, const dispatch::RateLimitChanged& action);
   void DeliverDecision(const core::RequestId& request, const Decision& decision);
   Service* Find(const core::ServiceId& id);
 
@@ -75,6 +83,7 @@
   const runtime::ProcessClock& m_clock;
   telemetry::JsonLog& m_log;
   telemetry::MetricRegistry& m_metrics;
+  core::HostId m_self;
   std::uint64_t m_seed;
   std::function<void()> m_on_load_change;
   std::map<core::ServiceId, std::unique_ptr<Service>> m_services;
--- a/packages/relay/include/cornelrelay/relay/upstream_call.h
+++ b/packages/relay/include/cornelrelay/relay/upstream_call.h
@@ -40,6 +40,7 @@
 
   /// \brief Head of the response; set before any event about the response is reported.
   const std::optional<UpstreamResponseHead>& head() const { return m_head; }
+  const core::UpstreamId& upstream_id() const { return m_request.upstream; }
   /// \brief Body of the response that was reported as ErrorResponseReceived.
   const std::string& failure_body() const { return m_failure_body; }
   /// \brief Id of the last event of a stream; the id after which it resumes before the first one.
--- a/packages/relay/src/relay_process.cc
+++ b/packages/relay/src/relay_process.cc
@@ -80,7 +80,7 @@
                [this](store::StoreRevision since) { return m_fleet.ItemsSince(since); },
                [this](const wire::ItemsTransfer& items) { m_fleet.Merge(items); },
                [this](const peers::PeerStatus& status) { m_quarantine.Merge(status.suspects); }}),
-      m_dispatchers(context, m_clock, log, m_metrics, seed + 3,
+      m_dispatchers(context, m_clock, log, m_metrics, m_settings.host, seed + 3,
                     [this] { m_peers.Step(peers::LocalLoadChanged{}); }),
       m_fleet(context, m_clock, *m_store, ports.fleet,
               {.reregistration_time = m_settings.lapsed_entry_return}, log, m_metrics, seed + 4,
@@ -201,6 +201,7 @@
   status.loads = m_dispatchers.Loads();
   status.queues = m_dispatchers.Queues();
   status.suspects = m_quarantine.Reports();
+  status.rate_limits = m_dispatchers.RateLimits();
 }
 
 bool RelayProcess::IsReady() const {
--- a/packages/relay/src/relay_task.cc
+++ b/packages/relay/src/relay_task.cc
@@ -231,6 +231,13 @@
   if (m_call && m_call->attempt() == action.attempt) m_call->Cancel();
 }
 
+void RelayTask::RecordRateLimit() {
+  const auto& head = m_call->head();
+  // A refusal need not come from what names the limit, so it does not show that there is none.
+  if (!head || (head->not_executed && !head->rate_limit)) return;
+  m_services.dispatchers.RecordRateLimit(m_routed.service, m_call->upstream_id(), head->rate_limit);
+}
+
 void RelayTask::RecordOutput() {
   m_stall_detector.RecordOutput(m_services.clock.Now());
   m_services.dispatchers.RecordFirstOutput(m_routed.service, m_internal_id);
@@ -241,6 +248,7 @@
   assert(m_call && m_call->head());
   if (!m_writer.has_head()) {
     m_writer.SetHead(m_call->head()->forwarded_head, m_call->head()->event_stream);
+    RecordRateLimit();
   }
   // Events without an id, such as comments, do not advance a stream.
   const auto event_id = m_call->last_event_id();
@@ -299,6 +307,7 @@
 
 void RelayTask::Perform(const request::RecordAttempt& action) {
   m_last_result = action.result;
+  RecordRateLimit();
   if (action.result == request::AttemptResult::kFailed) m_failed_call = m_call;
   m_services.dispatchers.RecordAttemptEnd(m_routed.service, m_internal_id, AttemptEndOf(action));
   if (action.result == request::AttemptResult::kBroken && m_call->lost_before_output()) {
--- a/packages/relay/src/service_dispatchers.cc
+++ b/packages/relay/src/service_dispatchers.cc
@@ -20,8 +20,9 @@
 }
 
 dispatch::DispatcherConfig DispatcherConfigOf(const routes::ServiceSpec& service,
-                                              std::uint64_t seed) {
+                                              const core::HostId& self, std::uint64_t seed) {
   dispatch::DispatcherConfig config;
+  config.upstreams.self = self;
   config.seed = core::Hash64(service.id.value(), seed);
   if (!service.engine) return config;
   const routes::EngineModel& engine = *service.engine;
@@ -39,18 +40,19 @@
 
 ServiceDispatchers::ServiceDispatchers(boost::asio::io_context& context,
                                        const runtime::ProcessClock& clock, telemetry::JsonLog& log,
-                                       telemetry::MetricRegistry& metrics, std::uint64_t seed,
-                                       std::function<void()> on_load_change)
+                                       telemetry::MetricRegistry& metrics, core::HostId self,
+                                       std::uint64_t seed, std::function<void()> on_load_change)
     : m_context(context),
       m_clock(clock),
       m_log(log),
       m_metrics(metrics),
+      m_self(std::move(self)),
       m_seed(seed),
       m_on_load_change(std::move(on_load_change)) {}
 
 void ServiceDispatchers::SetConfiguration(const routes::Configuration& configuration) {
   for (const auto& [id, spec] : configuration.services) {
-    const dispatch::DispatcherConfig config = DispatcherConfigOf(spec, m_seed);
+    const dispatch::DispatcherConfig config = DispatcherConfigOf(spec, m_self, m_seed);
     if (Service* found = Find(id)) {
       Step(id, *found, dispatch::PromptWeightChanged{config.upstreams.prompt_tokens_per_slot});
       continue;
@@ -74,7 +76,13 @@
 
 void ServiceDispatchers::SetPeers(const peers::PeerTable& peers) {
   const auto in_flight = peers.InFlight();
+  dispatch::PeerRateLimitsChanged limits;
+  limits.processes = peers.LiveProcesses();
+  for (const auto& [upstream, heard] : peers.RateLimits()) {
+    limits.observations[upstream] = {heard.per_second, heard.at};
+  }
   for (auto& [id, service] : m_services) {
+    Step(id, *service, limits);
     Step(id, *service, dispatch::PeerLoadChanged{in_flight, peers.Waiting(id)});
   }
 }
@@ -110,6 +118,13 @@
   m_on_load_change();
 }
 
+void ServiceDispatchers::RecordRateLimit(const core::ServiceId& service,
+                                         const core::UpstreamId& upstream,
+                                         std::optional<double> per_second) {
+  Service* found = Find(service);
+  if (found) Step(service, *found, dispatch::RateLimitObserved{upstream, per_second});
+}
+
 const dispatch::Dispatcher* ServiceDispatchers::FindDispatcher(
     const core::ServiceId& service) const {
   const auto found = m_services.find(service);
@@ -131,6 +146,17 @@
   return loads;
 }
 
+std::vector<peers::RateLimitReport> ServiceDispatchers::RateLimits() const {
+  std::vector<peers::RateLimitReport> reports;
+  const core::Instant now = m_clock.Now();
+  for (const auto& [id, service] : m_services) {
+    for (const auto& [upstream, observation] : service->dispatcher.OwnRateLimits(now)) {
+      reports.push_back({upstream, observation.per_second, now - observation.at});
+    }
+  }
+  return reports;
+}
+
 std::vector<peers::ServiceQueue> ServiceDispatchers::Queues() const {
   std::vector<peers::ServiceQueue> queues;
   for (const auto& [id, service] : m_services) {
@@ -187,4 +213,13 @@
   m_log.Warning("service_blocked", {{"service", service}, {"blocked", action.blocked}});
 }
 
+void ServiceDispatchers::Perform(const core::ServiceId& service,
+                                 const dispatch::RateLimitChanged& action) {
+  m_log.Warning("upstream_rate_limit_changed", {{"service", service},
+                                                {"upstream", action.upstream},
+                                                {"limited", action.per_second.has_value()},
+                                                {"per_second", action.per_second.value_or(0)},
+                                                {"own_per_second", action.own_per_second}});
+}
+
 }  // namespace cornelrelay::relay
--- a/packages/relay/src/upstream_call.cc
+++ b/packages/relay/src/upstream_call.cc
@@ -61,11 +61,6 @@
   net::HttpRequest message = m_protocol.Encode(m_clock.Now(), m_request);
   co_await exchange().SendRequest(std::move(message));
   co_await ReadMatchingHead();
-  if (m_head->rate_limit) {
-    m_log.Info("rate_limit_received", {{"request", m_request.request.id},
-                                       {"upstream", m_request.upstream},
-                                       {"per_second", *m_head->rate_limit}});
-  }
   const int status = m_head->forwarded_head.status;
   if (m_head->not_executed) {
     Report(request::AttemptRefused{attempt(), m_head->retry_after});
--- a/packages/relay/tests/service_dispatchers_test.cc
+++ b/packages/relay/tests/service_dispatchers_test.cc
@@ -66,7 +66,8 @@
   telemetry::JsonLog m_log{"test", telemetry::LogLevel::kError,
                            std::make_shared<spdlog::sinks::null_sink_mt>()};
   telemetry::MetricRegistry m_metrics;
-  ServiceDispatchers m_dispatchers{m_context, m_clock, m_log, m_metrics, 1, [] {}};
+  ServiceDispatchers m_dispatchers{m_context, m_clock, m_log, m_metrics, core::HostId("self"),
+                                   1,         [] {}};
   directory::UpstreamDirectory m_directory{directory::DirectoryConfig{}};
 };
 
--- a/packages/wire/src/fleet_messages.cc
+++ b/packages/wire/src/fleet_messages.cc
@@ -54,6 +54,11 @@
   });
   internal::List<std::uint8_t>(ar, b.suspects, kMaxSuspects, kSuspectBytes,
                                [&](auto& suspect) { CodeSuspect<Ar>(ar, suspect); });
+  internal::List<std::uint16_t>(ar, b.rate_limits, kMaxLoads, kLoadBytes, [&](auto& limit) {
+    internal::Identifier(ar, limit.upstream);
+    internal::Optional(ar, limit.per_second, [&](auto& rate) { ar.archive(rate); });
+    internal::DurationNear<std::uint32_t>(ar, limit.age, kAgeUnit);
+  });
 }
 
 template <class Ar>
--- a/packages/wire/tests/fleet_messages_test.cc
+++ b/packages/wire/tests/fleet_messages_test.cc
@@ -22,6 +22,8 @@
   b.store_connected = true;
   b.loads = {{core::UpstreamId("i-1"), 3}, {core::UpstreamId("i-2"), 12}};
   b.queues = {{core::ServiceId("llm"), 5}};
+  b.rate_limits = {{core::UpstreamId("i-1"), 2.5, std::chrono::milliseconds(30)},
+                   {core::UpstreamId("i-2"), {}, std::chrono::seconds(4)}};
   b.suspects = {{quarantine::Fingerprint(7), {{1, std::chrono::milliseconds(12), true}}, {}},
                 {quarantine::Fingerprint(8),
                  {{1, std::chrono::seconds(3), false}, {2, std::chrono::seconds(4), true}},
