--- a/packages/quarantine/src/suspect_table.cc
+++ b/packages/quarantine/src/suspect_table.cc
@@ -72,6 +72,9 @@
 bool SuspectTable::AddCrash(Fingerprint suspect, std::uint64_t crash, const Crash& seen) {
   if (!m_suspects.contains(suspect) && !MakeRoom()) return false;
   Suspect& entry = m_suspects[suspect];
+  // Further crashes would change no decision, and take room in the reports.
+  const bool full = entry.crashes.size() >= m_settings.max_crashes;
+  if (full && !entry.crashes.contains(crash)) return false;
   const auto [found, added] = entry.crashes.try_emplace(crash, seen);
   if (added) {
     entry.trial.reset();  // it has failed, or says nothing any more
@@ -87,8 +90,9 @@
   auto oldest = m_suspects.end();
   for (auto it = m_suspects.begin(); it != m_suspects.end(); ++it) {
     if (IsQuarantined(it->first)) continue;
-    if (oldest == m_suspects.end() || LastCrash(it->second) < LastCrash(oldest->second))
-      oldest = it;
+    const bool older =
+        oldest == m_suspects.end() || LastCrash(it->second) < LastCrash(oldest->second);
+    if (older) oldest = it;
   }
   if (oldest == m_suspects.end()) return false;
   m_suspects.erase(oldest);
@@ -114,7 +118,9 @@
   for (const auto& [known, time] : m_outputs) times.push_back(time);
   const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
   std::nth_element(times.begin(), middle, times.end());
-  std::erase_if(m_outputs, [&](const auto& entry) { return entry.second < *middle; });
+  std::erase_if(m_outputs, [&](const auto& entry) {
+    return entry.second < *middle && !m_suspects.contains(entry.first);
+  });
 }
 
 void SuspectTable::UpdateQuarantine(Fingerprint feature, Actions& out) {
--- a/packages/quarantine/tests/suspect_table_test.cc
+++ b/packages/quarantine/tests/suspect_table_test.cc
@@ -177,6 +177,27 @@
         now - (kStart + milliseconds(2 * settings.max_suspects - 1)));
 }
 
+TEST_CASE("a crash of many upstreams at once makes no long reports") {
+  SuspectTable table = Table();
+  for (int n = 0; n < 500; ++n) table.Step(kStart, Lost("u" + std::to_string(n), {"a"}));
+  for (const SuspectReport& report : table.Reports(kStart)) {
+    CHECK(report.crashes.size() <= SuspectSettings{}.max_crashes);
+  }
+}
+
+TEST_CASE("a cleared segment stays so while many others give output") {
+  SuspectSettings settings;
+  settings.max_known_features = 10;
+  SuspectTable table(settings, 1);
+  table.Step(kStart, Lost("u1", {"a"}));
+  table.Step(kStart, OutputBegan{Features({"a"})});
+  for (int n = 0; n < 50; ++n) {
+    table.Step(kStart + milliseconds(n), OutputBegan{Features({"s" + std::to_string(n)})});
+  }
+  table.Step(kStart + seconds(1), SuspectsReported{table.Reports(kStart + seconds(1))});
+  CHECK_FALSE(Held(table, kStart + seconds(1), {"a"}));
+}
+
 TEST_CASE("reports of the same crashes merge in any order and any number of times") {
   CHECK(rc::check([](std::uint64_t seed) {
     core::Random random(seed);
--- a/packages/relay/src/upstream_call.cc
+++ b/packages/relay/src/upstream_call.cc
@@ -177,7 +177,9 @@
     CheckProgress();
     co_await mailbox().UntilTaken();
   }
-  if (!splitter.HasPartialEvent()) co_await CheckEnd();
+  if (!splitter.HasPartialEvent()) {
+    co_await CheckEnd();
+  }
   request::ChunkChecked closed;
   closed.attempt = attempt();
   if (splitter.HasPartialEvent()) {
