--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -50,12 +50,12 @@
 }
 
 Dispatcher::Dispatcher(DispatcherConfig config)
-    : m_config(config),
-      m_random(config.seed),
-      m_upstreams(config.upstreams, config.seed + 1),
+    : m_config(std::move(config)),
+      m_random(m_config.seed),
+      m_upstreams(m_config.upstreams, m_config.seed + 1),
       m_queue(limits::FairQueueConfig{}),
-      m_mean_service_time(config.initial_service_time),
-      m_mean_time_to_first_output(config.initial_time_to_first_output) {}
+      m_mean_service_time(m_config.initial_service_time),
+      m_mean_time_to_first_output(m_config.initial_time_to_first_output) {}
 
 std::vector<DispatchAction> Dispatcher::Step(core::Instant now, const DispatchEvent& event) {
   Actions out;
--- a/packages/relay/include/cornelrelay/relay/service_dispatchers.h
+++ b/packages/relay/include/cornelrelay/relay/service_dispatchers.h
@@ -65,7 +65,7 @@
   struct Service {
     Service(boost::asio::io_context& context, const runtime::ProcessClock& clock,
             dispatch::DispatcherConfig config, std::function<void()> on_wake)
-        : dispatcher(config), timer(context, clock, std::move(on_wake)) {}
+        : dispatcher(std::move(config)), timer(context, clock, std::move(on_wake)) {}
     dispatch::Dispatcher dispatcher;
     runtime::WakeTimer timer;
   };
--- a/packages/wire/src/fleet_messages.cc
+++ b/packages/wire/src/fleet_messages.cc
@@ -1,6 +1,7 @@
 #include "cornelrelay/wire/fleet_messages.h"
 
 #include <chrono>
+#include <cmath>
 
 #include "message_codec.h"
 
@@ -56,7 +57,10 @@
                                [&](auto& suspect) { CodeSuspect<Ar>(ar, suspect); });
   internal::List<std::uint16_t>(ar, b.rate_limits, kMaxLoads, kLoadBytes, [&](auto& limit) {
     internal::Identifier(ar, limit.upstream);
-    internal::Optional(ar, limit.per_second, [&](auto& rate) { ar.archive(rate); });
+    internal::Optional(ar, limit.per_second, [&](auto& rate) {
+      ar.archive(rate);
+      if (!std::isfinite(rate) || rate < 0) throw MalformedMessage();
+    });
     internal::DurationNear<std::uint32_t>(ar, limit.age, kAgeUnit);
   });
 }
