--- a/packages/quarantine/tests/suspect_table_test.cc
+++ b/packages/quarantine/tests/suspect_table_test.cc
@@ -177,6 +177,22 @@
         now - (kStart + milliseconds(2 * settings.max_suspects - 1)));
 }
 
+// Guards against reports that fill the statuses of a large fleet for a minute after each crash.
+TEST_CASE("a suspect that is not quarantined is reported for a limited time") {
+  SuspectSettings settings;
+  settings.report_time = seconds(5);
+  SuspectTable table(settings, 1);
+  table.Step(kStart, Lost("u1", {"quarantined"}));
+  table.Step(kStart, Lost("u2", {"suspect"}, false));
+  CHECK(table.Reports(kStart + seconds(4)).size() == 4);  // two segments and two requests
+  const auto later = table.Reports(kStart + settings.report_time);
+  REQUIRE(later.size() == 1);
+  CHECK(later.front().suspect == Segment("quarantined"));
+  // It still counts: the next crash quarantines it.
+  table.Step(kStart + seconds(10), Lost("u3", {"suspect"}, false));
+  CHECK(Held(table, kStart + seconds(10), {"suspect"}));
+}
+
 TEST_CASE("a crash of many upstreams at once makes no long reports") {
   SuspectTable table = Table();
   for (int n = 0; n < 500; ++n) table.Step(kStart, Lost("u" + std::to_string(n), {"a"}));
--- a/packages/relay/src/quarantine_service.cc
+++ b/packages/relay/src/quarantine_service.cc
@@ -17,6 +17,15 @@
 
 /// A process that is just ending may still accept connections for a moment.
 constexpr milliseconds kSecondProbeDelay{50};
+/// Several statuses of the largest fleets, whose processes send one every 0.75 s. By then each live
+/// process remembers the suspect itself; one that starts later needs only what is quarantined.
+constexpr std::chrono::seconds kSuspectReportTime{5};
+
+quarantine::SuspectSettings TableSettings() {
+  quarantine::SuspectSettings settings;
+  settings.report_time = kSuspectReportTime;
+  return settings;
+}
 
 }  // namespace
 
@@ -32,7 +41,7 @@
       m_log(log),
       m_metrics(metrics),
       m_callbacks(std::move(callbacks)),
-      m_table(quarantine::SuspectSettings{}, seed) {}
+      m_table(TableSettings(), seed) {}
 
 std::optional<core::Duration> QuarantineService::HoldBack(
     const core::RequestId& request, const quarantine::RequestFeatures& features) {
