--- a/tests/system/platform_stand_ins.py
+++ b/tests/system/platform_stand_ins.py
@@ -23,6 +23,7 @@
         self.items = {}
         self.log = []
         self.revision = 1
+        self.era = 1  # rises by one with each restore
         self.down = False
         store = self
 
@@ -37,6 +38,7 @@
                 try:
                     self.send_response(status)
                     self.send_header("Content-Length", str(len(data)))
+                    self.send_header("Store-Era", str(store.era))
                     self.end_headers()
                     self.wfile.write(data)
                 except OSError:  # the process under test has ended while its watch was waiting
@@ -50,7 +52,7 @@
                 if url.path == "/cornelrelay/kv-range":
                     return self.answer(200, store.range(query["prefix"], query.get("after", "")))
                 if url.path == "/cornelrelay/kv-watch":
-                    return self.answer(200, store.watch(query))
+                    return self.answer(*store.watch(query))
                 return self.answer(404, {})
 
             def do_POST(self):
@@ -87,15 +89,31 @@
             found = [self.items[k] for k in sorted(self.items) if k.startswith(prefix) and k > after]
             return {"items": found[:3], "truncated": len(found) > 3, "current_rev": self.revision}
 
+    def copy(self):
+        """The state of the store as restore() takes it."""
+        with self.changed:
+            return dict(self.items), list(self.log), self.revision
+
+    def restore(self, copy):
+        """Goes back to a copy: what was written since is gone, and its revisions are given out again."""
+        with self.changed:
+            items, log, self.revision = copy
+            self.items, self.log = dict(items), list(log)
+            self.era += 1
+            self.changed.notify_all()
+
     def watch(self, query):
         until = time.monotonic() + int(query["wait_ms"]) / 1000
         with self.changed:
+            era = self.era
             while True:
+                if self.era != era or int(query["after"]) > self.revision:
+                    return 410, {}
                 events = [e for e in self.log if e["key"].startswith(query["prefix"])
                           and e["revision"] > int(query["after"])]
                 left = until - time.monotonic()
                 if events or left <= 0:
-                    return {"events": events, "current_rev": self.revision}
+                    return 200, {"events": events, "current_rev": self.revision}
                 self.changed.wait(left)
 
     def transact(self, body):
@@ -286,7 +304,7 @@
             self.start()
         self.down.release()
 
-    def entry(self, service, state="ready"):
+    def entry(self, service, state="ready", sequence=0):
         host, port = self.address
         return {"service": service, "address": f"{host}:{port}", "zone": "a", "version": "v1", "slots": 4,
-                "state": state, "cold_remaining_ms": 0, "sequence": 0, "born": 1}
+                "state": state, "cold_remaining_ms": 0, "sequence": sequence, "born": 1}
