--- a/packages/ranks/src/rank_process.cc
+++ b/packages/ranks/src/rank_process.cc
@@ -130,7 +130,7 @@
   if (m_candidacy->OnTick(m_clock.Now())) {
     m_log.Warning("candidacy_changed", {{"candidate", true}});
     // Reads the key anew: the one that is known may be old.
-    PerformReaderActions(m_reader->Resume(m_clock.Now(), 0));
+    PerformReaderActions(m_reader->Resume(m_clock.Now(), {}));
   }
   if (const auto wake = m_candidacy->NextWake()) m_candidacy_timer.SetAt(*wake);
 }
--- a/packages/relay/include/cornelrelay/relay/fleet_view.h
+++ b/packages/relay/include/cornelrelay/relay/fleet_view.h
@@ -79,6 +79,8 @@
   void Perform(const store::ItemsChanged& action);
   void Perform(const store::StoreLinkLost& action);
   void Perform(const store::StoreLinkRegained& action);
+  /// \brief Logs a change of the store's era.
+  void NoteVersion(store::StoreVersion version);
   void ApplyChanges(const std::vector<store::ItemChange>& changes, std::string_view source);
   void ApplyConfiguration(const store::ItemChange& item, ConfigurationItem configuration,
                           std::string_view source);
@@ -95,6 +97,7 @@
   Listener m_listener;
   store::PrefixReader m_reader;
   store::ItemCache m_cache;
+  store::StoreVersion m_store_version;  ///< of the store's last answer with items
   directory::UpstreamDirectory m_upstreams;
   std::shared_ptr<const routes::RouteTable> m_table;
   runtime::WakeTimer m_reader_timer;
--- a/packages/relay/src/fleet_view.cc
+++ b/packages/relay/src/fleet_view.cc
@@ -52,15 +52,27 @@
 
 void FleetView::Perform(const store::ItemsRead& action) {
   m_loaded = true;
-  ApplyChanges(m_cache.Replace(std::string(kAllItems), action.items, action.revision), "store");
+  NoteVersion(action.version);
+  ApplyChanges(m_cache.Replace(std::string(kAllItems), action.items, action.version.revision),
+               "store");
   m_listener.on_items_changed();
 }
 
 void FleetView::Perform(const store::ItemsChanged& action) {
-  ApplyChanges(m_cache.Merge(action.changes, action.revision), "store");
+  NoteVersion(action.version);
+  ApplyChanges(m_cache.Merge(action.changes, action.version.revision), "store");
   m_listener.on_items_changed();
 }
 
+void FleetView::NoteVersion(store::StoreVersion version) {
+  const store::StoreVersion before = std::exchange(m_store_version, version);
+  if (before == store::StoreVersion{} || before.era == version.era) return;
+  m_log.Warning("store_restored", {{"era", version.era},
+                                   {"era_before", before.era},
+                                   {"revision", version.revision},
+                                   {"revision_before", before.revision}});
+}
+
 void FleetView::Perform(const store::StoreLinkLost& action) {
   m_log.Warning("store_lost", {{"reason", action.reason}, {"revision", m_cache.revision()}});
   m_listener.on_items_changed();
@@ -98,7 +110,7 @@
   if (role == peers::StoreRole::kFollower) {
     m_reader.Pause();
   } else {
-    Run(m_reader.Resume(m_clock.Now(), m_cache.revision()));
+    Run(m_reader.Resume(m_clock.Now(), {m_store_version.era, m_cache.revision()}));
   }
   m_listener.on_items_changed();
 }
--- a/packages/runtime/src/store_link.cc
+++ b/packages/runtime/src/store_link.cc
@@ -2,12 +2,14 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <charconv>
 #include <string>
 #include <utility>
 #include <variant>
 
 #include "cornelrelay/core/overloaded.h"
 #include "cornelrelay/net/errors.h"
+#include "cornelrelay/net/http_headers.h"
 
 namespace cornelrelay::runtime {
 namespace {
@@ -21,6 +23,13 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
 }
 
+std::optional<store::StoreEra> ParseEra(std::string_view text) {
+  store::StoreEra era = 0;
+  const auto [rest, status] = std::from_chars(text.data(), text.data() + text.size(), era);
+  if (status != std::errc() || rest != text.data() + text.size()) return std::nullopt;
+  return era;
+}
+
 }  // namespace
 
 StoreLink::StoreLink(asio::io_context& context, const ProcessClock& clock, net::HttpClient& client,
@@ -102,7 +111,14 @@
     if (!piece || body.size() > kMaxAnswerBytes) break;
     body += *piece;
   }
-  co_return m_codec.FromHttp(request, head.status, body);
+  StoreReply reply = m_codec.FromHttp(request, head.status, body);
+  if (const auto text = net::FindHeader(head.headers, m_codec.EraHeader())) {
+    const auto era = ParseEra(*text);
+    // Without its era, the answer cannot be compared with others.
+    if (!era) co_return StoreReply(store::TimedOut{});
+    SetEra(reply, *era);
+  }
+  co_return reply;
 }
 
 asio::awaitable<StoreReply> StoreLink::ReadWatch(const store::Watch& watch,
--- a/packages/store/include/cornelrelay/store/prefix_reader.h
+++ b/packages/store/include/cornelrelay/store/prefix_reader.h
@@ -31,15 +31,15 @@
 struct CallStore {
   StoreRequest request;
 };
-/// \brief All items with the prefix as of a revision.
+/// \brief All items with the prefix as of a version of the store.
 struct ItemsRead {
   std::vector<ItemChange> items;
-  StoreRevision revision = 0;
+  StoreVersion version;
 };
-/// \brief What changed up to a revision.
+/// \brief What changed up to a version of the store, since the last ones.
 struct ItemsChanged {
   std::vector<ItemChange> changes;
-  StoreRevision revision = 0;
+  StoreVersion version;
 };
 struct StoreLinkLost {
   std::string_view reason;  ///< kind of the reply that showed it
@@ -52,7 +52,7 @@
 
 /// \brief Keeps a copy of the items with a prefix: reads all pages, then follows the changes.
 ///
-/// After lost history or an outage it reads all again, because changes may have been missed. A
+/// After lost history, an outage it reads all again, because changes may have been missed. A
 /// watch that breaks once is repeated from the last revision.
 ///
 /// \code
@@ -73,8 +73,9 @@
 
   /// \brief Makes no further calls once all pages have been read, until Resume().
   void Pause();
-  /// \brief Follows the changes after a revision up to which they are known from elsewhere.
-  Actions Resume(core::Instant now, StoreRevision known);
+  /// \brief Follows the changes after a version up to which they are known from elsewhere; reads
+  /// all if `known` is the default.
+  Actions Resume(core::Instant now, StoreVersion known);
   /// \brief Sets whether calls are repeated only rarely after a failure.
   void SetSlowRetries(bool slow) { m_slow_retries = slow; }
 
@@ -107,7 +108,7 @@
   bool m_watching = false;
   bool m_linked = true;
   std::uint32_t m_failures = 0;
-  StoreRevision m_revision = 0;  ///< changes up to it are known; during a read, of its first page
+  StoreVersion m_version;  ///< changes up to it are known; during a read, of its first page
   std::vector<ItemChange> m_items;  ///< pages read so far
   std::string m_after_key;
   std::optional<core::Instant> m_retry_at;  ///< or when the next watch may begin
--- a/packages/store/include/cornelrelay/store/store_codec.h
+++ b/packages/store/include/cornelrelay/store/store_codec.h
@@ -17,7 +17,11 @@
   /// \throws UnsupportedStoreRequest
   virtual StoreHttpRequest ToHttp(const StoreRequest& request) const = 0;
 
-  /// \brief Never throws: an answer that cannot be understood leaves the outcome unknown.
+  /// \brief Name of the response header with the store's era; empty if the store names none.
+  virtual std::string_view EraHeader() const { return {}; }
+
+  /// \brief Leaves the era of the reply 0, see SetEra(). Never throws: an answer that cannot be
+  /// understood leaves the outcome unknown.
   virtual StoreReply FromHttp(const StoreRequest& request, int status,
                               std::string_view body) const = 0;
 
--- a/packages/store/include/cornelrelay/store/store_reply.h
+++ b/packages/store/include/cornelrelay/store/store_reply.h
@@ -10,6 +10,7 @@
 #include "cornelrelay/core/time.h"
 #include "cornelrelay/store/item_change.h"
 #include "cornelrelay/store/store_request.h"
+#include "cornelrelay/store/store_version.h"
 
 namespace cornelrelay::store {
 
@@ -31,6 +32,7 @@
 /// \brief The write took effect.
 struct Swapped {
   StoreRevision revision = 0;  ///< the key's new revision
+  StoreEra era = 0;            ///< era of the revision
 
   friend auto operator<=>(const Swapped&, const Swapped&) = default;
 };
@@ -70,7 +72,7 @@
 struct PrefixRead {
   std::vector<ItemChange> items;
   bool more = false;  ///< another page follows after the last key
-  StoreRevision revision = 0;
+  StoreVersion version;
 
   friend auto operator<=>(const PrefixRead&, const PrefixRead&) = default;
 };
@@ -78,7 +80,7 @@
 /// \brief Changes with a prefix, oldest first; none if the wait was over before.
 struct PrefixChanged {
   std::vector<ItemChange> changes;
-  StoreRevision revision = 0;  ///< the next watch continues after it
+  StoreVersion version;  ///< the next watch continues after it
 
   friend auto operator<=>(const PrefixChanged&, const PrefixChanged&) = default;
 };
@@ -116,6 +118,9 @@
     std::variant<ValueRead, Swapped, NotSwapped, LeaseGranted, LeaseExpired, WatchEvent, PrefixRead,
                  PrefixChanged, HistoryLost, RefusedForRate, Unavailable, TimedOut>;
 
+/// \brief Sets the era of the versions in the reply.
+void SetEra(StoreReply& reply, StoreEra era);
+
 /// \brief True for a reply that the store itself gave after it looked at the request.
 bool IsAnswer(const StoreReply& reply);
 
--- a/packages/store/src/prefix_reader.cc
+++ b/packages/store/src/prefix_reader.cc
@@ -43,13 +43,13 @@
 
 void PrefixReader::Pause() { m_paused = true; }
 
-PrefixReader::Actions PrefixReader::Resume(core::Instant now, StoreRevision known) {
+PrefixReader::Actions PrefixReader::Resume(core::Instant now, StoreVersion known) {
   Actions out;
   if (!std::exchange(m_paused, false)) return out;
-  m_revision = std::max(m_revision, known);
+  m_version = std::max(m_version, known);
   if (m_calling) return out;
   m_retry_at.reset();
-  if (known > 0) {
+  if (known.revision > 0) {
     Watch(now, out);
   } else {
     ReadAll(out);
@@ -86,28 +86,29 @@
   m_calling = true;
   m_watching = true;
   m_watched_at = now;
-  out.emplace_back(CallStore{WatchPrefix{m_prefix, m_revision, m_options.watch_wait}});
+  out.emplace_back(CallStore{WatchPrefix{m_prefix, m_version.revision, m_options.watch_wait}});
 }
 
 void PrefixReader::OnPage(core::Instant now, const PrefixRead& page, Actions& out) {
   NoteAnswer(now, out);
   // Pages are no snapshot: the watch starts at the revision of the first one, so that it repeats
   // whatever changed while the others were read.
-  if (m_after_key.empty()) m_revision = page.revision;
+  if (m_after_key.empty()) m_version = page.version;
   m_items.insert(m_items.end(), page.items.begin(), page.items.end());
   if (page.more && !page.items.empty()) {
     m_after_key = page.items.back().key;
     return ReadPage(out);
   }
   m_read = true;
-  out.emplace_back(ItemsRead{std::exchange(m_items, {}), m_revision});
+  out.emplace_back(ItemsRead{std::exchange(m_items, {}), m_version});
   Watch(now, out);
 }
 
 void PrefixReader::OnChanges(core::Instant now, const PrefixChanged& changes, Actions& out) {
   NoteAnswer(now, out);
-  if (changes.revision > m_revision) m_revision = changes.revision;
-  out.emplace_back(ItemsChanged{changes.changes, m_revision});
+  m_version.era = changes.version.era;
+  m_version.revision = std::max(m_version.revision, changes.version.revision);
+  out.emplace_back(ItemsChanged{changes.changes, m_version});
   const core::Instant next = m_watched_at + m_options.watch_spacing;
   if (changes.changes.empty() || next <= now) return Watch(now, out);
   m_retry_at = next;
--- a/packages/store/src/store_reply.cc
+++ b/packages/store/src/store_reply.cc
@@ -2,8 +2,18 @@
 
 #include <array>
 
+#include "cornelrelay/core/overloaded.h"
+
 namespace cornelrelay::store {
 
+void SetEra(StoreReply& reply, StoreEra era) {
+  std::visit(
+      core::Overloaded{[era](Swapped& swapped) { swapped.era = era; },
+                       [era](PrefixRead& read) { read.version.era = era; },
+                       [era](PrefixChanged& changed) { changed.version.era = era; }, [](auto&) {}},
+      reply);
+}
+
 bool IsAnswer(const StoreReply& reply) {
   return !std::holds_alternative<RefusedForRate>(reply) &&
          !std::holds_alternative<Unavailable>(reply) && !std::holds_alternative<TimedOut>(reply);
--- a/packages/store/tests/prefix_reader_test.cc
+++ b/packages/store/tests/prefix_reader_test.cc
@@ -30,11 +30,11 @@
 TEST_CASE("the watch starts at the revision of the first page") {
   PrefixReader reader("servers/", {}, 1);
   REQUIRE(Called<ReadPrefix>(reader.Start(At(0))));
-  auto actions = reader.OnReply(At(1), PrefixRead{{{"servers/a", "1", 4}}, true, 10});
+  auto actions = reader.OnReply(At(1), PrefixRead{{{"servers/a", "1", 4}}, true, {0, 10}});
   REQUIRE(Called<ReadPrefix>(actions));
   CHECK(Called<ReadPrefix>(actions)->after_key == "servers/a");
   // The item of the first page changed at revision 11, while the second page was read.
-  actions = reader.OnReply(At(2), PrefixRead{{{"servers/b", "2", 12}}, false, 12});
+  actions = reader.OnReply(At(2), PrefixRead{{{"servers/b", "2", 12}}, false, {0, 12}});
   REQUIRE(Find<ItemsRead>(actions));
   CHECK(Find<ItemsRead>(actions)->items.size() == 2);
   REQUIRE(Called<WatchPrefix>(actions));
@@ -45,7 +45,7 @@
 TEST_CASE("a burst of changes costs a few watches, and its first change does not wait") {
   PrefixReader reader("servers/", {}, 1);
   reader.Start(At(0));
-  REQUIRE(Called<WatchPrefix>(reader.OnReply(At(1), PrefixRead{{}, false, 10})));
+  REQUIRE(Called<WatchPrefix>(reader.OnReply(At(1), PrefixRead{{}, false, {0, 10}})));
   // A change every 30 ms for 3 s, as long as the store has a watch to answer.
   bool watching = true;
   int watches = 0;
@@ -54,7 +54,8 @@
     const auto revision = static_cast<StoreRevision>(10 + ms);
     PrefixReader::Actions actions;
     if (watching) {
-      actions = reader.OnReply(At(ms), PrefixChanged{{{"servers/a", "1", revision}}, revision});
+      actions =
+          reader.OnReply(At(ms), PrefixChanged{{{"servers/a", "1", revision}}, {0, revision}});
       REQUIRE(Find<ItemsChanged>(actions));
       known = revision;
     } else if (reader.NextWake() && *reader.NextWake() <= At(ms)) {
@@ -72,14 +73,14 @@
 TEST_CASE("lost history leads to a new read of everything") {
   PrefixReader reader("", {}, 1);
   reader.Start(At(0));
-  reader.OnReply(At(1), PrefixRead{{}, false, 10});
+  reader.OnReply(At(1), PrefixRead{{}, false, {0, 10}});
   CHECK(Called<ReadPrefix>(reader.OnReply(At(2), HistoryLost{})));
 }
 
 TEST_CASE("one broken watch is repeated, two are an outage that ends with a full read") {
   PrefixReader reader("", {}, 1);
   reader.Start(At(0));
-  reader.OnReply(At(1), PrefixRead{{}, false, 10});
+  reader.OnReply(At(1), PrefixRead{{}, false, {0, 10}});
   CHECK_FALSE(Find<StoreLinkLost>(reader.OnReply(At(2), TimedOut{})));
   REQUIRE(reader.NextWake());
   const auto again = reader.OnTick(*reader.NextWake());
@@ -87,7 +88,7 @@
   CHECK(Called<WatchPrefix>(again)->after == 10);
   CHECK(Find<StoreLinkLost>(reader.OnReply(At(200), Unavailable{})));
   CHECK(Called<ReadPrefix>(reader.OnTick(*reader.NextWake())));
-  CHECK(Find<StoreLinkRegained>(reader.OnReply(At(900), PrefixRead{{}, false, 12})));
+  CHECK(Find<StoreLinkRegained>(reader.OnReply(At(900), PrefixRead{{}, false, {0, 12}})));
   CHECK(reader.linked());
 }
 
@@ -130,34 +131,34 @@
   reader.Start(At(0));
   // The pages are read to the end, as there is nothing to go on from before.
   reader.Pause();
-  REQUIRE(Called<ReadPrefix>(reader.OnReply(At(1), PrefixRead{{{"a", "1", 4}}, true, 10})));
-  const auto read = reader.OnReply(At(2), PrefixRead{{}, false, 10});
+  REQUIRE(Called<ReadPrefix>(reader.OnReply(At(1), PrefixRead{{{"a", "1", 4}}, true, {0, 10}})));
+  const auto read = reader.OnReply(At(2), PrefixRead{{}, false, {0, 10}});
   CHECK(Find<ItemsRead>(read));
   CHECK_FALSE(Find<CallStore>(read));
   CHECK_FALSE(reader.linked());
   CHECK(reader.OnTick(At(60'000)).empty());
-  const auto resumed = reader.Resume(At(60'001), 25);
+  const auto resumed = reader.Resume(At(60'001), {0, 25});
   REQUIRE(Called<WatchPrefix>(resumed));
   CHECK(Called<WatchPrefix>(resumed)->after == 25);
   CHECK(reader.linked());
-  CHECK(reader.Resume(At(60'002), 25).empty());
+  CHECK(reader.Resume(At(60'002), {0, 25}).empty());
   // A watch that was begun before is not repeated.
   reader.Pause();
-  CHECK(reader.Resume(At(60'003), 26).empty());
-  CHECK(Called<WatchPrefix>(reader.OnReply(At(62'000), PrefixChanged{{}, 26})));
+  CHECK(reader.Resume(At(60'003), {0, 26}).empty());
+  CHECK(Called<WatchPrefix>(reader.OnReply(At(62'000), PrefixChanged{{}, {0, 26}})));
 }
 
 // A time that stays due would keep the process busy.
 TEST_CASE("a reader that is paused between two watches is not due") {
   PrefixReader reader("", {}, 1);
   reader.Start(At(0));
-  reader.OnReply(At(1), PrefixRead{{}, false, 10});
-  reader.OnReply(At(100), PrefixChanged{{{"a", "1", 11}}, 11});
+  reader.OnReply(At(1), PrefixRead{{}, false, {0, 10}});
+  reader.OnReply(At(100), PrefixChanged{{{"a", "1", 11}}, {0, 11}});
   REQUIRE(reader.NextWake());
   reader.Pause();
   CHECK_FALSE(reader.NextWake());
   CHECK(reader.OnTick(At(1'000)).empty());
-  CHECK(Called<WatchPrefix>(reader.Resume(At(1'001), 11)));
+  CHECK(Called<WatchPrefix>(reader.Resume(At(1'001), {0, 11})));
 }
 
 TEST_CASE("a reader that is paused before it has read anything repeats its read after a failure") {
@@ -166,7 +167,7 @@
   reader.Pause();
   reader.OnReply(At(1), Unavailable{});
   REQUIRE(Called<ReadPrefix>(reader.OnTick(At(1'000))));
-  CHECK(Find<ItemsRead>(reader.OnReply(At(1'001), PrefixRead{{}, false, 10})));
+  CHECK(Find<ItemsRead>(reader.OnReply(At(1'001), PrefixRead{{}, false, {0, 10}})));
   CHECK(reader.OnTick(At(9'000)).empty());
 }
 
