--- a/packages/directory/include/cornelrelay/directory/directory_messages.h
+++ b/packages/directory/include/cornelrelay/directory/directory_messages.h
@@ -20,6 +20,9 @@
 /// \brief Entries that changed together.
 struct EntriesChanged {
   std::vector<EntryChange> changes;
+  /// They are those of a store that was restored from a copy, so some may be older than what is
+  /// known, and others may be missing.
+  bool restored = false;
 };
 /// \brief Neither this process nor any peer is connected to the store.
 struct StoreLost {};
@@ -51,6 +54,12 @@
   core::Instant until;  ///< when the removal takes effect unless the entry is written again
 };
 
-using DirectoryAction = std::variant<UpstreamJoined, UpstreamLeft, RemovalDeferred>;
+/// \brief A restored store holds an entry that is older than what is known of the upstream.
+struct OldEntryIgnored {
+  core::UpstreamId id;
+};
+
+using DirectoryAction =
+    std::variant<UpstreamJoined, UpstreamLeft, RemovalDeferred, OldEntryIgnored>;
 
 }  // namespace cornelrelay::directory
--- a/packages/directory/include/cornelrelay/directory/upstream_directory.h
+++ b/packages/directory/include/cornelrelay/directory/upstream_directory.h
@@ -24,13 +24,17 @@
   /// Simultaneous removals in a service are deferred if they are at least two and make up more than
   /// one in this many of its upstreams.
   std::size_t mass_removal_divisor = 3;
+  /// How long upstreams that have left are remembered, in case the store is restored from an older
+  /// copy. Longer than any copy is old.
+  core::Duration departure_memory = std::chrono::minutes(1);
 };
 
 /// \brief Tracks the registrations of upstreams and tells which upstreams may get requests.
 ///
 /// The removal of a single entry means that its upstream has left. Entries that disappear during a
 /// store outage, just after it, or many at once may have lapsed although their upstreams are alive.
-/// These upstreams stay usable for a bounded time.
+/// These upstreams stay usable for a bounded time. Entries of a restored store do not replace newer
+/// ones, and do not bring back upstreams that have left.
 ///
 /// \code
 /// UpstreamDirectory directory({});
@@ -63,6 +67,10 @@
     core::Instant at;
     core::ServiceId service;
   };
+  struct Departure {
+    core::Instant at;
+    UpstreamEntry last_entry;
+  };
   using Actions = std::vector<DirectoryAction>;
 
   void Apply(core::Instant now, const EntriesChanged& event, Actions& out);
@@ -73,9 +81,13 @@
   void Remove(core::Instant now, const core::UpstreamId& id, Actions& out);
   std::optional<core::Instant> DeferralEnd(core::Instant now, const core::ServiceId& service) const;
   void ApplyDeferredRemovals(core::Instant now, Actions& out);
+  /// \brief Returns whether more recent is known of the upstream than this entry.
+  bool IsOutdated(const UpstreamEntry& entry) const;
+  void RememberDeparture(core::Instant now, const UpstreamEntry& entry);
 
   DirectoryConfig m_config;
   std::map<core::UpstreamId, Record> m_records;
+  std::map<core::UpstreamId, Departure> m_departures;
   std::deque<Removal> m_removals;
   bool m_store_lost = false;
   std::optional<core::Instant> m_store_regained;
--- a/packages/directory/include/cornelrelay/directory/upstream_entry.h
+++ b/packages/directory/include/cornelrelay/directory/upstream_entry.h
@@ -20,6 +20,7 @@
   core::Duration remaining_warm_up{};  ///< time for which it is still slower than normal
   std::string software_version;
   std::uint64_t incarnation = 0;  ///< changes with each start of the upstream
+  std::uint64_t sequence = 0;     ///< increases with the writes of an incarnation
 
   friend bool operator==(const UpstreamEntry&, const UpstreamEntry&) = default;
 };
--- a/packages/directory/src/upstream_directory.cc
+++ b/packages/directory/src/upstream_directory.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace cornelrelay::directory {
 
@@ -30,6 +31,10 @@
   while (!m_removals.empty() && now - m_removals.front().at > m_config.removal_window) {
     m_removals.pop_front();
   }
+  if (event.restored) {
+    // Upstreams whose entries the store has lost write them again, as after an outage.
+    m_store_regained = now;
+  }
   // All removals are counted before the first one is applied: the decision to defer depends on how
   // many there are.
   for (const EntryChange& change : event.changes) {
@@ -38,7 +43,9 @@
     m_removals.push_back({now, found->second.entry.service});
   }
   for (const EntryChange& change : event.changes) {
-    if (change.entry) {
+    if (change.entry && event.restored && IsOutdated(*change.entry)) {
+      out.emplace_back(OldEntryIgnored{change.id});
+    } else if (change.entry) {
       Put(*change.entry, out);
     } else {
       Remove(now, change.id, out);
@@ -62,6 +69,7 @@
 void UpstreamDirectory::Put(const UpstreamEntry& entry, Actions& out) {
   const auto [found, added] = m_records.try_emplace(entry.id, Record{entry, std::nullopt});
   Record& record = found->second;
+  m_departures.erase(entry.id);
   const bool restarted = !added && record.entry.incarnation != entry.incarnation;
   const bool left = entry.leaving && (added || !record.entry.leaving);
   const bool joined = !entry.leaving && (added || restarted || record.entry.leaving);
@@ -83,6 +91,7 @@
     return;
   }
   if (!record.entry.leaving) out.emplace_back(UpstreamLeft{id, LeaveReason::kRemoved});
+  RememberDeparture(now, record.entry);
   m_records.erase(found);
   ++m_version;
 }
@@ -115,11 +124,28 @@
       continue;
     }
     out.emplace_back(UpstreamLeft{it->first, LeaveReason::kLapsed});
+    RememberDeparture(now, it->second.entry);
     it = m_records.erase(it);
     ++m_version;
   }
 }
 
+bool UpstreamDirectory::IsOutdated(const UpstreamEntry& entry) const {
+  const auto order = [](const UpstreamEntry& e) { return std::pair(e.incarnation, e.sequence); };
+  if (const auto found = m_records.find(entry.id); found != m_records.end()) {
+    return order(entry) < order(found->second.entry);
+  }
+  const auto departed = m_departures.find(entry.id);
+  return departed != m_departures.end() && order(entry) <= order(departed->second.last_entry);
+}
+
+void UpstreamDirectory::RememberDeparture(core::Instant now, const UpstreamEntry& entry) {
+  std::erase_if(m_departures, [&](const auto& departure) {
+    return now - departure.second.at > m_config.departure_memory;
+  });
+  m_departures.insert_or_assign(entry.id, Departure{now, entry});
+}
+
 std::vector<UpstreamEntry> UpstreamDirectory::Usable(const core::ServiceId& service) const {
   std::vector<UpstreamEntry> usable;
   for (const auto& [id, record] : m_records) {
--- a/packages/directory/tests/upstream_directory_test.cc
+++ b/packages/directory/tests/upstream_directory_test.cc
@@ -99,4 +99,58 @@
   CHECK(std::get<UpstreamJoined>(actions.front()).restarted);
 }
 
+// The cases below guard against entries of a restored store (issue 27, CONFIG): they may be older
+// than what is known, and others may be missing.
+TEST_CASE("an entry of a restored store does not replace a newer one") {
+  UpstreamDirectory directory = SixteenUpstreams();
+  UpstreamEntry leaving = Entry(0);
+  leaving.leaving = true;
+  leaving.sequence = 7;
+  directory.Step(At(10), EntriesChanged{{{Id(0), leaving}}});
+  EntriesChanged restored = Added(0, 16);
+  restored.restored = true;
+  const auto actions = directory.Step(At(5'000), restored);
+  REQUIRE(actions.size() == 1);
+  CHECK(std::get<OldEntryIgnored>(actions.front()).id == Id(0));
+  CHECK(directory.Usable(kService).size() == 15);
+  // What the upstream writes again counts, whatever it says.
+  UpstreamEntry again = Entry(0);
+  again.sequence = 8;
+  directory.Step(At(5'500), EntriesChanged{{{Id(0), again}}});
+  CHECK(directory.Usable(kService).size() == 16);
+}
+
+TEST_CASE("a restored store does not bring back an upstream that has left") {
+  UpstreamDirectory directory = SixteenUpstreams();
+  directory.Step(At(10), Removed(3, 4));
+  EntriesChanged restored = Added(0, 16);
+  restored.restored = true;
+  directory.Step(At(5'000), restored);
+  CHECK(directory.Usable(kService).size() == 15);
+  // Unless it has started again.
+  restored.changes = {{Id(3), Entry(3, 2)}};
+  directory.Step(At(5'010), restored);
+  CHECK(directory.Usable(kService).size() == 16);
+}
+
+TEST_CASE("upstreams that a restored store lacks stay usable until re-registration is due") {
+  UpstreamDirectory directory = SixteenUpstreams();
+  EntriesChanged restored = Removed(4, 5);
+  restored.restored = true;
+  directory.Step(At(5'000), restored);
+  CHECK(directory.Usable(kService).size() == 16);
+  directory.Step(At(7'100), DirectoryTick{});
+  CHECK(directory.Usable(kService).size() == 15);
+}
+
+TEST_CASE("an upstream that left long ago is not remembered") {
+  UpstreamDirectory directory = SixteenUpstreams();
+  directory.Step(At(10), Removed(3, 4));
+  directory.Step(At(100'000), Removed(4, 5));
+  EntriesChanged restored = Added(3, 4);
+  restored.restored = true;
+  directory.Step(At(100'010), restored);
+  CHECK(directory.Find(Id(3)));
+}
+
 }  // namespace cornelrelay::directory
--- a/packages/peers/include/cornelrelay/peers/peer_messages.h
+++ b/packages/peers/include/cornelrelay/peers/peer_messages.h
@@ -7,6 +7,7 @@
 #include "cornelrelay/core/endpoint.h"
 #include "cornelrelay/core/ids.h"
 #include "cornelrelay/peers/peer_status.h"
+#include "cornelrelay/store/store_version.h"
 
 namespace cornelrelay::peers {
 
@@ -23,7 +24,8 @@
 };
 /// \brief This process's copy of the store's items or its connection to the store changed.
 struct LocalItemsChanged {
-  std::int64_t revision = 0;
+  store::StoreVersion version;
+  std::uint64_t configuration_version = 0;
   bool store_connected = false;
 };
 /// \brief The load of this process changed, so the next status is due sooner.
@@ -45,11 +47,13 @@
 struct SendStatus {
   std::vector<core::Endpoint> to;
 };
-/// \brief Fetch the items that changed after revision `since` from a peer.
+/// \brief Fetch the items that changed after version `since` from a peer, and its configuration if
+/// that is newer than `configuration_version`.
 struct FetchItems {
   core::HostId host;
   core::Endpoint endpoint;
-  std::int64_t since = 0;
+  store::StoreVersion since;
+  std::uint64_t configuration_version = 0;
 };
 /// \brief A peer sent a status for the first time, after a silence or after a restart.
 struct PeerAppeared {
--- a/packages/peers/include/cornelrelay/peers/peer_status.h
+++ b/packages/peers/include/cornelrelay/peers/peer_status.h
@@ -8,6 +8,7 @@
 #include "cornelrelay/core/ids.h"
 #include "cornelrelay/core/time.h"
 #include "cornelrelay/quarantine/suspect_report.h"
+#include "cornelrelay/store/store_version.h"
 
 namespace cornelrelay::peers {
 
@@ -39,11 +40,12 @@
 /// \brief Status that an entry process sends to the others several times a second.
 struct PeerStatus {
   core::HostId host;
-  core::Endpoint endpoint;          ///< where the sender receives statuses and serves its items
-  std::uint64_t incarnation = 0;    ///< increases with each start of the sender
-  std::uint64_t sequence = 0;       ///< increases with each status of an incarnation
-  std::int64_t items_revision = 0;  ///< the sender holds the items of the store up to this revision
-  bool store_connected = false;     ///< the sender itself is connected to the store
+  core::Endpoint endpoint;            ///< where the sender receives statuses and serves its items
+  std::uint64_t incarnation = 0;      ///< increases with each start of the sender
+  std::uint64_t sequence = 0;         ///< increases with each status of an incarnation
+  store::StoreVersion items_version;  ///< the sender holds the items of the store up to here
+  std::uint64_t configuration_version = 0;  ///< version of the configuration in force; 0 if none
+  bool store_connected = false;             ///< the sender itself is connected to the store
   core::DataCentreId data_centre;
   std::vector<UpstreamLoad> loads;
   std::vector<ServiceQueue> queues;
--- a/packages/peers/include/cornelrelay/peers/peer_table.h
+++ b/packages/peers/include/cornelrelay/peers/peer_table.h
@@ -110,6 +110,7 @@
   core::Duration SendInterval(core::Duration base) const;
   core::Duration SilenceTimeout() const;
   core::Instant NextSend() const;
+  bool KnowsMore(const PeerStatus& status) const;
   void MarkSilentPeers(core::Instant now, Actions& out);
   void SendDue(core::Instant now, Actions& out);
   void FetchIfBehind(core::Instant now, Actions& out);
@@ -117,7 +118,8 @@
   PeerTableConfig m_config;
   core::Random m_random;
   std::map<core::HostId, Peer> m_peers;
-  std::int64_t m_local_items_revision = 0;
+  store::StoreVersion m_local_items;
+  std::uint64_t m_local_configuration = 0;
   bool m_store_connected = false;
   std::optional<core::Instant> m_behind_since;
   std::optional<core::Instant> m_fetching_since;
--- a/packages/peers/src/peer_table.cc
+++ b/packages/peers/src/peer_table.cc
@@ -54,8 +54,9 @@
 
 void PeerTable::Apply(core::Instant, const LocalItemsChanged& event, Actions&) {
   // What a follower knows comes from a peer that announces it itself.
-  if (event.store_connected && event.revision > m_local_items_revision) m_news_sent = false;
-  m_local_items_revision = event.revision;
+  if (event.store_connected && event.version > m_local_items) m_news_sent = false;
+  m_local_items = event.version;
+  m_local_configuration = event.configuration_version;
   m_store_connected = event.store_connected;
 }
 
@@ -78,12 +79,16 @@
   }
 }
 
+// A restored store may hold an older configuration than the peer, although its items are newer.
+bool PeerTable::KnowsMore(const PeerStatus& status) const {
+  return status.items_version > m_local_items ||
+         status.configuration_version > m_local_configuration;
+}
+
 void PeerTable::FetchIfBehind(core::Instant now, Actions& out) {
   std::vector<const std::pair<const core::HostId, Peer>*> newer;
   for (const auto& pair : m_peers) {
-    if (pair.second.live && pair.second.status.items_revision > m_local_items_revision) {
-      newer.push_back(&pair);
-    }
+    if (pair.second.live && KnowsMore(pair.second.status)) newer.push_back(&pair);
   }
   if (newer.empty()) {
     m_behind_since.reset();
@@ -94,7 +99,7 @@
   if (m_fetching_since && now - *m_fetching_since < m_config.fetch_retry_interval) return;
   const auto& [host, peer] = *newer[m_random.Below(newer.size())];
   m_fetching_since = now;
-  out.emplace_back(FetchItems{host, peer.endpoint, m_local_items_revision});
+  out.emplace_back(FetchItems{host, peer.endpoint, m_local_items, m_local_configuration});
 }
 
 core::Duration PeerTable::SendInterval(core::Duration base) const {
--- a/packages/peers/tests/peer_table_test.cc
+++ b/packages/peers/tests/peer_table_test.cc
@@ -18,7 +18,7 @@
   status.endpoint = {"10.0.0.1", 7000};
   status.incarnation = 1;
   status.sequence = sequence;
-  status.items_revision = revision;
+  status.items_version = {0, revision};
   status.loads = {{core::UpstreamId("u"), in_flight}};
   return status;
 }
@@ -58,18 +58,47 @@
 
 TEST_CASE("newer items are fetched from a peer at once, or later while the store is connected") {
   PeerTable peers(Config());
-  peers.Step(At(0), LocalItemsChanged{10, true});
+  peers.Step(At(0), LocalItemsChanged{{0, 10}, 0, true});
   CHECK_FALSE(
       FindAction<FetchItems>(peers.Step(At(1), PeerStatusReceived{StatusFrom("a", 1, 12)})));
   const auto later = peers.Step(At(130), PeerTick{});
   REQUIRE(FindAction<FetchItems>(later));
-  CHECK(FindAction<FetchItems>(later)->since == 10);
+  CHECK(FindAction<FetchItems>(later)->since == store::StoreVersion{0, 10});
   CHECK_FALSE(FindAction<FetchItems>(peers.Step(At(140), PeerTick{})));
-  peers.Step(At(150), LocalItemsChanged{12, false});
+  peers.Step(At(150), LocalItemsChanged{{0, 12}, 0, false});
   peers.Step(At(150), FetchEnded{true});
   CHECK(FindAction<FetchItems>(peers.Step(At(160), PeerStatusReceived{StatusFrom("a", 2, 13)})));
 }
 
+// Guards against CONFIG of issue 27: items of a restored store were not fetched, because their
+// revisions are lower than those before the restore.
+TEST_CASE("items of a newer era are fetched, whatever their revision, and those of an older not") {
+  PeerTable peers(Config());
+  peers.Step(At(0), LocalItemsChanged{{1, 90}, 0, false});
+  PeerStatus restored = StatusFrom("a", 1);
+  restored.items_version = {2, 40};
+  const auto actions = peers.Step(At(1), PeerStatusReceived{restored});
+  REQUIRE(FindAction<FetchItems>(actions));
+  CHECK(FindAction<FetchItems>(actions)->since == store::StoreVersion{1, 90});
+  peers.Step(At(2), LocalItemsChanged{{3, 10}, 0, false});
+  peers.Step(At(2), FetchEnded{true});
+  CHECK_FALSE(FindAction<FetchItems>(peers.Step(At(3), PeerTick{})));
+}
+
+// Guards against CONFIG of issue 27: a process that starts after a restore of the store reads a
+// configuration there that is older than the one that its peers have confirmed.
+TEST_CASE("a newer configuration is fetched from a peer, though the items are no newer") {
+  PeerTable peers(Config());
+  peers.Step(At(0), LocalItemsChanged{{2, 40}, 7, true});
+  PeerStatus status = StatusFrom("a", 1);
+  status.items_version = {2, 40};
+  status.configuration_version = 9;
+  peers.Step(At(1), PeerStatusReceived{status});
+  const auto actions = peers.Step(At(130), PeerTick{});
+  REQUIRE(FindAction<FetchItems>(actions));
+  CHECK(FindAction<FetchItems>(actions)->configuration_version == 7);
+}
+
 TEST_CASE("after a failed fetch, the next one starts only when the retry interval has passed") {
   PeerTable peers(Config());
   CHECK(FindAction<FetchItems>(peers.Step(At(1), PeerStatusReceived{StatusFrom("a", 1, 12)})));
@@ -160,11 +189,11 @@
     peers.Step(At(0), PeerStatusReceived{StatusFrom("peer-" + std::to_string(i), 1)});
   }
   peers.Step(At(1'000), PeerTick{});
-  CHECK_FALSE(FindAction<SendStatus>(peers.Step(At(1'150), LocalItemsChanged{5, false})));
-  const auto announced = peers.Step(At(1'200), LocalItemsChanged{6, true});
+  CHECK_FALSE(FindAction<SendStatus>(peers.Step(At(1'150), LocalItemsChanged{{0, 5}, 0, false})));
+  const auto announced = peers.Step(At(1'200), LocalItemsChanged{{0, 6}, 0, true});
   REQUIRE(FindAction<SendStatus>(announced));
   CHECK(FindAction<SendStatus>(announced)->to.size() == 150);
-  CHECK_FALSE(FindAction<SendStatus>(peers.Step(At(1'250), LocalItemsChanged{7, true})));
+  CHECK_FALSE(FindAction<SendStatus>(peers.Step(At(1'250), LocalItemsChanged{{0, 7}, 0, true})));
   CHECK(peers.NextWake() == At(1'300));
   CHECK(FindAction<SendStatus>(peers.Step(At(1'300), PeerTick{})));
 }
--- a/packages/ranks/include/cornelrelay/ranks/leader_lease.h
+++ b/packages/ranks/include/cornelrelay/ranks/leader_lease.h
@@ -11,12 +11,13 @@
 #include "cornelrelay/core/time.h"
 #include "cornelrelay/store/store_reply.h"
 #include "cornelrelay/store/store_request.h"
+#include "cornelrelay/store/store_version.h"
 
 namespace cornelrelay::ranks {
 
 struct LeaderLeaseConfig {
   std::string key;    ///< key of the store that names the leader of the group
-  std::string value;  ///< name of this process, written to the key
+  std::string value;  ///< host of this process, named in the key
   core::Duration ttl = std::chrono::milliseconds(1'500);
   core::Duration renew_interval = std::chrono::milliseconds(400);
   core::Duration retry_pause = std::chrono::milliseconds(300);
@@ -25,9 +26,10 @@
   core::Duration stagger{};
 };
 
-/// \brief The value of the leader key in the store; none if there is no leader.
+/// \brief The leader key in the store.
 struct LeaderKeyObserved {
-  std::optional<store::StoredValue> stored;
+  std::optional<store::StoredValue> stored;  ///< its value is the leader's host; none if no leader
+  store::StoreEra era = 0;                   ///< of the store now
 };
 /// \brief The store's reply to the last SendLeaseRequest.
 struct LeaseReply {
@@ -104,6 +106,7 @@
   /// leader is observed or found.
   bool m_acting_leader = false;
   std::optional<store::StoredValue> m_leader;  ///< value of the leader key
+  store::StoreEra m_era = 0;                   ///< of the store when the leader key was read
   core::Instant m_called_at{};                 ///< time of the last SendLeaseRequest
   core::Instant m_next_call{};
   store::LeaseNumber m_lease = 0;
--- a/packages/ranks/include/cornelrelay/ranks/rank_process.h
+++ b/packages/ranks/include/cornelrelay/ranks/rank_process.h
@@ -65,7 +65,7 @@
   void NoteLeaderCall();
   void StepCandidacy();
   void PerformReaderActions(const store::PrefixReader::Actions& actions);
-  void ApplyItems(const std::vector<store::ItemChange>& items, bool complete);
+  void ApplyItems(const std::vector<store::ItemChange>& items, store::StoreEra era, bool complete);
   void StepLease(const LeaseEvent& event);
   void Perform(const SendLeaseRequest& action);
   void Perform(const LeadershipAcquired& action);
--- a/packages/ranks/src/leader_lease.cc
+++ b/packages/ranks/src/leader_lease.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "cornelrelay/ranks/leader_entry.h"
+
 namespace cornelrelay::ranks {
 
 std::vector<LeaseAction> LeaderLease::Step(core::Instant now, const LeaseEvent& event) {
@@ -21,6 +23,7 @@
   const bool vacated = m_leader_key_read && m_leader && !event.stored;
   m_leader_key_read = true;
   m_leader = event.stored;
+  m_era = event.era;
   if (m_phase != Phase::kWaiting || !vacated) return;
   // The acting leader tries first, without a stagger, because it already holds the current state of
   // the group.
@@ -69,7 +72,7 @@
   m_phase = Phase::kWritingKey;
   store::CompareAndSwap write;
   write.key = m_config.key;
-  write.value = m_config.value;
+  write.value = EncodeLeaderEntry({m_config.value, m_era});
   write.lease = m_lease;
   Send(now, write, out);
 }
@@ -78,13 +81,14 @@
 // again.
 void LeaderLease::OnKeyWrite(core::Instant now, const store::StoreReply& reply, Actions& out) {
   const auto* swapped = std::get_if<store::Swapped>(&reply);
-  if (swapped == nullptr || now >= m_expiry) {
+  // If the store was restored meanwhile, the key names the wrong era, and its lease expires soon.
+  if (swapped == nullptr || swapped->era != m_era || now >= m_expiry) {
     return RetryIn(now, m_config.retry_pause + m_config.stagger);
   }
   m_phase = Phase::kLeading;
   m_acting_leader = true;
   m_next_call = now + m_config.renew_interval;
-  out.emplace_back(LeadershipAcquired{static_cast<balance::Fence>(swapped->revision)});
+  out.emplace_back(LeadershipAcquired{FenceOf({swapped->era, swapped->revision})});
 }
 
 void LeaderLease::OnRenewal(core::Instant now, const store::StoreReply& reply, Actions& out) {
--- a/packages/ranks/src/rank_process.cc
+++ b/packages/ranks/src/rank_process.cc
@@ -9,6 +9,7 @@
 #include "cornelrelay/core/error.h"
 #include "cornelrelay/core/http_status.h"
 #include "cornelrelay/core/overloaded.h"
+#include "cornelrelay/ranks/leader_entry.h"
 #include "cornelrelay/runtime/pause.h"
 #include "cornelrelay/runtime/store_options.h"
 
@@ -212,40 +213,45 @@
 void RankProcess::PerformReaderActions(const store::PrefixReader::Actions& actions) {
   for (const auto& action : actions) {
     std::visit(
-        core::Overloaded{
-            [this](const store::CallStore& call) {
-              m_store->Call(call.request, [this](const store::StoreReply& reply) {
-                PerformReaderActions(m_reader->OnReply(m_clock.Now(), reply));
-              });
-            },
-            [this](const store::ItemsRead& read) { ApplyItems(read.items, true); },
-            [this](const store::ItemsChanged& changed) { ApplyItems(changed.changes, false); },
-            [this](const store::StoreLinkLost& lost) {
-              m_log.Warning("store_lost", {{"reason", lost.reason}});
-            },
-            [this](const store::StoreLinkRegained& regained) {
-              m_log.Warning("store_regained", {{"outage_us", regained.outage}});
-            }},
+        core::Overloaded{[this](const store::CallStore& call) {
+                           m_store->Call(call.request, [this](const store::StoreReply& reply) {
+                             PerformReaderActions(m_reader->OnReply(m_clock.Now(), reply));
+                           });
+                         },
+                         [this](const store::ItemsRead& read) {
+                           ApplyItems(read.items, read.version.era, true);
+                         },
+                         [this](const store::ItemsChanged& changed) {
+                           ApplyItems(changed.changes, changed.version.era, false);
+                         },
+                         [this](const store::StoreLinkLost& lost) {
+                           m_log.Warning("store_lost", {{"reason", lost.reason}});
+                         },
+                         [this](const store::StoreLinkRegained& regained) {
+                           m_log.Warning("store_regained", {{"outage_us", regained.outage}});
+                         }},
         action);
   }
   if (const auto wake = m_reader->NextWake()) m_reader_timer.SetAt(*wake);
 }
 
-void RankProcess::ApplyItems(const std::vector<store::ItemChange>& items, bool complete) {
+void RankProcess::ApplyItems(const std::vector<store::ItemChange>& items, store::StoreEra era,
+                             bool complete) {
   if (complete && items.empty()) {
     // Nobody has led since the store's start, or the last lease has expired. Any leader is newer
     // and has a fence above 0. A known fence is kept.
     m_fence_guard.RaiseFence(0);
-    if (m_candidacy->candidate()) StepLease(LeaderKeyObserved{});
+    if (m_candidacy->candidate()) StepLease(LeaderKeyObserved{std::nullopt, era});
   }
   for (const store::ItemChange& item : items) {
     if (item.key != m_leader_key) continue;
     std::optional<store::StoredValue> stored;
     if (item.value) {
-      m_fence_guard.RaiseFence(static_cast<balance::Fence>(item.revision));
-      stored = store::StoredValue{*item.value, item.revision};
+      const LeaderEntry leader = DecodeLeaderEntry(*item.value);
+      m_fence_guard.RaiseFence(FenceOf({leader.era, item.revision}));
+      stored = store::StoredValue{leader.host, item.revision};
     }
-    if (m_candidacy->candidate()) StepLease(LeaderKeyObserved{stored});
+    if (m_candidacy->candidate()) StepLease(LeaderKeyObserved{stored, era});
   }
 }
 
--- a/packages/ranks/tests/leader_lease_test.cc
+++ b/packages/ranks/tests/leader_lease_test.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "cornelrelay/ranks/leader_entry.h"
+
 namespace cornelrelay::ranks {
 namespace {
 
@@ -79,4 +81,38 @@
   CHECK(HasRequest<store::LeaseKeepAlive>(lease.Step(At(1000), LeaseTick{})));
 }
 
+// Guards against orders of a new leader being refused after a restore of the store (issue 27,
+// CONFIG): its revisions are lower than those before, and fence guards only rise.
+TEST_CASE("the fence of a leadership after a restore is above those before") {
+  CHECK(FenceOf({0, 77}) == 77);
+  CHECK(FenceOf({2, 40}) > FenceOf({1, 9'000'000}));
+  CHECK(FenceOf({2, 41}) > FenceOf({2, 40}));
+  LeaderLease lease({.key = "k", .value = "me"});
+  lease.Step(At(0), LeaderKeyObserved{std::nullopt, 2});
+  const auto write = lease.Step(At(10), LeaseReply{store::LeaseGranted{5, milliseconds(1'500)}});
+  REQUIRE(HasRequest<store::CompareAndSwap>(write));
+  const auto& swap = std::get<store::CompareAndSwap>(Find<SendLeaseRequest>(write)->request);
+  CHECK(DecodeLeaderEntry(swap.value) == LeaderEntry{"me", 2});
+  const auto taken = lease.Step(At(20), LeaseReply{store::Swapped{40, 2}});
+  REQUIRE(Find<LeadershipAcquired>(taken));
+  CHECK(Find<LeadershipAcquired>(taken)->fence == FenceOf({2, 40}));
+}
+
+TEST_CASE("a leader key that was written into a restored store under the old era gives no lead") {
+  LeaderLease lease({.key = "k", .value = "me"});
+  lease.Step(At(0), LeaderKeyObserved{std::nullopt, 1});
+  lease.Step(At(10), LeaseReply{store::LeaseGranted{5, milliseconds(1'500)}});
+  CHECK_FALSE(Find<LeadershipAcquired>(lease.Step(At(20), LeaseReply{store::Swapped{40, 2}})));
+}
+
+// Guards against a leader that is fenced by its own key: the copy of a restored store holds the key
+// of a leadership that goes on, so its fence has to stay what it was. Seen with a pass on hold.
+TEST_CASE("the stored form of a leader names the era in which the leadership began") {
+  for (const LeaderEntry& entry : {LeaderEntry{"side-a-1", 0}, LeaderEntry{"side-a-1", 7}}) {
+    CHECK(DecodeLeaderEntry(EncodeLeaderEntry(entry)) == entry);
+  }
+  CHECK(DecodeLeaderEntry("side-a-1") == LeaderEntry{"side-a-1", 0});
+  CHECK(DecodeLeaderEntry("side@a") == LeaderEntry{"side@a", 0});
+}
+
 }  // namespace cornelrelay::ranks
--- a/packages/relay/include/cornelrelay/relay/fleet_view.h
+++ b/packages/relay/include/cornelrelay/relay/fleet_view.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "cornelrelay/directory/upstream_directory.h"
@@ -49,8 +50,10 @@
 
   /// \brief Merges the items that a peer has sent.
   void Merge(const wire::ItemsTransfer& transfer);
-  /// \brief Returns the items that have changed after `revision`.
-  wire::ItemsTransfer ItemsSince(store::StoreRevision revision) const;
+  /// \brief Returns the items that have changed after a version, and the configuration in force if
+  /// it is newer than `configuration_version`.
+  wire::ItemsTransfer ItemsSince(store::StoreVersion version,
+                                 std::uint64_t configuration_version) const;
 
   /// \brief Sets whether this process or at least one of its peers is connected to the store.
   void SetStoreReachable(bool reachable);
@@ -60,7 +63,9 @@
   /// \brief Routing table of the configuration in force; null before the first configuration.
   std::shared_ptr<const routes::RouteTable> table() const { return m_table; }
   const directory::UpstreamDirectory& upstreams() const { return m_upstreams; }
-  store::StoreRevision revision() const { return m_cache.revision(); }
+  store::StoreVersion version() const { return m_cache.version(); }
+  /// \brief Version of the configuration in force; 0 before the first one.
+  std::uint64_t configuration_version() const { return m_table ? m_table->version() : 0; }
   /// \brief Whether this process follows the store and is connected to it.
   bool connected() const { return m_reader.linked(); }
   /// \brief Whether this process has read the items and the store, as far as it knows, answers it.
@@ -79,15 +84,18 @@
   void Perform(const store::ItemsChanged& action);
   void Perform(const store::StoreLinkLost& action);
   void Perform(const store::StoreLinkRegained& action);
-  /// \brief Logs a change of the store's era.
-  void NoteVersion(store::StoreVersion version);
-  void ApplyChanges(const std::vector<store::ItemChange>& changes, std::string_view source);
+  void ReplaceAll(const std::vector<store::ItemChange>& items, store::StoreVersion version,
+                  std::string_view source);
+  /// \param restored whether the changes are the items of a store that was restored from a copy
+  void ApplyChanges(const std::vector<store::ItemChange>& changes, std::string_view source,
+                    bool restored = false);
   void ApplyConfiguration(const store::ItemChange& item, ConfigurationItem configuration,
                           std::string_view source);
   void StepUpstreams(const directory::DirectoryEvent& event);
   void Log(const directory::UpstreamJoined& action);
   void Log(const directory::UpstreamLeft& action);
   void Log(const directory::RemovalDeferred& action);
+  void Log(const directory::OldEntryIgnored& action);
 
   const runtime::ProcessClock& m_clock;
   runtime::StoreLink& m_store;
@@ -97,9 +105,10 @@
   Listener m_listener;
   store::PrefixReader m_reader;
   store::ItemCache m_cache;
-  store::StoreVersion m_store_version;  ///< of the store's last answer with items
   directory::UpstreamDirectory m_upstreams;
   std::shared_ptr<const routes::RouteTable> m_table;
+  /// The item of the configuration in force. A restored store may hold an older one.
+  std::optional<store::ItemChange> m_configuration_item;
   runtime::WakeTimer m_reader_timer;
   runtime::WakeTimer m_directory_timer;
   bool m_loaded = false;
--- a/packages/relay/include/cornelrelay/relay/peer_transport.h
+++ b/packages/relay/include/cornelrelay/relay/peer_transport.h
@@ -24,8 +24,11 @@
   struct Callbacks {
     std::function<void(peers::PeerStatus&)> fill_status;  ///< adds loads, queues and items revision
     std::function<void()> on_peers;  ///< called when the peer table may have changed
-    /// Returns the items that have changed after `since`, to send them to a peer.
-    std::function<wire::ItemsTransfer(store::StoreRevision since)> items_since;
+    /// Returns the items that have changed after `since`, to send them to a peer, and the
+    /// configuration if it is newer than `configuration_version`.
+    std::function<wire::ItemsTransfer(store::StoreVersion since,
+                                      std::uint64_t configuration_version)>
+        items_since;
     std::function<void(const wire::ItemsTransfer&)> on_items_received;
     std::function<void(const peers::PeerStatus&)> on_status_received;
   };
--- a/packages/relay/src/fleet_view.cc
+++ b/packages/relay/src/fleet_view.cc
@@ -52,50 +52,72 @@
 
 void FleetView::Perform(const store::ItemsRead& action) {
   m_loaded = true;
-  NoteVersion(action.version);
-  ApplyChanges(m_cache.Replace(std::string(kAllItems), action.items, action.version.revision),
-               "store");
+  ReplaceAll(action.items, action.version, "store");
   m_listener.on_items_changed();
 }
 
 void FleetView::Perform(const store::ItemsChanged& action) {
-  NoteVersion(action.version);
-  ApplyChanges(m_cache.Merge(action.changes, action.version.revision), "store");
+  ApplyChanges(m_cache.Merge(action.changes, action.version), "store");
   m_listener.on_items_changed();
 }
 
-void FleetView::NoteVersion(store::StoreVersion version) {
-  const store::StoreVersion before = std::exchange(m_store_version, version);
-  if (before == store::StoreVersion{} || before.era == version.era) return;
-  m_log.Warning("store_restored", {{"era", version.era},
-                                   {"era_before", before.era},
-                                   {"revision", version.revision},
-                                   {"revision_before", before.revision}});
-}
-
 void FleetView::Perform(const store::StoreLinkLost& action) {
-  m_log.Warning("store_lost", {{"reason", action.reason}, {"revision", m_cache.revision()}});
+  m_log.Warning("store_lost",
+                {{"reason", action.reason}, {"revision", m_cache.version().revision}});
   m_listener.on_items_changed();
 }
 
 void FleetView::Perform(const store::StoreLinkRegained& action) {
-  m_log.Warning("store_regained", {{"outage_us", action.outage}, {"revision", m_cache.revision()}});
+  m_log.Warning("store_regained",
+                {{"outage_us", action.outage}, {"revision", m_cache.version().revision}});
   m_listener.on_items_changed();
 }
 
 void FleetView::Merge(const wire::ItemsTransfer& transfer) {
-  ApplyChanges(m_cache.Merge(transfer.changes, transfer.revision), "peer");
+  if (transfer.all_items) {
+    ReplaceAll(transfer.changes, transfer.version, "peer");
+  } else {
+    ApplyChanges(m_cache.Merge(transfer.changes, transfer.version), "peer");
+  }
+  // It takes effect although the copy of the store holds an older one.
+  if (transfer.configuration) ApplyChanges({*transfer.configuration}, "peer");
   m_listener.on_items_changed();
 }
 
-wire::ItemsTransfer FleetView::ItemsSince(store::StoreRevision revision) const {
-  return {m_cache.Since(revision), m_cache.revision()};
+wire::ItemsTransfer FleetView::ItemsSince(store::StoreVersion version,
+                                          std::uint64_t configuration_version) const {
+  wire::ItemsTransfer transfer;
+  transfer.version = m_cache.version();
+  if (version.era == transfer.version.era) {
+    transfer.changes = m_cache.Since(version.revision);
+  } else if (version.era < transfer.version.era) {
+    transfer.changes = m_cache.Since(0);
+    transfer.all_items = true;
+  }
+  if (configuration_version < this->configuration_version()) {
+    transfer.configuration = m_configuration_item;
+  }
+  return transfer;
+}
+
+void FleetView::ReplaceAll(const std::vector<store::ItemChange>& items, store::StoreVersion version,
+                           std::string_view source) {
+  const store::StoreVersion before = m_cache.version();
+  const bool restored = before.revision > 0 && version.era > before.era;
+  if (restored) {
+    m_log.Warning("store_restored", {{"era", version.era},
+                                     {"era_before", before.era},
+                                     {"revision", version.revision},
+                                     {"revision_before", before.revision},
+                                     {"source", source}});
+  }
+  ApplyChanges(m_cache.Replace(std::string(kAllItems), items, version), source, restored);
 }
 
 void FleetView::SetStoreReachable(bool reachable) {
   if (std::exchange(m_store_reachable, reachable) == reachable) return;
   m_log.Warning(reachable ? "fleet_hears_store" : "fleet_lost_store",
-                {{"revision", m_cache.revision()}});
+                {{"revision", m_cache.version().revision}});
   if (reachable) {
     StepUpstreams(directory::StoreRegained{});
   } else {
@@ -105,19 +127,21 @@
 
 void FleetView::SetStoreRole(peers::StoreRole role) {
   if (!m_loaded || std::exchange(m_store_role, role) == role) return;
-  m_log.Info("store_role_changed", {{"role", ToString(role)}, {"revision", m_cache.revision()}});
+  m_log.Info("store_role_changed",
+             {{"role", ToString(role)}, {"revision", m_cache.version().revision}});
   m_reader.SetSlowRetries(role == peers::StoreRole::kSubstitute);
   if (role == peers::StoreRole::kFollower) {
     m_reader.Pause();
   } else {
-    Run(m_reader.Resume(m_clock.Now(), {m_store_version.era, m_cache.revision()}));
+    Run(m_reader.Resume(m_clock.Now(), m_cache.version()));
   }
   m_listener.on_items_changed();
 }
 
-void FleetView::ApplyChanges(const std::vector<store::ItemChange>& changes,
-                             std::string_view source) {
+void FleetView::ApplyChanges(const std::vector<store::ItemChange>& changes, std::string_view source,
+                             bool restored) {
   directory::EntriesChanged entries;
+  entries.restored = restored;
   for (const store::ItemChange& change : changes) {
     if (change.key.starts_with(kInternalKeyPrefix)) {
       m_listener.on_internal_item(change);
@@ -145,14 +169,23 @@
                                 [](const UnrelatedItem&) {}},
                decoded);
   }
-  if (!entries.changes.empty()) StepUpstreams(entries);
+  if (restored || !entries.changes.empty()) StepUpstreams(entries);
 }
 
 void FleetView::ApplyConfiguration(const store::ItemChange& item, ConfigurationItem configuration,
                                    std::string_view source) {
   const std::uint64_t version = configuration.configuration.version;
-  const std::uint64_t current = m_table ? m_table->version() : 0;
-  if (m_table && version <= current) return;
+  const std::uint64_t current = configuration_version();
+  if (m_table && version <= current) {
+    if (version < current) {
+      m_log.Warning("configuration_ignored", {{"version", version},
+                                              {"current", current},
+                                              {"revision", item.revision},
+                                              {"source", source}});
+    }
+    return;
+  }
+  m_configuration_item = item;
   m_table = std::make_shared<const routes::RouteTable>(std::move(configuration.configuration));
   m_log.Info("configuration_adopted", {{"version", version},
                                        {"before", current},
@@ -178,19 +211,24 @@
                                  {"service", action.entry.service},
                                  {"endpoint", core::ToString(action.entry.endpoint)},
                                  {"restarted", action.restarted},
-                                 {"revision", m_cache.revision()}});
+                                 {"revision", m_cache.version().revision}});
 }
 
 void FleetView::Log(const directory::UpstreamLeft& action) {
   m_log.Info("upstream_left", {{"upstream", action.id},
                                {"reason", ToString(action.reason)},
-                               {"revision", m_cache.revision()}});
+                               {"revision", m_cache.version().revision}});
 }
 
 void FleetView::Log(const directory::RemovalDeferred& action) {
   m_log.Warning("upstream_removal_doubted", {{"upstream", action.id},
                                              {"for_us", action.until - m_clock.Now()},
-                                             {"revision", m_cache.revision()}});
+                                             {"revision", m_cache.version().revision}});
+}
+
+void FleetView::Log(const directory::OldEntryIgnored& action) {
+  m_log.Warning("upstream_entry_ignored",
+                {{"upstream", action.id}, {"revision", m_cache.version().revision}});
 }
 
 }  // namespace cornelrelay::relay
--- a/packages/relay/src/peer_transport.cc
+++ b/packages/relay/src/peer_transport.cc
@@ -18,6 +18,8 @@
 
 namespace asio = boost::asio;
 
+/// Followed by the era, the revision and the configuration version that the caller knows, separated
+/// by dots.
 constexpr std::string_view kItemsPath = "/items?since=";
 constexpr std::chrono::milliseconds kFetchTimeout{500};
 /// Enough for all items of a large fleet: 1,000 registrations and a configuration with thousands of
@@ -33,13 +35,37 @@
   return config;
 }
 
-std::optional<store::StoreRevision> ParseSinceRevision(std::string_view target) {
+/// What a peer that fetches items knows already.
+struct KnownItems {
+  store::StoreVersion version;
+  std::uint64_t configuration_version = 0;
+};
+
+std::string FetchTarget(const peers::FetchItems& fetch) {
+  return std::string(kItemsPath) + std::to_string(fetch.since.era) + '.' +
+         std::to_string(fetch.since.revision) + '.' + std::to_string(fetch.configuration_version);
+}
+
+/// Takes a number and the separator after it, if there is one, off the front of the text.
+template <class T>
+bool TakeNumber(std::string_view& text, T& number) {
+  const auto [rest, status] = std::from_chars(text.data(), text.data() + text.size(), number);
+  if (status != std::errc()) return false;
+  text.remove_prefix(static_cast<std::size_t>(rest - text.data()));
+  if (text.empty()) return true;
+  if (text.front() != '.') return false;
+  text.remove_prefix(1);
+  return true;
+}
+
+std::optional<KnownItems> ParseFetchTarget(std::string_view target) {
   if (!target.starts_with(kItemsPath)) return std::nullopt;
   target.remove_prefix(kItemsPath.size());
-  store::StoreRevision since = 0;
-  const auto [rest, status] = std::from_chars(target.data(), target.data() + target.size(), since);
-  if (status != std::errc() || rest != target.data() + target.size()) return std::nullopt;
-  return since;
+  KnownItems known;
+  const bool complete = TakeNumber(target, known.version.era) &&
+                        TakeNumber(target, known.version.revision) &&
+                        TakeNumber(target, known.configuration_version) && target.empty();
+  return complete ? std::optional(known) : std::nullopt;
 }
 
 }  // namespace
@@ -112,7 +138,10 @@
 }
 
 void PeerTransport::Perform(const peers::FetchItems& action) {
-  m_log.Info("items_fetched_from_peer", {{"peer", action.host}, {"since", action.since}});
+  m_log.Info("items_fetched_from_peer", {{"peer", action.host},
+                                         {"era", action.since.era},
+                                         {"since", action.since.revision},
+                                         {"configuration", action.configuration_version}});
   asio::co_spawn(
       m_context, [this, action] { return Fetch(action); }, asio::detached);
 }
@@ -128,7 +157,7 @@
 asio::awaitable<void> PeerTransport::Fetch(peers::FetchItems action) {
   net::HttpRequest request;
   request.method = "GET";
-  request.target = std::string(kItemsPath) + std::to_string(action.since);
+  request.target = FetchTarget(action);
   std::string failure;
   try {
     const net::HttpResponse response = co_await m_client.Fetch(action.endpoint, std::move(request),
@@ -150,9 +179,10 @@
 asio::awaitable<void> PeerTransport::Serve(net::HttpRequest request,
                                            net::ResponseStream& response) {
   net::HttpResponse answer;
-  const auto since = ParseSinceRevision(request.target);
-  if (since) {
-    answer.body = wire::Encode(m_callbacks.items_since(*since));
+  const auto known = ParseFetchTarget(request.target);
+  if (known) {
+    answer.body =
+        wire::Encode(m_callbacks.items_since(known->version, known->configuration_version));
   } else {
     answer.status = core::kStatusBadRequest;
   }
--- a/packages/relay/src/relay_process.cc
+++ b/packages/relay/src/relay_process.cc
@@ -77,7 +77,9 @@
       m_peers(context, m_clock, m_store_client, m_settings.host, m_settings.data_centre,
               m_settings.peers, seed + 2, log, m_metrics,
               {[this](peers::PeerStatus& status) { FillStatus(status); }, [this] { OnPeers(); },
-               [this](store::StoreRevision since) { return m_fleet.ItemsSince(since); },
+               [this](store::StoreVersion since, std::uint64_t configuration) {
+                 return m_fleet.ItemsSince(since, configuration);
+               },
                [this](const wire::ItemsTransfer& items) { m_fleet.Merge(items); },
                [this](const peers::PeerStatus& status) { m_quarantine.Merge(status.suspects); }}),
       m_dispatchers(context, m_clock, log, m_metrics, m_settings.host, seed + 3,
@@ -141,7 +143,8 @@
 }
 
 void RelayProcess::OnItemsChanged() {
-  m_peers.Step(peers::LocalItemsChanged{m_fleet.revision(), m_fleet.connected()});
+  m_peers.Step(peers::LocalItemsChanged{m_fleet.version(), m_fleet.configuration_version(),
+                                        m_fleet.connected()});
   m_fleet.SetStoreReachable(m_fleet.connected() || m_peers.table().AnyConnectedToStore());
   RegisterEndpoint();
 }
@@ -196,7 +199,8 @@
 }
 
 void RelayProcess::FillStatus(peers::PeerStatus& status) const {
-  status.items_revision = m_fleet.revision();
+  status.items_version = m_fleet.version();
+  status.configuration_version = m_fleet.configuration_version();
   status.store_connected = m_fleet.connected() && m_fleet.loaded();
   status.loads = m_dispatchers.Loads();
   status.queues = m_dispatchers.Queues();
--- a/packages/store/include/cornelrelay/store/prefix_reader.h
+++ b/packages/store/include/cornelrelay/store/prefix_reader.h
@@ -36,7 +36,7 @@
   std::vector<ItemChange> items;
   StoreVersion version;
 };
-/// \brief What changed up to a version of the store, since the last ones.
+/// \brief What changed up to a version of the store, in the era of the items read before.
 struct ItemsChanged {
   std::vector<ItemChange> changes;
   StoreVersion version;
@@ -52,8 +52,8 @@
 
 /// \brief Keeps a copy of the items with a prefix: reads all pages, then follows the changes.
 ///
-/// After lost history, an outage it reads all again, because changes may have been missed. A
-/// watch that breaks once is repeated from the last revision.
+/// After lost history, an outage or a restore of the store it reads all again, because changes may
+/// have been missed. A watch that breaks once is repeated from the last revision.
 ///
 /// \code
 /// PrefixReader reader("servers/", options, seed);
--- a/packages/store/src/item_cache.cc
+++ b/packages/store/src/item_cache.cc
@@ -6,24 +6,35 @@
 
 namespace cornelrelay::store {
 
-std::vector<ItemChange> ItemCache::Merge(std::vector<ItemChange> changes, StoreRevision revision) {
-  std::erase_if(changes, [this](const ItemChange& change) { return !Apply(change); });
-  m_revision = std::max(m_revision, revision);
-  ForgetOldDeletions();
-  return changes;
+std::vector<ItemChange> ItemCache::Merge(std::vector<ItemChange> changes, StoreVersion version) {
+  const bool first = m_version == StoreVersion{};
+  if (!first && version.era != m_version.era) return {};
+  return ApplyAll(std::move(changes), version);
 }
 
 std::vector<ItemChange> ItemCache::Replace(const std::string& prefix, std::vector<ItemChange> items,
-                                           StoreRevision revision) {
+                                           StoreVersion version) {
+  if (version.era < m_version.era) return {};
+  const bool new_era = version.era > m_version.era;
   std::set<std::string> present;
   for (const ItemChange& item : items) present.insert(item.key);
-  for (auto it = m_items.lower_bound(prefix); it != m_items.end() && it->first.starts_with(prefix);
-       ++it) {
-    const ItemChange& known = it->second;
-    if (!known.value || known.revision > revision || present.contains(known.key)) continue;
-    items.push_back({known.key, std::nullopt, revision});
+  for (const auto& [key, known] : m_items) {
+    const bool kept = !new_era && (known.revision > version.revision || !key.starts_with(prefix));
+    if (!known.value || kept || present.contains(key)) continue;
+    items.push_back({key, std::nullopt, version.revision});
   }
-  return Merge(std::move(items), revision);
+  if (!new_era) return ApplyAll(std::move(items), version);
+  m_items.clear();
+  for (const ItemChange& item : items) m_items.emplace(item.key, item);
+  m_version = version;
+  return items;
+}
+
+std::vector<ItemChange> ItemCache::ApplyAll(std::vector<ItemChange> changes, StoreVersion version) {
+  std::erase_if(changes, [this](const ItemChange& change) { return !Apply(change); });
+  m_version = std::max(m_version, version);
+  ForgetOldDeletions();
+  return changes;
 }
 
 std::vector<ItemChange> ItemCache::Since(StoreRevision revision) const {
--- a/packages/store/src/prefix_reader.cc
+++ b/packages/store/src/prefix_reader.cc
@@ -94,6 +94,7 @@
   // Pages are no snapshot: the watch starts at the revision of the first one, so that it repeats
   // whatever changed while the others were read.
   if (m_after_key.empty()) m_version = page.version;
+  if (page.version.era != m_version.era) return ReadAll(out);
   m_items.insert(m_items.end(), page.items.begin(), page.items.end());
   if (page.more && !page.items.empty()) {
     m_after_key = page.items.back().key;
@@ -106,8 +107,9 @@
 
 void PrefixReader::OnChanges(core::Instant now, const PrefixChanged& changes, Actions& out) {
   NoteAnswer(now, out);
-  m_version.era = changes.version.era;
-  m_version.revision = std::max(m_version.revision, changes.version.revision);
+  // The revision that was watched from may stand for another change now.
+  if (changes.version.era != m_version.era) return ReadAll(out);
+  m_version = std::max(m_version, changes.version);
   out.emplace_back(ItemsChanged{changes.changes, m_version});
   const core::Instant next = m_watched_at + m_options.watch_spacing;
   if (changes.changes.empty() || next <= now) return Watch(now, out);
--- a/packages/store/tests/prefix_reader_test.cc
+++ b/packages/store/tests/prefix_reader_test.cc
@@ -107,24 +107,76 @@
 
 TEST_CASE("the copy of the items never goes back") {
   ItemCache cache;
-  CHECK(cache.Merge({{"k", "new", 9}}, 9).size() == 1);
-  CHECK(cache.Merge({{"k", "old", 5}}, 5).empty());
-  CHECK(cache.revision() == 9);
-  CHECK(cache.Merge({{"k", std::nullopt, 10}}, 10).size() == 1);
-  CHECK(cache.Merge({{"k", "new", 9}}, 9).empty());
+  CHECK(cache.Merge({{"k", "new", 9}}, {0, 9}).size() == 1);
+  CHECK(cache.Merge({{"k", "old", 5}}, {0, 5}).empty());
+  CHECK(cache.version() == StoreVersion{0, 9});
+  CHECK(cache.Merge({{"k", std::nullopt, 10}}, {0, 10}).size() == 1);
+  CHECK(cache.Merge({{"k", "new", 9}}, {0, 9}).empty());
   REQUIRE(cache.Since(8).size() == 1);
   CHECK_FALSE(cache.Since(8).front().value);
 }
 
 TEST_CASE("a full read deletes what it lacks, but nothing newer than itself") {
   ItemCache cache;
-  cache.Merge({{"servers/a", "1", 3}, {"servers/b", "1", 12}, {"op/c", "1", 2}}, 12);
-  const auto changes = cache.Replace("servers/", {}, 10);
+  cache.Merge({{"servers/a", "1", 3}, {"servers/b", "1", 12}, {"op/c", "1", 2}}, {0, 12});
+  const auto changes = cache.Replace("servers/", {}, {0, 10});
   REQUIRE(changes.size() == 1);
   CHECK(changes.front().key == "servers/a");
   CHECK_FALSE(changes.front().value);
 }
 
+// The cases below guard against CONFIG of issue 27: changes that were made after the store had been
+// restored from an older copy were ignored, because they had lower revisions than those before.
+TEST_CASE("changes of a restored store count, though their revisions are lower") {
+  ItemCache cache;
+  cache.Replace("", {{"a", "1", 3}, {"b", "1", 50}, {"c", "1", 60}}, {1, 60});
+  // The copy is from before revision 50; the counter has passed 50 again since.
+  const auto restored = cache.Replace("", {{"a", "1", 3}, {"b", "0", 4}}, {2, 51});
+  CHECK(cache.version() == StoreVersion{2, 51});
+  REQUIRE(restored.size() == 3);
+  CHECK(restored.back() == ItemChange{"c", std::nullopt, 51});
+  CHECK(cache.Merge({{"b", "2", 52}}, {2, 52}).size() == 1);
+}
+
+TEST_CASE("what is late from before a restore changes nothing") {
+  ItemCache cache;
+  cache.Replace("", {{"a", "1", 60}}, {1, 60});
+  cache.Replace("", {{"a", "0", 4}}, {2, 30});
+  CHECK(cache.Merge({{"a", "2", 61}}, {1, 61}).empty());
+  CHECK(cache.Replace("", {{"a", "2", 61}}, {1, 61}).empty());
+  CHECK(cache.Since(0) == std::vector<ItemChange>{{"a", "0", 4}});
+  CHECK(cache.version() == StoreVersion{2, 30});
+}
+
+TEST_CASE("changes of a newer era do not complete what is known of an older one") {
+  ItemCache cache;
+  cache.Replace("", {{"a", "1", 60}}, {1, 60});
+  CHECK(cache.Merge({{"a", "2", 31}}, {2, 31}).empty());
+  CHECK(cache.version() == StoreVersion{1, 60});
+}
+
+TEST_CASE("a watch that is answered in a newer era leads to a new read of everything") {
+  PrefixReader reader("", {}, 1);
+  reader.Start(At(0));
+  reader.OnReply(At(1), PrefixRead{{}, false, {1, 60}});
+  const auto actions = reader.OnReply(At(2), PrefixChanged{{{"a", "1", 61}}, {2, 61}});
+  CHECK_FALSE(Find<ItemsChanged>(actions));
+  REQUIRE(Called<ReadPrefix>(actions));
+  const auto read = reader.OnReply(At(3), PrefixRead{{{"a", "1", 61}}, false, {2, 61}});
+  REQUIRE(Find<ItemsRead>(read));
+  CHECK(Find<ItemsRead>(read)->version == StoreVersion{2, 61});
+}
+
+TEST_CASE("pages from before and after a restore are not put together") {
+  PrefixReader reader("", {}, 1);
+  reader.Start(At(0));
+  reader.OnReply(At(1), PrefixRead{{{"a", "1", 4}}, true, {1, 60}});
+  const auto actions = reader.OnReply(At(2), PrefixRead{{{"b", "1", 5}}, false, {2, 30}});
+  CHECK_FALSE(Find<ItemsRead>(actions));
+  REQUIRE(Called<ReadPrefix>(actions));
+  CHECK(Called<ReadPrefix>(actions)->after_key.empty());
+}
+
 // Load pattern: a large fleet, of which only a few processes follow the store.
 TEST_CASE("a paused reader makes no calls, and goes on from what is known when it resumes") {
   PrefixReader reader("", {}, 1);
--- a/packages/wire/include/cornelrelay/wire/fleet_messages.h
+++ b/packages/wire/include/cornelrelay/wire/fleet_messages.h
@@ -1,18 +1,24 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "cornelrelay/peers/peer_status.h"
 #include "cornelrelay/store/item_change.h"
+#include "cornelrelay/store/store_version.h"
 
 namespace cornelrelay::wire {
 
 /// \brief Items of the store as one entry process passes them to another.
 struct ItemsTransfer {
   std::vector<store::ItemChange> changes;
-  store::StoreRevision revision = 0;  ///< complete up to here
+  store::StoreVersion version;  ///< complete up to here
+  bool all_items = false;       ///< `changes` are all items; others were deleted
+  /// The configuration in force, if it is newer than that of the receiver. The store may hold an
+  /// older one after a restore.
+  std::optional<store::ItemChange> configuration;
 
   friend bool operator==(const ItemsTransfer&, const ItemsTransfer&) = default;
 };
--- a/packages/wire/src/fleet_messages.cc
+++ b/packages/wire/src/fleet_messages.cc
@@ -42,7 +42,9 @@
 void Code(Ar& ar, Ref<Ar, peers::PeerStatus> b) {
   internal::Identifier(ar, b.host);
   internal::Address(ar, b.endpoint);
-  ar.archive(b.incarnation, b.sequence, b.items_revision);
+  ar.archive(b.incarnation, b.sequence, b.items_version.revision);
+  internal::Varint(ar, b.items_version.era);
+  internal::Varint(ar, b.configuration_version);
   internal::Flag(ar, b.store_connected);
   internal::Identifier(ar, b.data_centre);
   internal::List<std::uint16_t>(ar, b.loads, kMaxLoads, kLoadBytes, [&](auto& load) {
@@ -66,17 +68,24 @@
 }
 
 template <class Ar>
-void Code(Ar& ar, Ref<Ar, ItemsTransfer> t) {
-  ar.archive(t.revision);
-  internal::List<std::uint32_t>(ar, t.changes, kMaxItems, kItemBytes, [&](auto& change) {
-    internal::Text(ar, change.key, kMaxKeyBytes);
-    ar.archive(change.revision);
-    internal::Optional(ar, change.value, [&](auto& value) {
-      internal::Bytes<std::uint32_t>(ar, value, kMaxValueBytes);
-    });
+void CodeItem(Ar& ar, Ref<Ar, store::ItemChange> item) {
+  internal::Text(ar, item.key, kMaxKeyBytes);
+  ar.archive(item.revision);
+  internal::Optional(ar, item.value, [&](auto& value) {
+    internal::Bytes<std::uint32_t>(ar, value, kMaxValueBytes);
   });
 }
 
+template <class Ar>
+void Code(Ar& ar, Ref<Ar, ItemsTransfer> t) {
+  ar.archive(t.version.revision);
+  internal::Varint(ar, t.version.era);
+  internal::Flag(ar, t.all_items);
+  internal::List<std::uint32_t>(ar, t.changes, kMaxItems, kItemBytes,
+                                [&](auto& change) { CodeItem<Ar>(ar, change); });
+  internal::Optional(ar, t.configuration, [&](auto& item) { CodeItem<Ar>(ar, item); });
+}
+
 /// Passes the overloads of Code on as one function.
 constexpr auto kCode = [](auto& ar, auto& message) { Code(ar, message); };
 
--- a/packages/wire/tests/fleet_messages_test.cc
+++ b/packages/wire/tests/fleet_messages_test.cc
@@ -18,7 +18,8 @@
   b.endpoint = {"10.1.0.40", 7340};
   b.incarnation = 17;
   b.sequence = 4;
-  b.items_revision = 99;
+  b.items_version = {2, 99};
+  b.configuration_version = 1'000;
   b.store_connected = true;
   b.loads = {{core::UpstreamId("i-1"), 3}, {core::UpstreamId("i-2"), 12}};
   b.queues = {{core::ServiceId("llm"), 5}};
@@ -36,7 +37,9 @@
 TEST_CASE("bulletins and items keep their values") {
   CHECK(DecodePeerStatus(Encode(Sample())) == Sample());
   const ItemsTransfer transfer{{{"op/x", std::string("\0\xff", 2), 7}, {"gone", std::nullopt, 8}},
-                               9};
+                               {2, 9},
+                               true,
+                               store::ItemChange{"op/x", "newer", 12}};
   CHECK(DecodeItemsTransfer(Encode(transfer)) == transfer);
 }
 
