Do not read the answer of an attempt that was never sent

Found by reading: when the upstream of a waiting request leaves between its choice and the attempt, no call is made, but the answer of the request's last call was read for a rate limit; without an earlier call that ends the entry process. The call is forgotten before an attempt, and nothing is read without one.

--- a/packages/relay/include/cornelrelay/relay/relay_task.h
+++ b/packages/relay/include/cornelrelay/relay/relay_task.h
@@ -55,8 +55,8 @@
   /// \brief Has the upstream of a lost attempt examined before a retry is decided.
   void ExamineLostAttempt(const core::UpstreamId& upstream);
   void RecordOutput();
-  /// \brief Passes on what the head of the answer says of a rate limit.
-  void RecordRateLimit();
+  /// \brief Passes on what the head of the answer says of the upstream itself.
+  void RecordHead();
   dispatch::AttemptEnd AttemptEndOf(const request::RecordAttempt& action) const;
   std::optional<dispatch::ServiceActivity> CurrentActivity() const;
   bool MayRetry() const;
--- a/packages/relay/src/relay_task.cc
+++ b/packages/relay/src/relay_task.cc
@@ -201,6 +201,7 @@
 }
 
 void RelayTask::Perform(const request::OpenAttempt& action) {
+  m_call.reset();
   const auto entry = m_services.directory.Find(action.upstream);
   if (!entry || entry->leaving) {
     mailbox()->Push(request::ConnectFailed{action.attempt});
@@ -231,11 +232,14 @@
   if (m_call && m_call->attempt() == action.attempt) m_call->Cancel();
 }
 
-void RelayTask::RecordRateLimit() {
-  const auto& head = m_call->head();
+void RelayTask::RecordHead() {
+  if (!m_call || !m_call->head()) return;
+  const UpstreamResponseHead& head = *m_call->head();
+  const core::UpstreamId& upstream = m_call->upstream_id();
   // A refusal need not come from what names the limit, so it does not show that there is none.
-  if (!head || (head->not_executed && !head->rate_limit)) return;
-  m_services.dispatchers.RecordRateLimit(m_routed.service, m_call->upstream_id(), head->rate_limit);
+  if (!head.not_executed || head.rate_limit) {
+    m_services.dispatchers.RecordRateLimit(m_routed.service, upstream, head.rate_limit);
+  }
 }
 
 void RelayTask::RecordOutput() {
@@ -248,7 +252,7 @@
   assert(m_call && m_call->head());
   if (!m_writer.has_head()) {
     m_writer.SetHead(m_call->head()->forwarded_head, m_call->head()->event_stream);
-    RecordRateLimit();
+    RecordHead();
   }
   // Events without an id, such as comments, do not advance a stream.
   const auto event_id = m_call->last_event_id();
@@ -307,7 +311,7 @@
 
 void RelayTask::Perform(const request::RecordAttempt& action) {
   m_last_result = action.result;
-  RecordRateLimit();
+  RecordHead();
   if (action.result == request::AttemptResult::kFailed) m_failed_call = m_call;
   m_services.dispatchers.RecordAttemptEnd(m_routed.service, m_internal_id, AttemptEndOf(action));
   if (action.result == request::AttemptResult::kBroken && m_call->lost_before_output()) {
