--- a/packages/dispatch/include/cornelrelay/dispatch/dispatch_event.h
+++ b/packages/dispatch/include/cornelrelay/dispatch/dispatch_event.h
@@ -40,6 +40,12 @@
   std::optional<double> per_second;
 };
 
+/// \brief The upstream refused a request and wants no more from this process for a time.
+struct BackoffRequested {
+  core::UpstreamId upstream;
+  core::Duration time{};
+};
+
 /// \brief The other entry processes, or what they have heard of rate limits, changed.
 struct PeerRateLimitsChanged {
   std::vector<core::HostId> processes;  ///< the live ones, this one included
@@ -94,8 +100,8 @@
 struct DispatchTick {};
 
 using DispatchEvent =
-    std::variant<UpstreamsChanged, PeerLoadChanged, RateLimitObserved, PeerRateLimitsChanged,
-                 PromptWeightChanged, RequestArrived, RequestWithdrawn, FirstOutputReceived,
-                 AttemptEnded, DispatchTick>;
+    std::variant<UpstreamsChanged, PeerLoadChanged, RateLimitObserved, BackoffRequested,
+                 PeerRateLimitsChanged, PromptWeightChanged, RequestArrived, RequestWithdrawn,
+                 FirstOutputReceived, AttemptEnded, DispatchTick>;
 
 }  // namespace cornelrelay::dispatch
--- a/packages/dispatch/include/cornelrelay/dispatch/dispatcher.h
+++ b/packages/dispatch/include/cornelrelay/dispatch/dispatcher.h
@@ -81,6 +81,7 @@
   void Apply(core::Instant now, const UpstreamsChanged& event, Actions& out);
   void Apply(core::Instant now, const PeerLoadChanged& event, Actions& out);
   void Apply(core::Instant now, const RateLimitObserved& event, Actions& out);
+  void Apply(core::Instant now, const BackoffRequested& event, Actions& out);
   void Apply(core::Instant now, const PeerRateLimitsChanged& event, Actions& out);
   void Apply(core::Instant now, const PromptWeightChanged& event, Actions& out);
   void Apply(core::Instant now, const RequestArrived& event, Actions& out);
--- a/packages/dispatch/include/cornelrelay/dispatch/upstream_pool.h
+++ b/packages/dispatch/include/cornelrelay/dispatch/upstream_pool.h
@@ -37,8 +37,8 @@
  public:
   using Actions = std::vector<DispatchAction>;
 
-  /// \brief Slots of all listed upstreams together. An upstream with a rate limit has as many as
-  /// the limit keeps in use.
+  /// \brief Slots of all listed upstreams together that get requests now. An upstream with a rate
+  /// limit has as many as the limit keeps in use.
   struct Capacity {
     double slots = 0;
     double used = 0;  ///< slots in use by any entry process
@@ -69,6 +69,9 @@
   std::map<core::UpstreamId, RateLimitObservation> OwnRateLimits(core::Instant now) const;
   void RecordOwnObservation(const core::UpstreamId& id, const RateLimitObservation& observation);
 
+  /// \brief Gives the upstream no requests until a time, as it asked for.
+  void BackOff(const core::UpstreamId& id, core::Instant until);
+
   void SetPromptWeight(double prompt_tokens_per_slot) {
     m_config.prompt_tokens_per_slot = prompt_tokens_per_slot;
   }
@@ -95,7 +98,12 @@
   /// tried now.
   bool AllBlocked(core::Instant now) const;
   /// \param service_time mean time of a request on its upstream
-  Capacity TotalCapacity(core::Duration service_time) const;
+  Capacity TotalCapacity(core::Instant now, core::Duration service_time) const;
+  /// \brief Returns when the first upstream may get requests again if all listed ones have asked
+  /// for none; none otherwise.
+  std::optional<core::Instant> AllBackedOffUntil(core::Instant now) const;
+  /// \brief Returns when the next upstream that has asked for no requests may get some again.
+  std::optional<core::Instant> NextBackoffEnd(core::Instant now) const;
   /// \brief Returns none unless all listed upstreams have rate limits.
   std::optional<RateCapacity> LimitedCapacity(core::Instant now) const;
   /// \brief Returns when the next upstream with a rate limit may be used; none if none will.
@@ -118,6 +126,7 @@
     double unread_prompt_tokens = 0;  ///< of requests of this process without output so far
     /// Set when the upstream is blocked by an unavailable one; cleared by an output.
     std::optional<core::Instant> blocked_until;
+    core::Instant backed_off_until{};  ///< it asked for no requests before this time
     RateLimitShare rate;
     std::optional<RateLimitObservation> own_observation;
   };
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -81,6 +81,10 @@
   m_upstreams.RecordOwnObservation(event.upstream, observation);
 }
 
+void Dispatcher::Apply(core::Instant now, const BackoffRequested& event, Actions&) {
+  m_upstreams.BackOff(event.upstream, now + event.time);
+}
+
 void Dispatcher::Apply(core::Instant now, const PeerRateLimitsChanged& event, Actions& out) {
   m_upstreams.SetProcesses(now, event.processes);
   for (const auto& [upstream, observation] : event.observations) {
@@ -154,6 +158,7 @@
 void Dispatcher::Apply(core::Instant, const DispatchTick&, Actions&) {}
 
 core::Duration Dispatcher::ExpectedWait(core::Instant now, const RequestArrived& event) const {
+  if (const auto until = m_upstreams.AllBackedOffUntil(now)) return *until - now;
   const std::size_t own_ahead = m_queue.AheadOf(event.account, event.priority);
   const auto ahead = static_cast<double>(own_ahead + m_peers_waiting);
   if (const auto limited = m_upstreams.LimitedCapacity(now)) {
@@ -162,7 +167,7 @@
     if (limited->own_per_second <= 0) return kNoShareWait;
     return SecondsToDuration(over / limited->own_per_second);
   }
-  const auto [slots, used] = m_upstreams.TotalCapacity(m_mean_service_time);
+  const auto [slots, used] = m_upstreams.TotalCapacity(now, m_mean_service_time);
   if (used + ahead + 1 <= slots || slots == 0) return {};
   // Assumes that the slots become free at an even rate.
   return Scale(m_mean_service_time, (used + ahead - slots + 1) / slots);
@@ -228,6 +233,7 @@
   if (m_waiting.empty()) return wake;
   if (const auto unblock = m_upstreams.NextUnblock()) consider(*unblock);
   if (const auto admission = m_upstreams.NextRateAdmission(m_now)) consider(*admission);
+  if (const auto end = m_upstreams.NextBackoffEnd(m_now)) consider(*end);
   return wake;
 }
 
--- a/packages/dispatch/src/upstream_pool.cc
+++ b/packages/dispatch/src/upstream_pool.cc
@@ -22,6 +22,7 @@
     if (upstream.spec.incarnation != spec.incarnation) {
       upstream.health = UpstreamHealth(m_config.health);
       upstream.blocked_until.reset();
+      upstream.backed_off_until = {};
       upstream.rate = {};
       upstream.own_observation.reset();
     }
@@ -87,6 +88,32 @@
   return observations;
 }
 
+void UpstreamPool::BackOff(const core::UpstreamId& id, core::Instant until) {
+  const auto found = m_upstreams.find(id);
+  if (found == m_upstreams.end()) return;
+  core::Instant& current = found->second.backed_off_until;
+  current = std::max(current, until);
+}
+
+std::optional<core::Instant> UpstreamPool::AllBackedOffUntil(core::Instant now) const {
+  std::optional<core::Instant> first;
+  for (const auto& [id, upstream] : m_upstreams) {
+    if (!upstream.listed) continue;
+    if (upstream.backed_off_until <= now) return std::nullopt;
+    first = std::min(first.value_or(upstream.backed_off_until), upstream.backed_off_until);
+  }
+  return first;
+}
+
+std::optional<core::Instant> UpstreamPool::NextBackoffEnd(core::Instant now) const {
+  std::optional<core::Instant> next;
+  for (const auto& [id, upstream] : m_upstreams) {
+    if (!upstream.listed || upstream.backed_off_until <= now) continue;
+    next = std::min(next.value_or(upstream.backed_off_until), upstream.backed_off_until);
+  }
+  return next;
+}
+
 UpstreamPool::Load UpstreamPool::StartAttempt(core::Instant now, const core::UpstreamId& id,
                                               double prompt_tokens) {
   Upstream& upstream = m_upstreams.at(id);
@@ -125,11 +152,12 @@
                      [](const auto& entry) { return entry.second.listed; });
 }
 
-UpstreamPool::Capacity UpstreamPool::TotalCapacity(core::Duration service_time) const {
+UpstreamPool::Capacity UpstreamPool::TotalCapacity(core::Instant now,
+                                                   core::Duration service_time) const {
   Capacity capacity;
   const double seconds = std::chrono::duration<double>(service_time).count();
   for (const auto& [id, upstream] : m_upstreams) {
-    if (!upstream.listed) continue;
+    if (!upstream.listed || now < upstream.backed_off_until) continue;
     double slots = upstream.spec.slots;
     if (const auto limit = upstream.rate.limit()) slots = std::min(slots, *limit * seconds);
     capacity.slots += slots;
@@ -145,7 +173,7 @@
     const auto limit = upstream.rate.limit();
     if (!limit) return std::nullopt;
     capacity.own_per_second += upstream.rate.share();
-    if (upstream.rate.Admits(now)) capacity.own_saved += 1;
+    if (now >= upstream.backed_off_until && upstream.rate.Admits(now)) capacity.own_saved += 1;
   }
   return capacity;
 }
@@ -220,7 +248,7 @@
 
 // After the block time, this process tries the blocked upstreams with one request at a time.
 bool UpstreamPool::Admits(core::Instant now, const Upstream& upstream) const {
-  if (!upstream.listed) return false;
+  if (!upstream.listed || now < upstream.backed_off_until) return false;
   if (!upstream.blocked_until) return upstream.health.Admits(now, upstream.own_in_flight);
   if (now < *upstream.blocked_until) return false;
   return std::none_of(m_upstreams.begin(), m_upstreams.end(), [](const auto& entry) {
@@ -250,7 +278,7 @@
   std::vector<const Upstream*> others;
   for (const auto& [id, upstream] : m_upstreams) {
     if (!upstream.listed || excluded.contains(id) || !HasFreeSlot(upstream)) continue;
-    if (!upstream.rate.Admits(now)) continue;
+    if (now < upstream.backed_off_until || !upstream.rate.Admits(now)) continue;
     if (Admits(now, upstream)) {
       admitted.push_back(&upstream);
     } else if (!upstream.blocked_until) {
--- a/packages/dispatch/tests/dispatcher_test.cc
+++ b/packages/dispatch/tests/dispatcher_test.cc
@@ -161,6 +161,44 @@
   CHECK(ActionsOf<Assigned>(dispatcher.Step(At(2101), Arrival(23))).size() == 1);
 }
 
+// Guards against BUDGET: an upstream that refuses names a time for which it wants no more requests.
+TEST_CASE("an upstream gets nothing for the time that its refusal names") {
+  Dispatcher dispatcher = MakeDispatcher(2, 4);
+  dispatcher.Step(At(0), BackoffRequested{UpstreamNo(0), milliseconds(800)});
+  // A shorter time that comes later does not end it.
+  dispatcher.Step(At(10), BackoffRequested{UpstreamNo(0), milliseconds(100)});
+  for (int n = 0; n < 4; ++n) {
+    const auto assigned = ActionsOf<Assigned>(dispatcher.Step(At(500), Arrival(n)));
+    REQUIRE(assigned.size() == 1);
+    CHECK(assigned.front().upstream == UpstreamNo(1));
+  }
+  // The other one is full: the next request waits for the end of the time.
+  CHECK(dispatcher.Step(At(600), Arrival(4)).empty());
+  REQUIRE(dispatcher.NextWake());
+  CHECK(*dispatcher.NextWake() <= At(800));
+  const auto later = ActionsOf<Assigned>(dispatcher.Step(At(800), DispatchTick{}));
+  REQUIRE(later.size() == 1);
+  CHECK(later.front().upstream == UpstreamNo(0));
+}
+
+// Guards against waiting in vain: what cannot be served is rejected at once.
+TEST_CASE("requests are rejected at once while all upstreams want none") {
+  Dispatcher dispatcher = MakeDispatcher(2, 4);
+  dispatcher.Step(At(0), BackoffRequested{UpstreamNo(0), seconds(3)});
+  dispatcher.Step(At(0), BackoffRequested{UpstreamNo(1), seconds(2)});
+  const auto rejected = ActionsOf<Rejected>(dispatcher.Step(At(100), Arrival(1)));
+  REQUIRE(rejected.size() == 1);
+  CHECK(rejected.front().retry_after >= milliseconds(1'900));
+  CHECK(ActionsOf<Assigned>(dispatcher.Step(At(2'000), Arrival(2))).size() == 1);
+}
+
+TEST_CASE("an upstream that has started again wants requests") {
+  Dispatcher dispatcher = MakeDispatcher(1, 4);
+  dispatcher.Step(At(0), BackoffRequested{UpstreamNo(0), seconds(3)});
+  dispatcher.Step(At(10), UpstreamsChanged{{{UpstreamNo(0), 4, 2}}});
+  CHECK(ActionsOf<Assigned>(dispatcher.Step(At(20), Arrival(1))).size() == 1);
+}
+
 TEST_CASE("when all upstreams seem to fail, they are still used") {
   Dispatcher dispatcher = MakeDispatcher(3, 10);
   for (int n = 0; n < 12; ++n) {
--- a/packages/relay/include/cornelrelay/relay/service_dispatchers.h
+++ b/packages/relay/include/cornelrelay/relay/service_dispatchers.h
@@ -51,6 +51,10 @@
   void RecordRateLimit(const core::ServiceId& service, const core::UpstreamId& upstream,
                        std::optional<double> per_second);
 
+  /// \brief Keeps new requests from the upstream for a time, as its refusal asked for.
+  void BackOff(const core::ServiceId& service, const core::UpstreamId& upstream,
+               core::Duration time);
+
   /// \brief Returns null for a service that no configuration has named so far.
   const dispatch::Dispatcher* FindDispatcher(const core::ServiceId& service) const;
 
--- a/packages/relay/include/cornelrelay/relay/upstream_response_head.h
+++ b/packages/relay/include/cornelrelay/relay/upstream_response_head.h
@@ -18,6 +18,8 @@
   bool event_stream = false;   ///< true if the body is a stream of server-sent events
   std::optional<core::UpstreamId> blocked_by;  ///< unavailable upstream that made this one refuse
   std::optional<core::Duration> retry_after;
+  /// Time for which a refusal asks for no more requests from this process.
+  std::optional<core::Duration> backoff;
   /// Requests a second that the upstream takes from all entry processes together, for as long as
   /// its answers say so.
   std::optional<double> rate_limit;
--- a/packages/relay/src/relay_task.cc
+++ b/packages/relay/src/relay_task.cc
@@ -240,6 +240,7 @@
   if (!head.not_executed || head.rate_limit) {
     m_services.dispatchers.RecordRateLimit(m_routed.service, upstream, head.rate_limit);
   }
+  if (head.backoff) m_services.dispatchers.BackOff(m_routed.service, upstream, *head.backoff);
 }
 
 void RelayTask::RecordOutput() {
--- a/packages/relay/src/service_dispatchers.cc
+++ b/packages/relay/src/service_dispatchers.cc
@@ -125,6 +125,14 @@
   if (found) Step(service, *found, dispatch::RateLimitObserved{upstream, per_second});
 }
 
+void ServiceDispatchers::BackOff(const core::ServiceId& service, const core::UpstreamId& upstream,
+                                 core::Duration time) {
+  Service* found = Find(service);
+  if (!found) return;
+  m_log.Info("upstream_backoff", {{"service", service}, {"upstream", upstream}, {"for_us", time}});
+  Step(service, *found, dispatch::BackoffRequested{upstream, time});
+}
+
 const dispatch::Dispatcher* ServiceDispatchers::FindDispatcher(
     const core::ServiceId& service) const {
   const auto found = m_services.find(service);
--- a/tests/system/platform_stand_ins.py
+++ b/tests/system/platform_stand_ins.py
@@ -194,8 +194,8 @@
                               Transfer_Encoding="chunked")
                     self.wfile.flush()
                     return replica.crash()
-                if step == "refuse":
-                    return self.head(503, 0, Not_Executed="1")
+                if step.startswith("refuse"):
+                    return self.refuse(step)
                 if step == "fail":
                     self.head(500, 4, Replica_Seal="seal-" + replica.name)
                     return self.wfile.write(b"fail")
@@ -220,6 +220,11 @@
                 self.head(200, len(answer), Replica_Seal="seal-" + replica.name)
                 return self.wfile.write(answer)
 
+            def refuse(self, step):
+                """`refuse N` asks for no requests for N seconds."""
+                more = {"Retry_After": step.split()[1]} if " " in step else {}
+                return self.head(503, 0, Not_Executed="1", **more)
+
             def wait_for_close(self):
                 """Works on the request until the other side closes. Returns when it did, or none after 5 s."""
                 self.connection.settimeout(5)
