Stop using an upstream that says in an answer that it leaves (DRAIN)

Callers' requests went on to a replica that had said in its answers that it leaves, until its entry in the store said so too; a process without the store went on for ever. Cause: Server-Leaving was not read.

Change: each answer that says so, also a refusal or an error, ends the use of that upstream in this process, whatever its entry says before or after, until it starts again under its id. A late answer of an incarnation before has no effect.

--- a/packages/directory/include/cornelrelay/directory/directory_messages.h
+++ b/packages/directory/include/cornelrelay/directory/directory_messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string_view>
 #include <variant>
@@ -24,18 +25,25 @@
   /// known, and others may be missing.
   bool restored = false;
 };
+/// \brief An upstream said in an answer that it leaves. The entry in the store may not say so.
+struct LeavingAnnounced {
+  core::UpstreamId id;
+  std::uint64_t incarnation = 0;  ///< of the upstream that answered
+};
 /// \brief Neither this process nor any peer is connected to the store.
 struct StoreLost {};
 /// \brief This process or a peer is connected to the store again.
 struct StoreRegained {};
 struct DirectoryTick {};
 
-using DirectoryEvent = std::variant<EntriesChanged, StoreLost, StoreRegained, DirectoryTick>;
+using DirectoryEvent =
+    std::variant<EntriesChanged, LeavingAnnounced, StoreLost, StoreRegained, DirectoryTick>;
 
 enum class LeaveReason {
-  kDraining,  ///< the upstream announced that it leaves
-  kRemoved,   ///< its entry was removed
-  kLapsed,    ///< its entry lapsed, probably in a store outage, and was not written again in time
+  kDraining,   ///< its entry says that it leaves
+  kAnnounced,  ///< its answers say that it leaves
+  kRemoved,    ///< its entry was removed
+  kLapsed,     ///< its entry lapsed, probably in a store outage, and was not written again in time
 };
 std::string_view ToString(LeaveReason reason);
 
--- a/packages/directory/include/cornelrelay/directory/upstream_directory.h
+++ b/packages/directory/include/cornelrelay/directory/upstream_directory.h
@@ -34,7 +34,8 @@
 /// The removal of a single entry means that its upstream has left. Entries that disappear during a
 /// store outage, just after it, or many at once may have lapsed although their upstreams are alive.
 /// These upstreams stay usable for a bounded time. Entries of a restored store do not replace newer
-/// ones, and do not bring back upstreams that have left.
+/// ones, and do not bring back upstreams that have left. An upstream that says in an answer that it
+/// leaves gets no more requests until it starts again.
 ///
 /// \code
 /// UpstreamDirectory directory({});
@@ -62,6 +63,7 @@
   struct Record {
     UpstreamEntry entry;
     std::optional<core::Instant> deferred_until;  ///< set if the entry was removed
+    bool announced_leaving = false;               ///< in an answer of this incarnation
   };
   struct Removal {
     core::Instant at;
@@ -74,10 +76,11 @@
   using Actions = std::vector<DirectoryAction>;
 
   void Apply(core::Instant now, const EntriesChanged& event, Actions& out);
+  void Apply(core::Instant now, const LeavingAnnounced& event, Actions& out);
   void Apply(core::Instant now, const StoreLost& event, Actions& out);
   void Apply(core::Instant now, const StoreRegained& event, Actions& out);
   void Apply(core::Instant now, const DirectoryTick& event, Actions& out);
-  void Put(const UpstreamEntry& entry, Actions& out);
+  void Put(UpstreamEntry entry, Actions& out);
   void Remove(core::Instant now, const core::UpstreamId& id, Actions& out);
   std::optional<core::Instant> DeferralEnd(core::Instant now, const core::ServiceId& service) const;
   void ApplyDeferredRemovals(core::Instant now, Actions& out);
--- a/packages/directory/src/upstream_directory.cc
+++ b/packages/directory/src/upstream_directory.cc
@@ -10,6 +10,8 @@
   switch (reason) {
     case LeaveReason::kDraining:
       return "draining";
+    case LeaveReason::kAnnounced:
+      return "announced";
     case LeaveReason::kRemoved:
       return "removed";
     case LeaveReason::kLapsed:
@@ -53,6 +55,16 @@
   }
 }
 
+void UpstreamDirectory::Apply(core::Instant, const LeavingAnnounced& event, Actions& out) {
+  const auto found = m_records.find(event.id);
+  if (found == m_records.end() || found->second.entry.incarnation != event.incarnation) return;
+  Record& record = found->second;
+  record.announced_leaving = true;
+  if (std::exchange(record.entry.leaving, true)) return;
+  ++m_version;
+  out.emplace_back(UpstreamLeft{event.id, LeaveReason::kAnnounced});
+}
+
 void UpstreamDirectory::Apply(core::Instant, const StoreLost&, Actions&) { m_store_lost = true; }
 
 void UpstreamDirectory::Apply(core::Instant now, const StoreRegained&, Actions&) {
@@ -66,15 +78,17 @@
 
 void UpstreamDirectory::Apply(core::Instant, const DirectoryTick&, Actions&) {}
 
-void UpstreamDirectory::Put(const UpstreamEntry& entry, Actions& out) {
+void UpstreamDirectory::Put(UpstreamEntry entry, Actions& out) {
   const auto [found, added] = m_records.try_emplace(entry.id, Record{entry, std::nullopt});
   Record& record = found->second;
   m_departures.erase(entry.id);
   const bool restarted = !added && record.entry.incarnation != entry.incarnation;
+  const bool announced = !restarted && record.announced_leaving;
+  entry.leaving |= announced;
   const bool left = entry.leaving && (added || !record.entry.leaving);
   const bool joined = !entry.leaving && (added || restarted || record.entry.leaving);
   if (added || record.entry != entry || record.deferred_until) ++m_version;
-  record = Record{entry, std::nullopt};
+  record = Record{entry, std::nullopt, announced};
   if (joined) out.emplace_back(UpstreamJoined{entry, restarted});
   if (left) out.emplace_back(UpstreamLeft{entry.id, LeaveReason::kDraining});
 }
--- a/packages/directory/tests/upstream_directory_test.cc
+++ b/packages/directory/tests/upstream_directory_test.cc
@@ -153,4 +153,23 @@
   CHECK(directory.Find(Id(3)));
 }
 
+// Guards against DRAIN: an upstream that says in an answer that it leaves, while its entry does
+// not.
+TEST_CASE("an upstream that announced its leaving in an answer is unusable until it starts again") {
+  UpstreamDirectory directory = SixteenUpstreams();
+  const auto actions = directory.Step(At(10), LeavingAnnounced{Id(0), 1});
+  REQUIRE(actions.size() == 1);
+  CHECK(std::get<UpstreamLeft>(actions.front()).reason == LeaveReason::kAnnounced);
+  CHECK(directory.Step(At(11), LeavingAnnounced{Id(0), 1}).empty());
+  UpstreamEntry again = Entry(0);
+  again.sequence = 3;
+  directory.Step(At(20), EntriesChanged{{{Id(0), again}}});
+  CHECK(directory.Usable(kService).size() == 15);
+  directory.Step(At(30), EntriesChanged{{{Id(0), Entry(0, 2)}}});
+  CHECK(directory.Usable(kService).size() == 16);
+  // A late answer of the incarnation before.
+  CHECK(directory.Step(At(40), LeavingAnnounced{Id(0), 1}).empty());
+  CHECK(directory.Usable(kService).size() == 16);
+}
+
 }  // namespace cornelrelay::directory
--- a/packages/relay/include/cornelrelay/relay/fleet_view.h
+++ b/packages/relay/include/cornelrelay/relay/fleet_view.h
@@ -55,6 +55,9 @@
   wire::ItemsTransfer ItemsSince(store::StoreVersion version,
                                  std::uint64_t configuration_version) const;
 
+  /// \brief Stops the use of an upstream that said in an answer that it leaves.
+  void NoteLeaving(const core::UpstreamId& upstream, std::uint64_t incarnation);
+
   /// \brief Sets whether this process or at least one of its peers is connected to the store.
   void SetStoreReachable(bool reachable);
   /// \brief Sets whether this process follows the store. All read it once.
--- a/packages/relay/include/cornelrelay/relay/relay_services.h
+++ b/packages/relay/include/cornelrelay/relay/relay_services.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
 #include <memory>
 
 #include "cornelrelay/directory/upstream_directory.h"
@@ -27,6 +29,9 @@
   const UpstreamProtocol& upstreams;
   ServiceDispatchers& dispatchers;
   const directory::UpstreamDirectory& directory;
+  /// Called for each answer of an upstream, of this incarnation, that says that it leaves.
+  std::function<void(const core::UpstreamId& upstream, std::uint64_t incarnation)>
+      on_upstream_leaving;
   RetryBudgets& retries;
   const CrashProbe& crash_probe;
   QuarantineService& quarantine;
--- a/packages/relay/include/cornelrelay/relay/relay_task.h
+++ b/packages/relay/include/cornelrelay/relay/relay_task.h
@@ -70,6 +70,7 @@
   RelayWriter m_writer;
   std::shared_ptr<UpstreamCall> m_call;
   std::shared_ptr<UpstreamCall> m_failed_call;  ///< call that received the last error response
+  std::uint64_t m_upstream_incarnation = 0;     ///< of the upstream of m_call
   request::AttemptResult m_last_result = request::AttemptResult::kCancelled;
   std::optional<std::uint64_t> m_last_event_id;  ///< of the stream, as far as it was forwarded
   bool m_examining = false;      ///< it is not known yet whether the upstream has crashed
--- a/packages/relay/include/cornelrelay/relay/upstream_response_head.h
+++ b/packages/relay/include/cornelrelay/relay/upstream_response_head.h
@@ -17,6 +17,7 @@
   bool has_signature = false;  ///< if false, a successful response is not genuine
   bool event_stream = false;   ///< true if the body is a stream of server-sent events
   std::optional<core::UpstreamId> blocked_by;  ///< unavailable upstream that made this one refuse
+  bool leaving = false;  ///< true if the upstream ends soon and wants no new requests
   std::optional<core::Duration> retry_after;
   /// Time for which a refusal asks for no more requests from this process.
   std::optional<core::Duration> backoff;
--- a/packages/relay/src/fleet_view.cc
+++ b/packages/relay/src/fleet_view.cc
@@ -114,6 +114,10 @@
   ApplyChanges(m_cache.Replace(std::string(kAllItems), items, version), source, restored);
 }
 
+void FleetView::NoteLeaving(const core::UpstreamId& upstream, std::uint64_t incarnation) {
+  StepUpstreams(directory::LeavingAnnounced{upstream, incarnation});
+}
+
 void FleetView::SetStoreReachable(bool reachable) {
   if (std::exchange(m_store_reachable, reachable) == reachable) return;
   m_log.Warning(reachable ? "fleet_hears_store" : "fleet_lost_store",
--- a/packages/relay/src/relay_process.cc
+++ b/packages/relay/src/relay_process.cc
@@ -97,7 +97,11 @@
       m_gateway(
           RelayServices{
               context, m_clock, m_upstream_client, ports.callers, ports.upstreams, m_dispatchers,
-              m_fleet.upstreams(), m_retries, m_crash_probe, m_quarantine,
+              m_fleet.upstreams(),
+              [this](const core::UpstreamId& upstream, std::uint64_t incarnation) {
+                m_fleet.NoteLeaving(upstream, incarnation);
+              },
+              m_retries, m_crash_probe, m_quarantine,
               std::make_shared<limits::ByteBudget>(m_settings.memory_bytes / kBodyMemoryDivisor),
               std::make_shared<limits::ByteBudget>(m_settings.memory_bytes / kBodyMemoryDivisor),
               m_metrics, log},
--- a/packages/relay/src/relay_task.cc
+++ b/packages/relay/src/relay_task.cc
@@ -207,6 +207,7 @@
     mailbox()->Push(request::ConnectFailed{action.attempt});
     return;
   }
+  m_upstream_incarnation = entry->incarnation;
   UpstreamRequest message;
   message.upstream = action.upstream;
   message.endpoint = entry->endpoint;
@@ -240,6 +241,7 @@
   if (!head.not_executed || head.rate_limit) {
     m_services.dispatchers.RecordRateLimit(m_routed.service, upstream, head.rate_limit);
   }
+  if (head.leaving) m_services.on_upstream_leaving(upstream, m_upstream_incarnation);
   if (head.backoff) m_services.dispatchers.BackOff(m_routed.service, upstream, *head.backoff);
 }
 
--- a/tests/system/platform_stand_ins.py
+++ b/tests/system/platform_stand_ins.py
@@ -139,6 +139,7 @@
         self.crashing_segment = None  # crashes when it begins to answer a prompt with this segment
         self.crashing_body = None  # crashes when it runs a request with this body
         self.rate_limit = None  # requests a second, named in each answer
+        self.leaving = False  # says so in each answer
         self.crashes = []
         self.down_s = 0.5  # after a crash
         self.connections = set()
@@ -157,6 +158,8 @@
                 self.send_header("Attempt-Id", self.headers["Attempt-Id"])
                 if replica.rate_limit is not None:
                     self.send_header("Server-Limit", str(replica.rate_limit))
+                if replica.leaving:
+                    self.send_header("Server-Leaving", "1")
                 for name, value in more.items():
                     self.send_header(name.replace("_", "-"), value)
                 if length is not None:
