Do not put the answer of the next upstream into a stream that it does not go on with (MIXED, ORDER)

Callers saw, after a stream had broken off and was resumed at another replica, the body of that replica's error in the middle of their stream, which then ended as if it were complete: "...piece 3\n\nno such stream".

Cause: a head with a status that is not retried (404, 400), or a success that is no stream, was taken as the next part of the answer, whatever the caller had been given before. Statuses from 500 on and 429 were told apart. The class: what a later attempt gives is judged without what an earlier one has given. Both users of RequestMachine had the fault, the relay and the product's own interface.

Change: once a part of a stream has been forwarded, only a 200 with a stream of events goes on with it; anything else is a failed attempt, after which the stream is aborted or resumed elsewhere.

The simulation of RequestMachine gives such answers now.

--- a/packages/entry/src/attempt_runner.cc
+++ b/packages/entry/src/attempt_runner.cc
@@ -46,6 +46,7 @@
   request::HeadReceived head;
   head.attempt = m_order.attempt;
   head.status = m_head->status;
+  head.event_stream = IsEventStream();
   Report(head);
   if (IsEventStream()) {
     co_await ReadStream();
--- a/packages/relay/src/upstream_call.cc
+++ b/packages/relay/src/upstream_call.cc
@@ -76,7 +76,7 @@
     Report(request::ErrorResponseReceived{attempt()});
     co_return;
   }
-  Report(request::HeadReceived{attempt(), status});
+  Report(request::HeadReceived{attempt(), status, m_head->event_stream});
   if (m_head->event_stream) {
     co_await ReadStream();
     co_return;
--- a/packages/request/include/cornelrelay/request/request_event.h
+++ b/packages/request/include/cornelrelay/request/request_event.h
@@ -68,6 +68,7 @@
 struct HeadReceived {
   core::AttemptId attempt;
   int status = 0;
+  bool event_stream = false;  ///< the body is a stream of events
 };
 /// \brief The verdict on one event of a stream or on a whole answer. `payload` is the data of the
 /// event, or the body of the whole answer; it is empty for `[DONE]`.
--- a/packages/request/src/request_core.h
+++ b/packages/request/src/request_core.h
@@ -51,6 +51,8 @@
 
   /// \brief True if the service requires an idempotency key and the request has none.
   bool LacksRequiredKey() const;
+  /// \brief True if the caller has been given a part of the answer.
+  bool AnswerBegun() const { return m_forwarded; }
   bool NeedsClaim() const { return !m_policy.idempotent && m_attributes.has_key; }
   bool MayRetry() const;
   bool IsCurrent(const core::AttemptId& attempt) const { return m_attempt == attempt; }
--- a/packages/request/src/request_machine.cc
+++ b/packages/request/src/request_machine.cc
@@ -107,7 +107,10 @@
   // Another upstream may answer an idempotent call that this one failed or was too busy for. The
   // error response to a non-idempotent call is forwarded to the caller unchanged.
   void Process(const HeadReceived& event) {
-    if (m_idempotent && IsRetryableStatus(event.status)) {
+    // Only a stream can go on with one that the caller has begun to get.
+    const bool continues = event.status == core::kStatusOk && event.event_stream;
+    const bool unfit = m_core.AnswerBegun() && !continues;
+    if (unfit || (m_idempotent && IsRetryableStatus(event.status))) {
       m_fsm.process_event(
           AttemptFailed{AttemptResult::kFailed, RequestError::kUpstreamFailed, true});
     } else {
--- a/packages/request/tests/request_machine_test.cc
+++ b/packages/request/tests/request_machine_test.cc
@@ -100,6 +100,36 @@
   CHECK(Find<AcquireRetryToken>(actions) == nullptr);
 }
 
+// Guards against MIXED and ORDER of issue 27: the error of the next upstream inside a stream that
+// had begun at another one, which then ended as if it were complete.
+TEST_CASE("an answer that is no stream does not go on with a stream that was begun") {
+  struct Head {
+    int status;
+    bool event_stream;
+  };
+  for (const Head head : {Head{404, false}, Head{400, true}, Head{200, false}, Head{204, false}}) {
+    RequestMachine machine({true, false, 2, milliseconds(500), {}},
+                           {core::RequestId("r"), "e1", false, true}, kStart);
+    machine.Step(kStart, Started{});
+    machine.Step(kStart, Admitted{});
+    machine.Step(kStart, UpstreamChosen{core::UpstreamId("u1")});
+    machine.Step(kStart, BytesSent{kFirstAttempt});
+    machine.Step(kStart, HeadReceived{kFirstAttempt, 200, true});
+    machine.Step(kStart, ChunkChecked{kFirstAttempt, Accepted{{1, {}, {}}}, "event"});
+    machine.Step(kStart, UpstreamClosed{kFirstAttempt});
+    machine.Step(kStart, RetryGranted{});
+    machine.Step(kStart, UpstreamChosen{core::UpstreamId("u2")});
+    const core::AttemptId second("e1-2");
+    machine.Step(kStart, BytesSent{second});
+    auto actions = machine.Step(kStart, HeadReceived{second, head.status, head.event_stream});
+    CHECK(Find<SendError>(actions) != nullptr);
+    actions = machine.Step(kStart, ChunkChecked{second, End{}, "no such stream"});
+    CHECK(Find<ForwardChunk>(actions) == nullptr);
+    CHECK(Find<FinishAnswer>(actions) == nullptr);
+    CHECK(machine.state() == RequestState::kFailed);
+  }
+}
+
 // Guards against a state dump that does not show an operator why a request is waiting.
 TEST_CASE("the state dump names state, attempt and tried upstreams") {
   const auto dump = ToJson(ConnectingMachine({true, false, 2, milliseconds(500), {}}).snapshot());
--- a/packages/request/tests/request_simulation.cc
+++ b/packages/request/tests/request_simulation.cc
@@ -171,7 +171,14 @@
   m_replies.push_back(BytesSent{action.attempt});
   if (m_choices.OneIn(8)) return m_replies.push_back(AttemptRefused{action.attempt, {}});
   if (m_choices.OneIn(12)) return m_replies.push_back(ErrorResponseReceived{action.attempt});
-  m_replies.push_back(HeadReceived{action.attempt, m_choices.OneIn(12) ? 503 : 200});
+  // An upstream that does not know the stream that it is to go on with.
+  if (m_forwarded > 0 && m_choices.OneIn(10)) {
+    m_replies.push_back(HeadReceived{action.attempt, 404, false});
+    const std::string body = ChunkJson(action.attempt.value(), "no such stream", true);
+    return m_replies.push_back(ChunkChecked{action.attempt, End{}, body});
+  }
+  m_replies.push_back(HeadReceived{action.attempt, m_choices.OneIn(12) ? 503 : 200,
+                                   m_settings.attributes.resumable});
 }
 
 void RequestSimulation::Perform(const CancelAttempt& action) {
--- a/tests/system/platform_stand_ins.py
+++ b/tests/system/platform_stand_ins.py
@@ -199,6 +199,9 @@
                     return replica.crash()
                 if step.startswith("refuse"):
                     return self.refuse(step)
+                if step == "unknown":
+                    self.head(404, 14, Replica_Seal="seal-" + replica.name)
+                    return self.wfile.write(b"no such stream")
                 if step == "fail":
                     self.head(500, 4, Replica_Seal="seal-" + replica.name)
                     return self.wfile.write(b"fail")
--- a/tests/system/test_relay.py
+++ b/tests/system/test_relay.py
@@ -72,6 +72,17 @@
         self.plan("unframed 4")
         self.assertIsInstance(self.ask("POST", "/tale/2", body=b"x")[1], http.client.IncompleteRead)
 
+    # Guards against MIXED and ORDER of issue 27: the error of the next replica inside a stream, which ended as complete.
+    def test_error_of_the_next_replica_does_not_enter_a_stream(self):
+        begun = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 4))
+        for answer in ("unknown", "fail", "ok", "refuse"):
+            with self.subTest(answer):
+                self.plan("stream 4", answer)
+                response, body = self.ask("POST", "/story/1", body=b"x")
+                self.assertEqual(response.status, 200)
+                self.assertIsInstance(body, http.client.IncompleteRead)
+                self.assertEqual(body.partial, begun)
+
     def test_broken_stream_ends_as_broken(self):
         self.plan("stream 4", "stream")
         _, body = self.ask("POST", "/tale/1", body=b"x")
