Send a request to an upstream again on a new connection only (REFUSED)

Callers were told "not run, try again" for a request that a replica was running, where that replica writes an earlier refusal once more on a kept connection.

Cause: if only an upstream that has refused a request has a free slot, it gets the request again. All attempts of a request have the caller's id, so on the same connection a repeated refusal passes for the answer to the second attempt. Only repeatable requests reuse connections, so an order could neither run twice nor be refused falsely; a refusal with the id of another request was skipped before.

Change: the second attempt at an upstream opens a connection of its own.

--- a/packages/relay/include/cornelrelay/relay/relay_task.h
+++ b/packages/relay/include/cornelrelay/relay/relay_task.h
@@ -3,6 +3,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <memory>
 #include <optional>
+#include <set>
 
 #include "cornelrelay/dispatch/stall_detector.h"
 #include "cornelrelay/driver/request_driver.h"
@@ -71,6 +72,7 @@
   std::shared_ptr<UpstreamCall> m_call;
   std::shared_ptr<UpstreamCall> m_failed_call;  ///< call that received the last error response
   std::uint64_t m_upstream_incarnation = 0;     ///< of the upstream of m_call
+  std::set<core::UpstreamId> m_tried;
   request::AttemptResult m_last_result = request::AttemptResult::kCancelled;
   std::optional<std::uint64_t> m_last_event_id;  ///< of the stream, as far as it was forwarded
   bool m_examining = false;      ///< it is not known yet whether the upstream has crashed
--- a/packages/relay/src/relay_task.cc
+++ b/packages/relay/src/relay_task.cc
@@ -219,8 +219,12 @@
   m_stall_detector.StartAttempt(m_services.clock.Now());
   // The upstream may close an idle connection while the request is in transit. It is then unknown
   // whether the request was executed, so only repeatable requests reuse connections.
-  const auto use = m_routed.route.IsRepeatable() ? net::HttpClient::ConnectionUse::kReuse
-                                                 : net::HttpClient::ConnectionUse::kFresh;
+  // An upstream may also answer an earlier attempt once more on its connection. The attempts of a
+  // request have the same id, so that answer would be taken for the one to this attempt.
+  const bool first_try = m_tried.insert(action.upstream).second;
+  const auto use = m_routed.route.IsRepeatable() && first_try
+                       ? net::HttpClient::ConnectionUse::kReuse
+                       : net::HttpClient::ConnectionUse::kFresh;
   m_call = std::make_shared<UpstreamCall>(
       UpstreamCall::Dependencies{m_services.context, m_services.clock, m_services.client,
                                  m_services.upstreams, m_services.crash_probe,
--- a/tests/system/platform_stand_ins.py
+++ b/tests/system/platform_stand_ins.py
@@ -172,6 +172,7 @@
 
             def setup(self):
                 super().setup()
+                self.refusal = None  # as it was written on this connection
                 replica.connections.add(self.connection)
 
             def finish(self):
@@ -199,6 +200,8 @@
                     return replica.crash()
                 if step.startswith("refuse"):
                     return self.refuse(step)
+                if step == "repeat refusal":
+                    return self.repeat_refusal()
                 if step == "unknown":
                     self.head(404, 14, Replica_Seal="seal-" + replica.name)
                     return self.wfile.write(b"no such stream")
@@ -231,6 +234,20 @@
                 more = {"Retry_After": step.split()[1]} if " " in step else {}
                 return self.head(503, 0, Not_Executed="1", **more)
 
+            def repeat_refusal(self):
+                """Refuses the first request of a connection, and writes that once more before the answer to the next."""
+                if self.refusal is None:
+                    self.refusal = (f"HTTP/1.1 503 Full\r\nAttempt-Id: {self.headers['Attempt-Id']}\r\n"
+                                    "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n").encode()
+                    return self.wfile.write(self.refusal)
+                replica.seen[-1]["ran"] = True
+                self.wfile.write(self.refusal)
+                self.wfile.flush()
+                time.sleep(0.1)
+                answer = b"answer of " + replica.name.encode()
+                self.head(200, len(answer), Replica_Seal="seal-" + replica.name)
+                return self.wfile.write(answer)
+
             def wait_for_close(self):
                 """Works on the request until the other side closes. Returns when it did, or none after 5 s."""
                 self.connection.settimeout(5)
--- a/tests/system/test_relay.py
+++ b/tests/system/test_relay.py
@@ -213,5 +213,26 @@
         self.assertEqual(self.entries[0].process.wait(8), 0)
 
 
+class OneReplicaTest(RelayCase):
+    REPLICAS = 1
+
+    # Guards against REFUSED and TWICE of issue 27: a replica wrote an earlier refusal once more on a kept connection.
+    def test_refusal_that_is_written_again_refuses_nothing(self):
+        for path in ("/look/1", "/order/1", "/story/1"):
+            with self.subTest(path):
+                self.plan("repeat refusal")
+                seen = self.replicas[0].seen
+                seen.clear()
+                method, body = ("GET", None) if "look" in path else ("POST", b"x")
+                statuses = {}
+                for number in range(12):
+                    request = f"id-{path}-{number}"
+                    statuses[request] = self.ask(method, path, body=body, **{"Attempt-Id": request})[0].status
+                ran = [s["headers"]["Attempt-Id"] for s in seen if s.get("ran")]
+                self.assertEqual(len(ran), len(set(ran)), "ran twice")
+                self.assertEqual([r for r in ran if statuses[r] != 200], [])
+                self.assertLessEqual(set(statuses.values()), {200, 503})
+
+
 if __name__ == "__main__":
     unittest.main()
