--- a/packages/relay/tests/upstream_call_test.cc
+++ b/packages/relay/tests/upstream_call_test.cc
@@ -249,6 +249,21 @@
   CHECK_FALSE(outcome.completed);
 }
 
+// Guards against MIXED and ORDER of issue 27: a head that was cut off was taken for a whole one,
+// and its answer for a complete one without a body.
+TEST_CASE("an answer that ends inside its head is broken off") {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\n";
+  for (std::size_t length = 1; length < head.size(); ++length) {
+    const Outcome outcome =
+        CallUpstream([&](RawConnection& connection) { connection.Send(head.substr(0, length)); });
+    CAPTURE(length);
+    CHECK(outcome.closed);
+    CHECK_FALSE(outcome.completed);
+    CHECK(outcome.payload.empty());
+  }
+}
+
 TEST_CASE("a stream that ends with its connection is broken off if its upstream is gone") {
   const Outcome outcome = CallUpstream([](RawConnection& connection) {
     connection.Send(kStreamHead + kFirstEvent);
--- a/tests/system/platform_stand_ins.py
+++ b/tests/system/platform_stand_ins.py
@@ -202,6 +202,8 @@
                     return self.refuse(step)
                 if step == "repeat refusal":
                     return self.repeat_refusal()
+                if step.startswith("half head"):
+                    return self.half_head(step)
                 if step == "unknown":
                     self.head(404, 14, Replica_Seal="seal-" + replica.name)
                     return self.wfile.write(b"no such stream")
@@ -248,6 +250,15 @@
                 self.head(200, len(answer), Replica_Seal="seal-" + replica.name)
                 return self.wfile.write(answer)
 
+            def half_head(self, step):
+                """Ends the connection inside the head: `half head N` after N header lines and a part of the next."""
+                lines = ["HTTP/1.1 200 OK", f"Attempt-Id: {self.headers['Attempt-Id']}",
+                         "Replica-Seal: seal-" + replica.name, "Content-Length: 4", "X-Last: 1"]
+                count = int(step.split()[2])
+                self.wfile.write("\r\n".join(lines[:count] + [lines[count][:-2]]).encode())
+                self.wfile.flush()
+                return self.hang_up()
+
             def wait_for_close(self):
                 """Works on the request until the other side closes. Returns when it did, or none after 5 s."""
                 self.connection.settimeout(5)
--- a/tests/system/test_relay.py
+++ b/tests/system/test_relay.py
@@ -75,7 +75,7 @@
     # Guards against MIXED and ORDER of issue 27: the error of the next replica inside a stream, which ended as complete.
     def test_error_of_the_next_replica_does_not_enter_a_stream(self):
         begun = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 4))
-        for answer in ("unknown", "fail", "ok", "refuse"):
+        for answer in ("unknown", "fail", "ok", "refuse", "half head 3"):
             with self.subTest(answer):
                 self.plan("stream 4", answer)
                 response, body = self.ask("POST", "/story/1", body=b"x")
@@ -83,6 +83,17 @@
                 self.assertIsInstance(body, http.client.IncompleteRead)
                 self.assertEqual(body.partial, begun)
 
+    # Guards against MIXED and ORDER of issue 27: a head that a replica did not finish was passed on as a whole answer.
+    def test_answer_that_ends_inside_its_head_is_none(self):
+        for lines in range(5):
+            with self.subTest(lines):
+                self.plan(f"half head {lines}", "ok")
+                self.assertEqual(self.ask("POST", "/order/1", body=b"x")[0].status, 502)
+                self.plan(f"half head {lines}", "ok")
+                self.assertRegex(self.ask("GET", "/look/1")[1], b"answer of i-[01]")
+                self.plan(f"half head {lines}", "stream")
+                self.assertEqual(len(self.ask("POST", "/story/1", body=b"x")[1].split(b"\n\n")), 7)
+
     def test_broken_stream_ends_as_broken(self):
         self.plan("stream 4", "stream")
         _, body = self.ask("POST", "/tale/1", body=b"x")
