--- a/packages/directory/include/cornelrelay/directory/directory_messages.h
+++ b/packages/directory/include/cornelrelay/directory/directory_messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string_view>
 #include <variant>
@@ -20,6 +21,14 @@
 /// \brief Entries that changed together.
 struct EntriesChanged {
   std::vector<EntryChange> changes;
+  /// They are those of a store that was restored from a copy, so some may be older than what is
+  /// known, and others may be missing.
+  bool restored = false;
+};
+/// \brief An upstream said in an answer that it leaves. The entry in the store may not say so.
+struct LeavingAnnounced {
+  core::UpstreamId id;
+  std::uint64_t incarnation = 0;  ///< of the upstream that answered
 };
 /// \brief Neither this process nor any peer is connected to the store.
 struct StoreLost {};
@@ -27,12 +36,14 @@
 struct StoreRegained {};
 struct DirectoryTick {};
 
-using DirectoryEvent = std::variant<EntriesChanged, StoreLost, StoreRegained, DirectoryTick>;
+using DirectoryEvent =
+    std::variant<EntriesChanged, LeavingAnnounced, StoreLost, StoreRegained, DirectoryTick>;
 
 enum class LeaveReason {
-  kDraining,  ///< the upstream announced that it leaves
-  kRemoved,   ///< its entry was removed
-  kLapsed,    ///< its entry lapsed, probably in a store outage, and was not written again in time
+  kDraining,   ///< its entry says that it leaves
+  kAnnounced,  ///< its answers say that it leaves
+  kRemoved,    ///< its entry was removed
+  kLapsed,     ///< its entry lapsed, probably in a store outage, and was not written again in time
 };
 std::string_view ToString(LeaveReason reason);
 
@@ -51,6 +62,12 @@
   core::Instant until;  ///< when the removal takes effect unless the entry is written again
 };
 
-using DirectoryAction = std::variant<UpstreamJoined, UpstreamLeft, RemovalDeferred>;
+/// \brief A restored store holds an entry that is older than what is known of the upstream.
+struct OldEntryIgnored {
+  core::UpstreamId id;
+};
+
+using DirectoryAction =
+    std::variant<UpstreamJoined, UpstreamLeft, RemovalDeferred, OldEntryIgnored>;
 
 }  // namespace cornelrelay::directory
--- a/packages/directory/src/upstream_directory.cc
+++ b/packages/directory/src/upstream_directory.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace cornelrelay::directory {
 
@@ -9,6 +10,8 @@
   switch (reason) {
     case LeaveReason::kDraining:
       return "draining";
+    case LeaveReason::kAnnounced:
+      return "announced";
     case LeaveReason::kRemoved:
       return "removed";
     case LeaveReason::kLapsed:
@@ -30,6 +33,10 @@
   while (!m_removals.empty() && now - m_removals.front().at > m_config.removal_window) {
     m_removals.pop_front();
   }
+  if (event.restored) {
+    // Upstreams whose entries the store has lost write them again, as after an outage.
+    m_store_regained = now;
+  }
   // All removals are counted before the first one is applied: the decision to defer depends on how
   // many there are.
   for (const EntryChange& change : event.changes) {
@@ -38,7 +45,9 @@
     m_removals.push_back({now, found->second.entry.service});
   }
   for (const EntryChange& change : event.changes) {
-    if (change.entry) {
+    if (change.entry && event.restored && IsOutdated(*change.entry)) {
+      out.emplace_back(OldEntryIgnored{change.id});
+    } else if (change.entry) {
       Put(*change.entry, out);
     } else {
       Remove(now, change.id, out);
@@ -46,6 +55,16 @@
   }
 }
 
+void UpstreamDirectory::Apply(core::Instant, const LeavingAnnounced& event, Actions& out) {
+  const auto found = m_records.find(event.id);
+  if (found == m_records.end() || found->second.entry.incarnation != event.incarnation) return;
+  Record& record = found->second;
+  record.announced_leaving = true;
+  if (std::exchange(record.entry.leaving, true)) return;
+  ++m_version;
+  out.emplace_back(UpstreamLeft{event.id, LeaveReason::kAnnounced});
+}
+
 void UpstreamDirectory::Apply(core::Instant, const StoreLost&, Actions&) { m_store_lost = true; }
 
 void UpstreamDirectory::Apply(core::Instant now, const StoreRegained&, Actions&) {
@@ -59,14 +78,17 @@
 
 void UpstreamDirectory::Apply(core::Instant, const DirectoryTick&, Actions&) {}
 
-void UpstreamDirectory::Put(const UpstreamEntry& entry, Actions& out) {
+void UpstreamDirectory::Put(UpstreamEntry entry, Actions& out) {
   const auto [found, added] = m_records.try_emplace(entry.id, Record{entry, std::nullopt});
   Record& record = found->second;
+  m_departures.erase(entry.id);
   const bool restarted = !added && record.entry.incarnation != entry.incarnation;
+  const bool announced = !restarted && record.announced_leaving;
+  entry.leaving |= announced;
   const bool left = entry.leaving && (added || !record.entry.leaving);
   const bool joined = !entry.leaving && (added || restarted || record.entry.leaving);
   if (added || record.entry != entry || record.deferred_until) ++m_version;
-  record = Record{entry, std::nullopt};
+  record = Record{entry, std::nullopt, announced};
   if (joined) out.emplace_back(UpstreamJoined{entry, restarted});
   if (left) out.emplace_back(UpstreamLeft{entry.id, LeaveReason::kDraining});
 }
@@ -83,6 +105,7 @@
     return;
   }
   if (!record.entry.leaving) out.emplace_back(UpstreamLeft{id, LeaveReason::kRemoved});
+  RememberDeparture(now, record.entry);
   m_records.erase(found);
   ++m_version;
 }
@@ -115,11 +138,28 @@
       continue;
     }
     out.emplace_back(UpstreamLeft{it->first, LeaveReason::kLapsed});
+    RememberDeparture(now, it->second.entry);
     it = m_records.erase(it);
     ++m_version;
   }
 }
 
+bool UpstreamDirectory::IsOutdated(const UpstreamEntry& entry) const {
+  const auto order = [](const UpstreamEntry& e) { return std::pair(e.incarnation, e.sequence); };
+  if (const auto found = m_records.find(entry.id); found != m_records.end()) {
+    return order(entry) < order(found->second.entry);
+  }
+  const auto departed = m_departures.find(entry.id);
+  return departed != m_departures.end() && order(entry) <= order(departed->second.last_entry);
+}
+
+void UpstreamDirectory::RememberDeparture(core::Instant now, const UpstreamEntry& entry) {
+  std::erase_if(m_departures, [&](const auto& departure) {
+    return now - departure.second.at > m_config.departure_memory;
+  });
+  m_departures.insert_or_assign(entry.id, Departure{now, entry});
+}
+
 std::vector<UpstreamEntry> UpstreamDirectory::Usable(const core::ServiceId& service) const {
   std::vector<UpstreamEntry> usable;
   for (const auto& [id, record] : m_records) {
--- a/packages/relay/src/relay_task.cc
+++ b/packages/relay/src/relay_task.cc
@@ -201,11 +201,13 @@
 }
 
 void RelayTask::Perform(const request::OpenAttempt& action) {
+  m_call.reset();
   const auto entry = m_services.directory.Find(action.upstream);
   if (!entry || entry->leaving) {
     mailbox()->Push(request::ConnectFailed{action.attempt});
     return;
   }
+  m_upstream_incarnation = entry->incarnation;
   UpstreamRequest message;
   message.upstream = action.upstream;
   message.endpoint = entry->endpoint;
@@ -217,8 +219,12 @@
   m_stall_detector.StartAttempt(m_services.clock.Now());
   // The upstream may close an idle connection while the request is in transit. It is then unknown
   // whether the request was executed, so only repeatable requests reuse connections.
-  const auto use = m_routed.route.IsRepeatable() ? net::HttpClient::ConnectionUse::kReuse
-                                                 : net::HttpClient::ConnectionUse::kFresh;
+  // An upstream may also answer an earlier attempt once more on its connection. The attempts of a
+  // request have the same id, so that answer would be taken for the one to this attempt.
+  const bool first_try = m_tried.insert(action.upstream).second;
+  const auto use = m_routed.route.IsRepeatable() && first_try
+                       ? net::HttpClient::ConnectionUse::kReuse
+                       : net::HttpClient::ConnectionUse::kFresh;
   m_call = std::make_shared<UpstreamCall>(
       UpstreamCall::Dependencies{m_services.context, m_services.clock, m_services.client,
                                  m_services.upstreams, m_services.crash_probe,
@@ -231,11 +237,16 @@
   if (m_call && m_call->attempt() == action.attempt) m_call->Cancel();
 }
 
-void RelayTask::RecordRateLimit() {
-  const auto& head = m_call->head();
+void RelayTask::RecordHead() {
+  if (!m_call || !m_call->head()) return;
+  const UpstreamResponseHead& head = *m_call->head();
+  const core::UpstreamId& upstream = m_call->upstream_id();
   // A refusal need not come from what names the limit, so it does not show that there is none.
-  if (!head || (head->not_executed && !head->rate_limit)) return;
-  m_services.dispatchers.RecordRateLimit(m_routed.service, m_call->upstream_id(), head->rate_limit);
+  if (!head.not_executed || head.rate_limit) {
+    m_services.dispatchers.RecordRateLimit(m_routed.service, upstream, head.rate_limit);
+  }
+  if (head.leaving) m_services.on_upstream_leaving(upstream, m_upstream_incarnation);
+  if (head.backoff) m_services.dispatchers.BackOff(m_routed.service, upstream, *head.backoff);
 }
 
 void RelayTask::RecordOutput() {
@@ -248,7 +259,7 @@
   assert(m_call && m_call->head());
   if (!m_writer.has_head()) {
     m_writer.SetHead(m_call->head()->forwarded_head, m_call->head()->event_stream);
-    RecordRateLimit();
+    RecordHead();
   }
   // Events without an id, such as comments, do not advance a stream.
   const auto event_id = m_call->last_event_id();
@@ -307,7 +318,7 @@
 
 void RelayTask::Perform(const request::RecordAttempt& action) {
   m_last_result = action.result;
-  RecordRateLimit();
+  RecordHead();
   if (action.result == request::AttemptResult::kFailed) m_failed_call = m_call;
   m_services.dispatchers.RecordAttemptEnd(m_routed.service, m_internal_id, AttemptEndOf(action));
   if (action.result == request::AttemptResult::kBroken && m_call->lost_before_output()) {
--- a/tests/system/platform_stand_ins.py
+++ b/tests/system/platform_stand_ins.py
@@ -23,6 +23,7 @@
         self.items = {}
         self.log = []
         self.revision = 1
+        self.era = 1  # rises by one with each restore
         self.down = False
         store = self
 
@@ -37,6 +38,7 @@
                 try:
                     self.send_response(status)
                     self.send_header("Content-Length", str(len(data)))
+                    self.send_header("Store-Era", str(store.era))
                     self.end_headers()
                     self.wfile.write(data)
                 except OSError:  # the process under test has ended while its watch was waiting
@@ -50,7 +52,7 @@
                 if url.path == "/cornelrelay/kv-range":
                     return self.answer(200, store.range(query["prefix"], query.get("after", "")))
                 if url.path == "/cornelrelay/kv-watch":
-                    return self.answer(200, store.watch(query))
+                    return self.answer(*store.watch(query))
                 return self.answer(404, {})
 
             def do_POST(self):
@@ -87,15 +89,31 @@
             found = [self.items[k] for k in sorted(self.items) if k.startswith(prefix) and k > after]
             return {"items": found[:3], "truncated": len(found) > 3, "current_rev": self.revision}
 
+    def copy(self):
+        """The state of the store as restore() takes it."""
+        with self.changed:
+            return dict(self.items), list(self.log), self.revision
+
+    def restore(self, copy):
+        """Goes back to a copy: what was written since is gone, and its revisions are given out again."""
+        with self.changed:
+            items, log, self.revision = copy
+            self.items, self.log = dict(items), list(log)
+            self.era += 1
+            self.changed.notify_all()
+
     def watch(self, query):
         until = time.monotonic() + int(query["wait_ms"]) / 1000
         with self.changed:
+            era = self.era
             while True:
+                if self.era != era or int(query["after"]) > self.revision:
+                    return 410, {}
                 events = [e for e in self.log if e["key"].startswith(query["prefix"])
                           and e["revision"] > int(query["after"])]
                 left = until - time.monotonic()
                 if events or left <= 0:
-                    return {"events": events, "current_rev": self.revision}
+                    return 200, {"events": events, "current_rev": self.revision}
                 self.changed.wait(left)
 
     def transact(self, body):
@@ -121,6 +139,7 @@
         self.crashing_segment = None  # crashes when it begins to answer a prompt with this segment
         self.crashing_body = None  # crashes when it runs a request with this body
         self.rate_limit = None  # requests a second, named in each answer
+        self.leaving = False  # says so in each answer
         self.crashes = []
         self.down_s = 0.5  # after a crash
         self.connections = set()
@@ -139,6 +158,8 @@
                 self.send_header("Attempt-Id", self.headers["Attempt-Id"])
                 if replica.rate_limit is not None:
                     self.send_header("Server-Limit", str(replica.rate_limit))
+                if replica.leaving:
+                    self.send_header("Server-Leaving", "1")
                 for name, value in more.items():
                     self.send_header(name.replace("_", "-"), value)
                 if length is not None:
@@ -151,6 +172,7 @@
 
             def setup(self):
                 super().setup()
+                self.refusal = None  # as it was written on this connection
                 replica.connections.add(self.connection)
 
             def finish(self):
@@ -176,8 +198,15 @@
                               Transfer_Encoding="chunked")
                     self.wfile.flush()
                     return replica.crash()
-                if step == "refuse":
-                    return self.head(503, 0, Not_Executed="1")
+                if step.startswith("refuse"):
+                    return self.refuse(step)
+                if step == "repeat refusal":
+                    return self.repeat_refusal()
+                if step.startswith("half head"):
+                    return self.half_head(step)
+                if step == "unknown":
+                    self.head(404, 14, Replica_Seal="seal-" + replica.name)
+                    return self.wfile.write(b"no such stream")
                 if step == "fail":
                     self.head(500, 4, Replica_Seal="seal-" + replica.name)
                     return self.wfile.write(b"fail")
@@ -202,6 +231,34 @@
                 self.head(200, len(answer), Replica_Seal="seal-" + replica.name)
                 return self.wfile.write(answer)
 
+            def refuse(self, step):
+                """`refuse N` asks for no requests for N seconds."""
+                more = {"Retry_After": step.split()[1]} if " " in step else {}
+                return self.head(503, 0, Not_Executed="1", **more)
+
+            def repeat_refusal(self):
+                """Refuses the first request of a connection, and writes that once more before the answer to the next."""
+                if self.refusal is None:
+                    self.refusal = (f"HTTP/1.1 503 Full\r\nAttempt-Id: {self.headers['Attempt-Id']}\r\n"
+                                    "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n").encode()
+                    return self.wfile.write(self.refusal)
+                replica.seen[-1]["ran"] = True
+                self.wfile.write(self.refusal)
+                self.wfile.flush()
+                time.sleep(0.1)
+                answer = b"answer of " + replica.name.encode()
+                self.head(200, len(answer), Replica_Seal="seal-" + replica.name)
+                return self.wfile.write(answer)
+
+            def half_head(self, step):
+                """Ends the connection inside the head: `half head N` after N header lines and a part of the next."""
+                lines = ["HTTP/1.1 200 OK", f"Attempt-Id: {self.headers['Attempt-Id']}",
+                         "Replica-Seal: seal-" + replica.name, "Content-Length: 4", "X-Last: 1"]
+                count = int(step.split()[2])
+                self.wfile.write("\r\n".join(lines[:count] + [lines[count][:-2]]).encode())
+                self.wfile.flush()
+                return self.hang_up()
+
             def wait_for_close(self):
                 """Works on the request until the other side closes. Returns when it did, or none after 5 s."""
                 self.connection.settimeout(5)
@@ -286,7 +343,7 @@
             self.start()
         self.down.release()
 
-    def entry(self, service, state="ready"):
+    def entry(self, service, state="ready", sequence=0):
         host, port = self.address
         return {"service": service, "address": f"{host}:{port}", "zone": "a", "version": "v1", "slots": 4,
-                "state": state, "cold_remaining_ms": 0, "sequence": 0, "born": 1}
+                "state": state, "cold_remaining_ms": 0, "sequence": sequence, "born": 1}
--- a/tests/system/test_relay.py
+++ b/tests/system/test_relay.py
@@ -72,6 +72,28 @@
         self.plan("unframed 4")
         self.assertIsInstance(self.ask("POST", "/tale/2", body=b"x")[1], http.client.IncompleteRead)
 
+    # Guards against MIXED and ORDER of issue 27: the error of the next replica inside a stream, which ended as complete.
+    def test_error_of_the_next_replica_does_not_enter_a_stream(self):
+        begun = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 4))
+        for answer in ("unknown", "fail", "ok", "refuse", "half head 3"):
+            with self.subTest(answer):
+                self.plan("stream 4", answer)
+                response, body = self.ask("POST", "/story/1", body=b"x")
+                self.assertEqual(response.status, 200)
+                self.assertIsInstance(body, http.client.IncompleteRead)
+                self.assertEqual(body.partial, begun)
+
+    # Guards against MIXED and ORDER of issue 27: a head that a replica did not finish was passed on as a whole answer.
+    def test_answer_that_ends_inside_its_head_is_none(self):
+        for lines in range(5):
+            with self.subTest(lines):
+                self.plan(f"half head {lines}", "ok")
+                self.assertEqual(self.ask("POST", "/order/1", body=b"x")[0].status, 502)
+                self.plan(f"half head {lines}", "ok")
+                self.assertRegex(self.ask("GET", "/look/1")[1], b"answer of i-[01]")
+                self.plan(f"half head {lines}", "stream")
+                self.assertEqual(len(self.ask("POST", "/story/1", body=b"x")[1].split(b"\n\n")), 7)
+
     def test_broken_stream_ends_as_broken(self):
         self.plan("stream 4", "stream")
         _, body = self.ask("POST", "/tale/1", body=b"x")
@@ -202,5 +224,26 @@
         self.assertEqual(self.entries[0].process.wait(8), 0)
 
 
+class OneReplicaTest(RelayCase):
+    REPLICAS = 1
+
+    # Guards against REFUSED and TWICE of issue 27: a replica wrote an earlier refusal once more on a kept connection.
+    def test_refusal_that_is_written_again_refuses_nothing(self):
+        for path in ("/look/1", "/order/1", "/story/1"):
+            with self.subTest(path):
+                self.plan("repeat refusal")
+                seen = self.replicas[0].seen
+                seen.clear()
+                method, body = ("GET", None) if "look" in path else ("POST", b"x")
+                statuses = {}
+                for number in range(12):
+                    request = f"id-{path}-{number}"
+                    statuses[request] = self.ask(method, path, body=body, **{"Attempt-Id": request})[0].status
+                ran = [s["headers"]["Attempt-Id"] for s in seen if s.get("ran")]
+                self.assertEqual(len(ran), len(set(ran)), "ran twice")
+                self.assertEqual([r for r in ran if statuses[r] != 200], [])
+                self.assertLessEqual(set(statuses.values()), {200, 503})
+
+
 if __name__ == "__main__":
     unittest.main()
