--- a/packages/ranks/include/cornelrelay/ranks/leader_lease.h
+++ b/packages/ranks/include/cornelrelay/ranks/leader_lease.h
@@ -30,6 +30,8 @@
 struct LeaderKeyObserved {
   std::optional<store::StoredValue> stored;  ///< its value is the leader's host; none if no leader
   store::StoreEra era = 0;                   ///< of the store now
+  /// A newer leadership is known: the store was restored from a copy that is older than it.
+  bool outdated = false;
 };
 /// \brief The store's reply to the last SendLeaseRequest.
 struct LeaseReply {
--- a/packages/ranks/src/leader_lease.cc
+++ b/packages/ranks/src/leader_lease.cc
@@ -15,7 +15,9 @@
 }
 
 void LeaderLease::Apply(core::Instant now, const LeaderKeyObserved& event, Actions& out) {
-  if (m_acting_leader && event.stored && event.stored->value != m_config.value) {
+  // A leader of the past keeps the key occupied until its lease ends, but does not lead.
+  const bool superseded = event.stored && !event.outdated && event.stored->value != m_config.value;
+  if (m_acting_leader && superseded) {
     m_acting_leader = false;
     out.emplace_back(LeadershipSuperseded{});
     RetryIn(now, m_config.stagger);
--- a/packages/ranks/src/rank_process.cc
+++ b/packages/ranks/src/rank_process.cc
@@ -245,13 +245,16 @@
   }
   for (const store::ItemChange& item : items) {
     if (item.key != m_leader_key) continue;
-    std::optional<store::StoredValue> stored;
+    LeaderKeyObserved observed;
+    observed.era = era;
     if (item.value) {
       const LeaderEntry leader = DecodeLeaderEntry(*item.value);
-      m_fence_guard.RaiseFence(FenceOf({leader.era, item.revision}));
-      stored = store::StoredValue{leader.host, item.revision};
+      const balance::Fence fence = FenceOf({leader.era, item.revision});
+      observed.stored = store::StoredValue{leader.host, item.revision};
+      observed.outdated = fence < m_fence_guard.fence().value_or(0);
+      m_fence_guard.RaiseFence(fence);
     }
-    if (m_candidacy->candidate()) StepLease(LeaderKeyObserved{stored, era});
+    if (m_candidacy->candidate()) StepLease(observed);
   }
 }
 
--- a/packages/ranks/tests/leader_lease_test.cc
+++ b/packages/ranks/tests/leader_lease_test.cc
@@ -98,6 +98,29 @@
   CHECK(Find<LeadershipAcquired>(taken)->fence == FenceOf({2, 40}));
 }
 
+// Guards against a group without a leader, and a pass on hold, when the copy of a restored store
+// names the leader before the present one (issue 27, CONFIG).
+TEST_CASE("a leader goes on beside the key of a former one, and claims the key when it is free") {
+  LeaderLease lease = MakeLeadingLease();
+  CHECK(lease.Step(At(30), LeaderKeyObserved{store::StoredValue{"former", 50}, 2, true}).empty());
+  const auto renewal = lease.Step(At(420), LeaseTick{});
+  REQUIRE(HasRequest<store::LeaseKeepAlive>(renewal));
+  const auto lapsed = lease.Step(At(430), LeaseReply{store::LeaseExpired{5}});
+  CHECK(Find<LeaseLapsed>(lapsed));
+  CHECK_FALSE(Find<LeadershipSuperseded>(lapsed));
+  CHECK(HasRequest<store::LeaseGrant>(lapsed));
+  lease.Step(At(435), LeaderKeyObserved{store::StoredValue{"former", 50}, 2, true});
+  const auto granted = lease.Step(At(440), LeaseReply{store::LeaseGranted{6, milliseconds(1'500)}});
+  CHECK_FALSE(HasRequest<store::CompareAndSwap>(granted));
+  const auto freed = lease.Step(At(2'000), LeaderKeyObserved{std::nullopt, 2});
+  CHECK(HasRequest<store::LeaseGrant>(freed));
+  CHECK_FALSE(Find<LeadershipSuperseded>(freed));
+  // The key of a newer leader ends the leadership.
+  LeaderLease other = MakeLeadingLease();
+  const auto newer = other.Step(At(30), LeaderKeyObserved{store::StoredValue{"newer", 90}, 2});
+  CHECK(Find<LeadershipSuperseded>(newer));
+}
+
 TEST_CASE("a leader key that was written into a restored store under the old era gives no lead") {
   LeaderLease lease({.key = "k", .value = "me"});
   lease.Step(At(0), LeaderKeyObserved{std::nullopt, 1});
