Pause between fetches from peers that bring nothing new

Found by reading: a peer with a newer configuration is asked for it, and if this process cannot read that one, as between two versions of the program, it would be asked again as soon as the answer is there, without pause. A fetch is followed by the next one at once only if it brought something; otherwise after the retry interval, as after a failure. The new test failed before.

--- a/packages/peers/src/peer_table.cc
+++ b/packages/peers/src/peer_table.cc
@@ -55,6 +55,10 @@
 void PeerTable::Apply(core::Instant, const LocalItemsChanged& event, Actions&) {
   // What a follower knows comes from a peer that announces it itself.
   if (event.store_connected && event.version > m_local_items) m_news_sent = false;
+  const bool progress =
+      event.version > m_local_items || event.configuration_version > m_local_configuration;
+  // What was fetched has arrived, so that the next fetch need not wait.
+  if (progress) m_fetching_since.reset();
   m_local_items = event.version;
   m_local_configuration = event.configuration_version;
   m_store_connected = event.store_connected;
@@ -62,11 +66,9 @@
 
 void PeerTable::Apply(core::Instant, const LocalLoadChanged&, Actions&) { m_load_changed = true; }
 void PeerTable::Apply(core::Instant, const LocalSuspectsChanged&, Actions&) { m_news_sent = false; }
-void PeerTable::Apply(core::Instant, const FetchEnded& event, Actions&) {
-  // After a failure, the next fetch waits until the retry interval since the start of the failed
-  // one has passed.
-  if (event.succeeded) m_fetching_since.reset();
-}
+// After a fetch that failed or brought nothing new, the next one waits until the retry interval
+// since its start has passed. A peer may hold a configuration that this process cannot read.
+void PeerTable::Apply(core::Instant, const FetchEnded&, Actions&) {}
 void PeerTable::Apply(core::Instant, const PeerTick&, Actions&) {}
 
 void PeerTable::MarkSilentPeers(core::Instant now, Actions& out) {
--- a/packages/peers/tests/peer_table_test.cc
+++ b/packages/peers/tests/peer_table_test.cc
@@ -99,6 +99,19 @@
   CHECK(FindAction<FetchItems>(actions)->configuration_version == 7);
 }
 
+// Guards against fetches without pause: what a peer knows may be of no use here.
+TEST_CASE("after a fetch that brought nothing new, the next one waits for the retry interval") {
+  PeerTable peers(Config());
+  peers.Step(At(0), LocalItemsChanged{{2, 40}, 7, false});
+  PeerStatus status = StatusFrom("a", 1);
+  status.configuration_version = 9;
+  REQUIRE(FindAction<FetchItems>(peers.Step(At(1), PeerStatusReceived{status})));
+  peers.Step(At(5), LocalItemsChanged{{2, 40}, 7, false});
+  CHECK_FALSE(FindAction<FetchItems>(peers.Step(At(5), FetchEnded{true})));
+  CHECK_FALSE(FindAction<FetchItems>(peers.Step(At(300), PeerTick{})));
+  CHECK(FindAction<FetchItems>(peers.Step(At(700), PeerTick{})));
+}
+
 TEST_CASE("after a failed fetch, the next one starts only when the retry interval has passed") {
   PeerTable peers(Config());
   CHECK(FindAction<FetchItems>(peers.Step(At(1), PeerStatusReceived{StatusFrom("a", 1, 12)})));
