--- a/packages/relay/src/fleet_view.cc
+++ b/packages/relay/src/fleet_view.cc
@@ -1,5 +1,7 @@
 #include "cornelrelay/relay/fleet_view.h"
 
+#include <algorithm>
+#include <cassert>
 #include <utility>
 #include <variant>
 
@@ -94,9 +96,13 @@
     transfer.changes = m_cache.Since(0);
     transfer.all_items = true;
   }
-  if (configuration_version < this->configuration_version()) {
-    transfer.configuration = m_configuration_item;
-  }
+  if (configuration_version >= this->configuration_version()) return transfer;
+  assert(m_configuration_item);
+  // A configuration is by far the largest item; it is not sent twice.
+  const auto& changes = transfer.changes;
+  const bool included =
+      std::find(changes.begin(), changes.end(), *m_configuration_item) != changes.end();
+  if (!included) transfer.configuration = m_configuration_item;
   return transfer;
 }
 
