--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -227,7 +227,10 @@
 
 
 def read_answer(stream, answer):
-    answer.status = int(stream.readline().split()[1])
+    line = stream.readline()
+    if not line:
+        raise ConnectionError("closed without an answer")
+    answer.status = int(line.split()[1])
     while (line := stream.readline().strip()):
         name, _, value = line.decode().partition(":")
         answer.headers[name.lower()] = value.strip()
