--- a/review/lib/replica.py
+++ b/review/lib/replica.py
@@ -27,6 +27,7 @@
             await server.serve_forever()
 
     async def connection(self, reader, writer):
+        writer.reader = reader
         try:
             while await self.request(reader, writer):
                 pass
@@ -55,6 +56,11 @@
         self.note("arrived", attempt, path=path, prefix=headers.get("prompt-prefix", ""))
         return await self.serve(writer, method, path, headers, body, attempt)
 
+    def caller_left(self, writer):
+        """Whether the other side has closed or reset the connection, or this side could not write."""
+        reader = writer.reader
+        return reader.at_eof() or reader.exception() is not None or writer.transport.is_closing()
+
     def head(self, writer, status, attempt, length=None, **more):
         lines = [f"HTTP/1.1 {status} X", f"Attempt-Id: {attempt}"]
         lines += [f"{name.replace('_', '-')}: {value}" for name, value in more.items()]
