--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,9 +9,9 @@
 sys.path.insert(0, str(FOLDER.parent / "lib"))
 from deployment import HOST, TROUBLE, ask, configuration, free_port, route, run_case  # noqa: E402
 
-RELAYS = 3
+RELAYS = 6
 REPLICAS = 3
-SECONDS = 30
+SECONDS = 60
 RESTART_DELAY_S = 1.0
 FOREIGN_ID = "inventory-export-" + "0123456789abcdef" * 6  # 113 bytes; a key may have 200
 
@@ -70,6 +70,11 @@
         deployment.record("entry_of_another_writer", key_bytes=len("servers/" + FOREIGN_ID))
     for thread in threads:
         thread.join()
+    for relay in relays:
+        if relay.process.poll() is None:
+            answer = ask(relay.front, "GET", "/stock/last", f"last-{relay.name}", deadline_ms=1500)
+            deployment.record("at_the_end", process=relay.name, ready=relay.is_ready(), status=answer.status,
+                              error=answer.error.replace(" ", "_"))
     runs = sum(1 for replica in replicas for line in replica.seen() if line["what"] == "run")
     served = sum(1 for answer in answers if answer.status == 200)
     closed = sum(1 for answer in answers if answer.status is None)
