--- a/review/2/case.py
+++ b/review/2/case.py
@@ -71,10 +71,10 @@
     for thread in threads:
         thread.join()
     for relay in relays:
-        if relay.process.poll() is None:
-            answer = ask(relay.front, "GET", "/stock/last", f"last-{relay.name}", deadline_ms=1500)
-            deployment.record("at_the_end", process=relay.name, ready=relay.is_ready(), status=answer.status,
-                              error=answer.error.replace(" ", "_"))
+        ended = relay.process.poll()
+        answer = ask(relay.front, "GET", "/stock/last", f"last-{relay.name}", deadline_ms=1500)
+        deployment.record("at_the_end", process=relay.name, ended=ended, ready=ended is None and relay.is_ready(),
+                          status=answer.status, error=answer.error.replace(" ", "_"))
     runs = sum(1 for replica in replicas for line in replica.seen() if line["what"] == "run")
     served = sum(1 for answer in answers if answer.status == 200)
     closed = sum(1 for answer in answers if answer.status is None)
