--- a/review/2/case.py
+++ b/review/2/case.py
@@ -63,7 +63,7 @@
         thread.start()
     time.sleep(3)
     if TROUBLE:
-        # Of the fields that an entry has, `version`'s neighbours `cold_remaining_ms` and `sequence` are missing.
+        # `cold_remaining_ms`, `sequence` and `born` are missing, so the entry names no replica to use.
         deployment.store.put("servers/" + FOREIGN_ID, {
             "service": "desk", "address": f"{HOST}:{free_port()}", "zone": "a", "version": "v1", "slots": 6,
             "state": "ready"})
