--- a/apps/cornelrelay-agent.cc
+++ b/apps/cornelrelay-agent.cc
@@ -1,7 +1,7 @@
 #include <spdlog/sinks/stdout_sinks.h>
 
 #include <CLI/CLI.hpp>
-#include <boost/asio/io_context.hpp>
+#include <boost/scope_exit.hpp>
 #include <csignal>
 #include <iostream>
 #include <memory>
@@ -10,6 +10,7 @@
 
 #include "cornelrelay/agent/agent_process.h"
 #include "cornelrelay/platform/rank_command.h"
+#include "cornelrelay/runtime/event_loop.h"
 #include "cornelrelay/runtime/process_setup.h"
 #include "cornelrelay/runtime/signal_loop.h"
 #include "cornelrelay/settings/invalid_settings.h"
@@ -23,19 +24,19 @@
   const auto settings = cornelrelay::settings::LoadAgentSettings(file);
   telemetry::JsonLog log(settings.common.host.value(), settings.common.log_level,
                          std::make_shared<spdlog::sinks::stderr_sink_mt>());
-  boost::asio::io_context context(1);
-  cornelrelay::agent::AgentProcess process(context, settings, log,
+  cornelrelay::runtime::EventLoop loop(log);
+  cornelrelay::agent::AgentProcess process(loop, settings, log,
                                            cornelrelay::runtime::SeedOf(settings.common.seed));
+  BOOST_SCOPE_EXIT_ALL(&loop) { loop.DiscardHandlers(); };
   process.Start();
-  const cornelrelay::runtime::SignalLoop signals(
-      context, {SIGTERM, SIGINT, SIGUSR1}, [&](int signal) {
-        if (signal == SIGUSR1) {
-          std::cout << process.Dump().dump() << std::endl;
-        } else {
-          process.Shutdown();
-        }
-      });
-  context.run();
+  const cornelrelay::runtime::SignalLoop signals(loop, {SIGTERM, SIGINT, SIGUSR1}, [&](int signal) {
+    if (signal == SIGUSR1) {
+      std::cout << process.Dump().dump() << std::endl;
+    } else {
+      process.Shutdown();
+    }
+  });
+  loop.Run();
   log.Flush();
   return 0;
 }
--- a/packages/agent/src/agent_process.cc
+++ b/packages/agent/src/agent_process.cc
@@ -1,13 +1,13 @@
 #include "cornelrelay/agent/agent_process.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
 
 #include "cornelrelay/core/error.h"
 #include "cornelrelay/gossip/state_dump.h"
+#include "cornelrelay/net/rethrow_failure.h"
 #include "cornelrelay/runtime/pause.h"
 #include "cornelrelay/runtime/process_setup.h"
 
@@ -46,7 +46,7 @@
   m_control.Start();
   m_host_list.Start();
   asio::co_spawn(
-      m_context, [this] { return PollLoop(); }, asio::detached);
+      m_context, [this] { return PollLoop(); }, net::RethrowFailure{});
   m_log.Info("agent_started", {{"upstream", m_settings.upstream},
                                {"endpoint", core::ToString(m_settings.upstream_endpoint)}});
 }
@@ -94,7 +94,7 @@
   m_log.Info("upstream_leaving", {{"upstream", m_settings.upstream}});
   m_control.Step(gossip::AnnounceLeaving{m_settings.upstream});
   asio::co_spawn(
-      m_context, [this] { return DrainAndStop(); }, asio::detached);
+      m_context, [this] { return DrainAndStop(); }, net::RethrowFailure{});
 }
 
 asio::awaitable<void> AgentProcess::DrainAndStop() {
--- a/packages/core/include/cornelrelay/core/http_status.h
+++ b/packages/core/include/cornelrelay/core/http_status.h
@@ -15,6 +15,7 @@
 inline constexpr int kStatusMisdirected = 421;
 inline constexpr int kStatusTooManyRequests = 429;
 inline constexpr int kFirstServerErrorStatus = 500;
+inline constexpr int kStatusInternalError = 500;
 inline constexpr int kStatusUnavailable = 503;
 
 }  // namespace cornelrelay::core
--- a/packages/driver/include/cornelrelay/driver/attempt_call.h
+++ b/packages/driver/include/cornelrelay/driver/attempt_call.h
@@ -68,6 +68,7 @@
 
  private:
   boost::asio::awaitable<void> Run();
+  boost::asio::awaitable<void> RunAttempt();
   void HandleBreak(net::BreakCause cause, const core::Error& error);
 
   boost::asio::io_context& m_context;
--- a/packages/driver/src/attempt_call.cc
+++ b/packages/driver/src/attempt_call.cc
@@ -1,11 +1,12 @@
 #include "cornelrelay/driver/attempt_call.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include <exception>
 #include <optional>
 #include <utility>
 
 #include "cornelrelay/net/errors.h"
+#include "cornelrelay/net/rethrow_failure.h"
 #include "cornelrelay/request/sse_event_too_large.h"
 
 namespace cornelrelay::driver {
@@ -21,7 +22,7 @@
 
 void AttemptCall::Start() {
   asio::co_spawn(
-      m_context, [self = shared_from_this()] { return self->Run(); }, asio::detached);
+      m_context, [self = shared_from_this()] { return self->Run(); }, net::RethrowFailure{});
 }
 
 void AttemptCall::Cancel() {
@@ -34,6 +35,16 @@
 }
 
 asio::awaitable<void> AttemptCall::Run() {
+  try {
+    co_await RunAttempt();
+  } catch (const std::exception&) {
+    // The request must not wait any longer for an attempt that a fault of this program has ended.
+    Report(request::UpstreamClosed{m_target.attempt});
+    throw;
+  }
+}
+
+asio::awaitable<void> AttemptCall::RunAttempt() {
   bool connected = false;
   try {
     m_exchange = co_await m_client.Open(m_target.upstream, m_target.use,
--- a/packages/entry/src/catalogue_service.cc
+++ b/packages/entry/src/catalogue_service.cc
@@ -1,13 +1,13 @@
 #include "cornelrelay/entry/catalogue_service.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <chrono>
 #include <utility>
 #include <variant>
 
 #include "cornelrelay/core/error.h"
 #include "cornelrelay/entry/catalogue_store.h"
+#include "cornelrelay/net/rethrow_failure.h"
 #include "cornelrelay/profile/catalogue_codec.h"
 
 namespace cornelrelay::entry {
@@ -69,7 +69,7 @@
 
 void CatalogueService::Perform(const profile::FetchFromPeer& action) {
   asio::co_spawn(
-      m_context, [this, action] { return Fetch(action); }, asio::detached);
+      m_context, [this, action] { return Fetch(action); }, net::RethrowFailure{});
 }
 
 void CatalogueService::Perform(const profile::ApplyCatalogue& action) {
--- a/packages/entry/src/crash_hub.cc
+++ b/packages/entry/src/crash_hub.cc
@@ -1,7 +1,6 @@
 #include "cornelrelay/entry/crash_hub.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <chrono>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -9,6 +8,7 @@
 #include <variant>
 
 #include "cornelrelay/net/errors.h"
+#include "cornelrelay/net/rethrow_failure.h"
 #include "cornelrelay/quarantine/state_dump.h"
 #include "cornelrelay/runtime/pause.h"
 #include "quarantine_codec.h"
@@ -65,7 +65,7 @@
       [this, run, upstream, endpoint, done = std::move(done)] {
         return Examine(run, upstream, endpoint, done);
       },
-      asio::detached);
+      net::RethrowFailure{});
 }
 
 asio::awaitable<void> CrashHub::Examine(core::AttemptId run, core::UpstreamId upstream,
--- a/packages/entry/src/entry_process.cc
+++ b/packages/entry/src/entry_process.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 #include <utility>
 #include <vector>
@@ -10,6 +9,7 @@
 #include "cornelrelay/core/hash.h"
 #include "cornelrelay/gossip/quantise.h"
 #include "cornelrelay/gossip/upstream_view.h"
+#include "cornelrelay/net/rethrow_failure.h"
 #include "cornelrelay/runtime/pause.h"
 #include "cornelrelay/runtime/process_setup.h"
 #include "dump.h"
@@ -249,7 +249,7 @@
   }
   m_log.Info("shutdown_started", {{"requests", m_gateway.tasks().size()}});
   asio::co_spawn(
-      m_context, [this] { return DrainAndStop(); }, asio::detached);
+      m_context, [this] { return DrainAndStop(); }, net::RethrowFailure{});
 }
 
 asio::awaitable<void> EntryProcess::DrainAndStop() {
--- a/packages/entry/src/serve_command.cc
+++ b/packages/entry/src/serve_command.cc
@@ -1,13 +1,14 @@
 #include <spdlog/sinks/stdout_sinks.h>
 
 #include <CLI/CLI.hpp>
-#include <boost/asio/io_context.hpp>
+#include <boost/scope_exit.hpp>
 #include <csignal>
 #include <memory>
 #include <string>
 
 #include "cornelrelay/entry/commands.h"
 #include "cornelrelay/entry/entry_process.h"
+#include "cornelrelay/runtime/event_loop.h"
 #include "cornelrelay/runtime/process_setup.h"
 #include "cornelrelay/runtime/signal_loop.h"
 #include "cornelrelay/settings/entry_settings.h"
@@ -19,11 +20,13 @@
   const settings::EntrySettings settings = settings::LoadEntrySettings(file);
   telemetry::JsonLog log(settings.common.host.value(), settings.common.log_level,
                          std::make_shared<spdlog::sinks::stderr_sink_mt>());
-  boost::asio::io_context context(1);
-  EntryProcess process(context, settings, log, runtime::SeedOf(settings.common.seed));
+  runtime::EventLoop loop(log);
+  EntryProcess process(loop, settings, log, runtime::SeedOf(settings.common.seed));
+  // The coroutines of requests in progress refer to the process.
+  BOOST_SCOPE_EXIT_ALL(&loop) { loop.DiscardHandlers(); };
   process.Start();
-  const runtime::SignalLoop signals(context, {SIGTERM, SIGINT}, [&](int) { process.Shutdown(); });
-  context.run();
+  const runtime::SignalLoop signals(loop, {SIGTERM, SIGINT}, [&](int) { process.Shutdown(); });
+  loop.Run();
   log.Flush();
   return 0;
 }
--- a/packages/entry/src/table_service.cc
+++ b/packages/entry/src/table_service.cc
@@ -1,12 +1,12 @@
 #include "cornelrelay/entry/table_service.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <chrono>
 #include <utility>
 #include <variant>
 
 #include "cornelrelay/core/error.h"
+#include "cornelrelay/net/rethrow_failure.h"
 #include "cornelrelay/runtime/pause.h"
 
 namespace cornelrelay::entry {
@@ -29,7 +29,7 @@
 
 void TableService::Start() {
   asio::co_spawn(
-      m_context, [this] { return Run(); }, asio::detached);
+      m_context, [this] { return Run(); }, net::RethrowFailure{});
 }
 
 asio::awaitable<void> TableService::Run() {
--- a/packages/net/src/http_server.cc
+++ b/packages/net/src/http_server.cc
@@ -1,7 +1,6 @@
 #include "cornelrelay/net/http_server.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/ssl/context.hpp>
@@ -13,6 +12,7 @@
 #include <utility>
 
 #include "cornelrelay/net/errors.h"
+#include "cornelrelay/net/rethrow_failure.h"
 #include "http_session.h"
 #include "session_registry.h"
 
@@ -70,7 +70,8 @@
 
   void Start() {
     asio::co_spawn(
-        m_context, [self = shared_from_this()] { return self->AcceptLoop(); }, asio::detached);
+        m_context, [self = shared_from_this()] { return self->AcceptLoop(); },
+        net::RethrowFailure{});
   }
 
   void SetLimits(const HttpServerLimits& limits) { *m_limits = limits; }
@@ -101,7 +102,12 @@
       }
       if (m_registry->size() >= m_limits->connections) continue;
       socket.set_option(tcp::no_delay(true), ec);
-      SpawnSession(std::move(socket));
+      try {
+        SpawnSession(std::move(socket));
+      } catch (const std::exception&) {
+        // Ends this connection only.
+        RethrowLater(m_context, std::current_exception());
+      }
     }
   }
 
@@ -120,7 +126,8 @@
   void Spawn(std::shared_ptr<Session> session) {
     // The impl is kept so that the TLS context outlives its sessions.
     asio::co_spawn(
-        m_context, [session, self = shared_from_this()] { return session->Run(); }, asio::detached);
+        m_context, [session, self = shared_from_this()] { return session->Run(); },
+        net::RethrowFailure{});
   }
 
   asio::io_context& m_context;
--- a/packages/net/src/http_session.h
+++ b/packages/net/src/http_session.h
@@ -18,6 +18,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <cstdio>
+#include <exception>
 #include <memory>
 #include <string>
 #include <type_traits>
@@ -185,16 +186,21 @@
     auto& message = parser.get();
     HttpRequest request{std::string(message.method_string()), std::string(message.target()),
                         ToHeaders(message.base()), std::move(message.body())};
-    bool failed = false;
+    bool gone = false;
+    std::exception_ptr thrown;
     try {
       co_await m_handler(std::move(request), *this);
-    } catch (const std::exception&) {
-      failed = true;
+    } catch (const CallerGone&) {
+      gone = true;
+    } catch (...) {
+      thrown = std::current_exception();
     }
     m_on_gone = nullptr;
     m_busy = false;
     ++m_watch;
-    co_return !failed && m_open && m_keep_alive && !m_registry->draining();
+    // Ends this connection; the owner of the event loop logs the reason.
+    if (thrown) std::rethrow_exception(thrown);
+    co_return !gone && m_open && m_keep_alive && !m_registry->draining();
   }
 
   // An idle connection and one in the middle of a head have different time limits.
--- a/packages/net/src/udp_channel.cc
+++ b/packages/net/src/udp_channel.cc
@@ -38,8 +38,11 @@
         asio::buffer(m_buffer), m_from,
         [self = shared_from_this()](const error_code& ec, std::size_t count) {
           if (ec == asio::error::operation_aborted || !self->m_socket.is_open()) return;
-          if (!ec) self->Deliver(count);
+          const core::Endpoint from{self->m_from.address().to_string(), self->m_from.port()};
+          std::string datagram(self->m_buffer.data(), ec ? 0 : count);
+          // First, as a handler that throws must not end the reception.
           self->Receive();
+          if (!ec) self->Deliver(from, std::move(datagram));
         });
   }
 
@@ -64,10 +67,9 @@
   std::uint64_t m_send_failures = 0;
 
  private:
-  void Deliver(std::size_t count) {
-    m_bytes_received += count;
-    const core::Endpoint from{m_from.address().to_string(), m_from.port()};
-    m_handler(from, std::string(m_buffer.data(), count));
+  void Deliver(const core::Endpoint& from, std::string datagram) {
+    m_bytes_received += datagram.size();
+    m_handler(from, std::move(datagram));
   }
 
   udp::socket m_socket;
--- a/packages/ranks/src/agent_client.cc
+++ b/packages/ranks/src/agent_client.cc
@@ -2,12 +2,12 @@
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <cstddef>
 #include <utility>
 
 #include "cornelrelay/core/error.h"
 #include "cornelrelay/core/http_status.h"
+#include "cornelrelay/net/rethrow_failure.h"
 
 namespace cornelrelay::ranks {
 namespace {
@@ -39,8 +39,8 @@
   net::HttpRequest request;
   request.method = "POST";
   request.target = "/rank";
-  request.body = wire::Encode(call);
   try {
+    request.body = wire::Encode(call);
     const net::HttpResponse response = co_await m_client.Fetch(
         agent, std::move(request), timeout, kMaxReplyBytes, net::HttpClient::ConnectionUse::kReuse);
     if (response.status == core::kStatusOk) reply = wire::DecodeRankReply(response.body);
@@ -60,7 +60,7 @@
         [this, agents, call, timeout, group_call] {
           return CallGroup(agents, call, timeout, group_call);
         },
-        asio::detached);
+        net::RethrowFailure{});
   }
   return group_call;
 }
--- a/packages/ranks/src/group_leader.cc
+++ b/packages/ranks/src/group_leader.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <map>
 #include <set>
 #include <utility>
@@ -11,6 +10,7 @@
 #include "cornelrelay/core/error.h"
 #include "cornelrelay/core/overloaded.h"
 #include "cornelrelay/net/errors.h"
+#include "cornelrelay/net/rethrow_failure.h"
 
 namespace cornelrelay::ranks {
 namespace {
@@ -174,7 +174,8 @@
   for (const core::Endpoint& engine : m_members.NextUnanswering(kUnansweringPolls)) {
     if (!m_members.BeginPoll(engine)) continue;
     asio::co_spawn(
-        m_dependencies.context, [this, engine] { return PollMember(engine); }, asio::detached);
+        m_dependencies.context, [this, engine] { return PollMember(engine); },
+        net::RethrowFailure{});
   }
   // Orders of a switch do not wait behind counts on slow links. The next counts are of all the
   // time.
@@ -184,7 +185,8 @@
     m_round_start = now;
     for (const std::vector<core::Endpoint>& agents : groups) {
       asio::co_spawn(
-          m_dependencies.context, [this, agents] { return PollGroup(agents); }, asio::detached);
+          m_dependencies.context, [this, agents] { return PollGroup(agents); },
+          net::RethrowFailure{});
     }
   }
   m_round_timer.SetAt(now + kRoundInterval);
@@ -323,7 +325,8 @@
 void GroupLeader::SendOrders() {
   for (const balance::SendOrder& order : m_outbox.TakeForwarded()) {
     asio::co_spawn(
-        m_dependencies.context, [this, order] { return DeliverOrder(order); }, asio::detached);
+        m_dependencies.context, [this, order] { return DeliverOrder(order); },
+        net::RethrowFailure{});
   }
   for (const OrderBatch& batch : m_outbox.TakeBatches()) {
     std::vector<balance::RankIndex> ranks;
@@ -340,7 +343,8 @@
       if (map && !answers && ++maps > kMaxMapsToUnanswering) continue;
       const balance::SendOrder order{rank, batch.order, batch.fence, batch.epoch};
       asio::co_spawn(
-          m_dependencies.context, [this, order] { return DeliverOrder(order); }, asio::detached);
+          m_dependencies.context, [this, order] { return DeliverOrder(order); },
+          net::RethrowFailure{});
     }
     StartBatch(batch, ranks, true);
   }
@@ -368,7 +372,7 @@
     asio::co_spawn(
         m_dependencies.context,
         [this, batch, call, agents, timeout] { return DeliverBatch(batch, call, agents, timeout); },
-        asio::detached);
+        net::RethrowFailure{});
   }
 }
 
--- a/packages/ranks/src/rank_process.cc
+++ b/packages/ranks/src/rank_process.cc
@@ -2,13 +2,13 @@
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <utility>
 #include <variant>
 
 #include "cornelrelay/core/error.h"
 #include "cornelrelay/core/http_status.h"
 #include "cornelrelay/core/overloaded.h"
+#include "cornelrelay/net/rethrow_failure.h"
 #include "cornelrelay/ranks/leader_entry.h"
 #include "cornelrelay/runtime/pause.h"
 #include "cornelrelay/runtime/store_options.h"
@@ -64,7 +64,7 @@
                                       {"service", m_settings.service},
                                       {"store", core::ToString(m_settings.store)}});
   asio::co_spawn(
-      m_context, [this] { return WaitForGroup(); }, asio::detached);
+      m_context, [this] { return WaitForGroup(); }, net::RethrowFailure{});
 }
 
 void RankProcess::Reload(const settings::RankSettings& settings) {
@@ -147,7 +147,12 @@
   }
   if (call) {
     const wire::RankReply reply = co_await HandleCall(std::move(*call));
-    answer.body = wire::Encode(reply);
+    try {
+      answer.body = wire::Encode(reply);
+    } catch (const core::Error& error) {
+      m_log.Error("reply_not_encoded", {{"reason", error.what()}});
+      answer.status = core::kStatusInternalError;
+    }
   } else {
     answer.status = core::kStatusBadRequest;
   }
--- a/packages/relay/src/peer_transport.cc
+++ b/packages/relay/src/peer_transport.cc
@@ -1,7 +1,6 @@
 #include "cornelrelay/relay/peer_transport.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <charconv>
 #include <utility>
 #include <variant>
@@ -9,6 +8,7 @@
 #include "cornelrelay/core/error.h"
 #include "cornelrelay/core/http_status.h"
 #include "cornelrelay/net/errors.h"
+#include "cornelrelay/net/rethrow_failure.h"
 #include "cornelrelay/runtime/process_setup.h"
 #include "cornelrelay/wire/malformed_message.h"
 #include "cornelrelay/wire/message_too_large.h"
@@ -143,7 +143,7 @@
                                          {"since", action.since.revision},
                                          {"configuration", action.configuration_version}});
   asio::co_spawn(
-      m_context, [this, action] { return Fetch(action); }, asio::detached);
+      m_context, [this, action] { return Fetch(action); }, net::RethrowFailure{});
 }
 
 void PeerTransport::Perform(const peers::PeerAppeared& action) {
@@ -181,8 +181,13 @@
   net::HttpResponse answer;
   const auto known = ParseFetchTarget(request.target);
   if (known) {
-    answer.body =
-        wire::Encode(m_callbacks.items_since(known->version, known->configuration_version));
+    try {
+      answer.body =
+          wire::Encode(m_callbacks.items_since(known->version, known->configuration_version));
+    } catch (const core::Error& error) {
+      m_log.Error("items_not_encoded", {{"reason", error.what()}});
+      answer.status = core::kStatusInternalError;
+    }
   } else {
     answer.status = core::kStatusBadRequest;
   }
--- a/packages/relay/src/quarantine_service.cc
+++ b/packages/relay/src/quarantine_service.cc
@@ -1,12 +1,12 @@
 #include "cornelrelay/relay/quarantine_service.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <chrono>
 #include <string>
 #include <utility>
 #include <variant>
 
+#include "cornelrelay/net/rethrow_failure.h"
 #include "cornelrelay/runtime/pause.h"
 
 namespace cornelrelay::relay {
@@ -63,7 +63,7 @@
       [this, attempt, incarnation = entry->incarnation, on_done = std::move(on_done)] {
         return ExamineUpstream(attempt, incarnation, on_done);
       },
-      asio::detached);
+      net::RethrowFailure{});
   return decisive;
 }
 
--- a/packages/relay/src/relay_process.cc
+++ b/packages/relay/src/relay_process.cc
@@ -2,12 +2,12 @@
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <utility>
 
 #include "cornelrelay/core/error.h"
 #include "cornelrelay/core/http_status.h"
+#include "cornelrelay/net/rethrow_failure.h"
 #include "cornelrelay/relay/internal_keys.h"
 #include "cornelrelay/runtime/pause.h"
 #include "cornelrelay/runtime/process_setup.h"
@@ -235,7 +235,7 @@
   }
   m_log.Info("shutdown_started", {{"requests", m_gateway.active()}});
   asio::co_spawn(
-      m_context, [this] { return DrainAndStop(); }, asio::detached);
+      m_context, [this] { return DrainAndStop(); }, net::RethrowFailure{});
 }
 
 asio::awaitable<void> RelayProcess::DrainAndStop() {
--- a/packages/runtime/src/host_list_poller.cc
+++ b/packages/runtime/src/host_list_poller.cc
@@ -1,7 +1,6 @@
 #include "cornelrelay/runtime/host_list_poller.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -12,6 +11,7 @@
 
 #include "cornelrelay/core/invalid_endpoint.h"
 #include "cornelrelay/net/errors.h"
+#include "cornelrelay/net/rethrow_failure.h"
 
 namespace cornelrelay::runtime {
 namespace {
@@ -51,7 +51,7 @@
 
 void HostListPoller::Start() {
   asio::co_spawn(
-      m_context, [this] { return Run(); }, asio::detached);
+      m_context, [this] { return Run(); }, net::RethrowFailure{});
 }
 
 asio::awaitable<void> HostListPoller::Run() {
--- a/packages/runtime/src/signal_loop.cc
+++ b/packages/runtime/src/signal_loop.cc
@@ -14,8 +14,9 @@
 void SignalLoop::Wait() {
   m_signals.async_wait([this](const boost::system::error_code& ec, int signal) {
     if (ec) return;  // destroyed
-    m_on_signal(signal);
+    // First, as a handler that throws must not end the wait for further signals.
     Wait();
+    m_on_signal(signal);
   });
 }
 
--- a/packages/runtime/src/store_link.cc
+++ b/packages/runtime/src/store_link.cc
@@ -1,8 +1,8 @@
 #include "cornelrelay/runtime/store_link.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <charconv>
+#include <exception>
 #include <string>
 #include <utility>
 #include <variant>
@@ -10,6 +10,7 @@
 #include "cornelrelay/core/overloaded.h"
 #include "cornelrelay/net/errors.h"
 #include "cornelrelay/net/http_headers.h"
+#include "cornelrelay/net/rethrow_failure.h"
 
 namespace cornelrelay::runtime {
 namespace {
@@ -69,7 +70,8 @@
 void StoreLink::Transmit(const store::TransmitCall& call) {
   ++m_transmissions;
   asio::co_spawn(
-      m_context, [self = shared_from_this(), call] { return self->Run(call); }, asio::detached);
+      m_context, [self = shared_from_this(), call] { return self->Run(call); },
+      net::RethrowFailure{});
 }
 
 asio::awaitable<void> StoreLink::Run(store::TransmitCall call) {
@@ -80,6 +82,10 @@
     reply = store::Unavailable{};
   } catch (const net::ExchangeBroken&) {
     reply = store::TimedOut{};
+  } catch (const std::exception&) {
+    // A fault of this program; whoever made the call waits for a reply all the same.
+    Step(store::ReplyReceived{call.transmission, store::TimedOut{}});
+    throw;
   }
   store::ReplyReceived received;
   received.transmission = call.transmission;
