--- a/packages/net/include/cornelrelay/net/udp_channel.h
+++ b/packages/net/include/cornelrelay/net/udp_channel.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -11,6 +12,9 @@
 
 namespace cornelrelay::net {
 
+/// \brief Longest datagram over IPv4, in bytes: 65,535 less the headers of IP and UDP.
+inline constexpr std::size_t kMaxDatagramBytes = 65'507;
+
 /// \brief A bound UDP socket: calls the handler for each datagram, sends without waiting.
 ///
 /// \code
--- a/packages/net/src/udp_channel.cc
+++ b/packages/net/src/udp_channel.cc
@@ -14,10 +14,6 @@
 using asio::ip::udp;
 using boost::system::error_code;
 
-/// Larger than any datagram that own processes send (1,200 bytes); longer ones are cut and
-/// rejected.
-constexpr std::size_t kReceiveBytes = 2048;
-
 }  // namespace
 
 class UdpChannel::Impl : public std::enable_shared_from_this<UdpChannel::Impl> {
@@ -75,7 +71,7 @@
   udp::socket m_socket;
   Handler m_handler;
   udp::endpoint m_from;
-  std::array<char, kReceiveBytes> m_buffer{};
+  std::array<char, kMaxDatagramBytes> m_buffer{};
 };
 
 UdpChannel::UdpChannel(asio::io_context& context, const core::Endpoint& endpoint, Handler handler)
--- a/packages/relay/src/peer_transport.cc
+++ b/packages/relay/src/peer_transport.cc
@@ -131,8 +131,12 @@
   status.sequence = ++m_sequence;
   status.data_centre = m_data_centre;
   m_callbacks.fill_status(status);
-  const std::string bytes = wire::Encode(status);
-  for (const core::Endpoint& peer : action.to) m_channel.Send(peer, bytes);
+  const wire::EncodedStatus encoded = wire::EncodeWithin(std::move(status), net::kMaxDatagramBytes);
+  if (encoded.omitted > 0) {
+    m_log.Warning("status_shortened",
+                  {{"omitted", encoded.omitted}, {"bytes", encoded.bytes.size()}});
+  }
+  for (const core::Endpoint& peer : action.to) m_channel.Send(peer, encoded.bytes);
   m_metrics.GetCounter("cornelrelay_bulletins_total", "Bulletins sent to peers.")
       .Add(action.to.size());
 }
--- a/packages/wire/include/cornelrelay/wire/fleet_messages.h
+++ b/packages/wire/include/cornelrelay/wire/fleet_messages.h
@@ -23,6 +23,19 @@
   friend bool operator==(const ItemsTransfer&, const ItemsTransfer&) = default;
 };
 
+/// \brief A status as it is sent, and how many entries of its lists were left out.
+struct EncodedStatus {
+  std::string bytes;
+  std::size_t omitted = 0;
+};
+
+/// \brief Encodes a status in at most `limit` bytes.
+///
+/// Leaves out entries that the format cannot hold, and the last ones of the longest lists if the
+/// status exceeds the limit: a short status is worth more to the receivers than none.
+/// \throws MessageTooLarge if the sender's own names exceed their bounds
+EncodedStatus EncodeWithin(peers::PeerStatus status, std::size_t limit);
+
 /// \throws MessageTooLarge
 std::string Encode(const peers::PeerStatus& bulletin);
 std::string Encode(const ItemsTransfer& transfer);
--- a/packages/wire/src/fields.h
+++ b/packages/wire/src/fields.h
@@ -129,13 +129,13 @@
 }
 
 template <class Ar, class Id>
-void Identifier(Ar& ar, Id& id) {
+void Identifier(Ar& ar, Id& id, std::size_t bound = kMaxText) {
   if constexpr (Ar::kReads) {
     std::string value;
-    Text(ar, value);
+    Text(ar, value, bound);
     id = Id(std::move(value));
   } else {
-    Text(ar, id.value());
+    Text(ar, id.value(), bound);
   }
 }
 
--- a/packages/wire/src/fleet_messages.cc
+++ b/packages/wire/src/fleet_messages.cc
@@ -1,5 +1,6 @@
 #include "cornelrelay/wire/fleet_messages.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cmath>
 
@@ -18,6 +19,8 @@
 constexpr std::size_t kMaxItems = 100'000;
 constexpr std::size_t kMaxKeyBytes = 200;
 constexpr std::size_t kMaxValueBytes = 1'048'576;
+/// An id of an upstream is a part of a key of the store.
+constexpr std::size_t kMaxUpstreamIdBytes = kMaxKeyBytes;
 /// The least that one element of a list takes, for the check before allocation.
 constexpr std::size_t kLoadBytes = 3;
 constexpr std::size_t kItemBytes = 10;
@@ -48,7 +51,7 @@
   internal::Flag(ar, b.store_connected);
   internal::Identifier(ar, b.data_centre);
   internal::List<std::uint16_t>(ar, b.loads, kMaxLoads, kLoadBytes, [&](auto& load) {
-    internal::Identifier(ar, load.upstream);
+    internal::Identifier(ar, load.upstream, kMaxUpstreamIdBytes);
     internal::Number<std::uint16_t>(ar, load.in_flight);
   });
   internal::List<std::uint8_t>(ar, b.queues, kMaxQueues, kLoadBytes, [&](auto& queue) {
@@ -58,7 +61,7 @@
   internal::List<std::uint8_t>(ar, b.suspects, kMaxSuspects, kSuspectBytes,
                                [&](auto& suspect) { CodeSuspect<Ar>(ar, suspect); });
   internal::List<std::uint16_t>(ar, b.rate_limits, kMaxLoads, kLoadBytes, [&](auto& limit) {
-    internal::Identifier(ar, limit.upstream);
+    internal::Identifier(ar, limit.upstream, kMaxUpstreamIdBytes);
     internal::Optional(ar, limit.per_second, [&](auto& rate) {
       ar.archive(rate);
       if (!std::isfinite(rate) || rate < 0) throw MalformedMessage();
@@ -89,8 +92,62 @@
 /// Passes the overloads of Code on as one function.
 constexpr auto kCode = [](auto& ar, auto& message) { Code(ar, message); };
 
+template <class T, class Fits>
+std::size_t Keep(std::vector<T>& list, std::size_t most, Fits fits) {
+  const std::size_t before = list.size();
+  std::erase_if(list, [&](const T& entry) { return !fits(entry); });
+  if (list.size() > most) list.resize(most);
+  return before - list.size();
+}
+
+std::size_t KeepEncodable(peers::PeerStatus& status) {
+  const auto has_short_id = [](const auto& entry) {
+    return entry.upstream.value().size() <= kMaxUpstreamIdBytes;
+  };
+  const auto has_short_name = [](const peers::ServiceQueue& queue) {
+    return queue.service.value().size() <= internal::kMaxText;
+  };
+  const auto few_crashes = [](const quarantine::SuspectReport& suspect) {
+    return suspect.crashes.size() <= kMaxCrashes;
+  };
+  return Keep(status.loads, kMaxLoads, has_short_id) +
+         Keep(status.queues, kMaxQueues, has_short_name) +
+         Keep(status.suspects, kMaxSuspects, few_crashes) +
+         Keep(status.rate_limits, kMaxLoads, has_short_id);
+}
+
+template <class T>
+std::size_t DropHalf(std::vector<T>& list) {
+  const std::size_t before = list.size();
+  list.resize(before / 2);
+  return before - list.size();
+}
+
+/// \returns the number of entries that were dropped; 0 if all lists are empty
+std::size_t DropHalfOfLongestList(peers::PeerStatus& status) {
+  const std::size_t longest = std::max({status.loads.size(), status.queues.size(),
+                                        status.suspects.size(), status.rate_limits.size()});
+  if (status.loads.size() == longest) return DropHalf(status.loads);
+  if (status.rate_limits.size() == longest) return DropHalf(status.rate_limits);
+  if (status.queues.size() == longest) return DropHalf(status.queues);
+  return DropHalf(status.suspects);
+}
+
 }  // namespace
 
+EncodedStatus EncodeWithin(peers::PeerStatus status, std::size_t limit) {
+  EncodedStatus encoded;
+  encoded.omitted = KeepEncodable(status);
+  encoded.bytes = Encode(status);
+  while (encoded.bytes.size() > limit) {
+    const std::size_t dropped = DropHalfOfLongestList(status);
+    if (dropped == 0) break;
+    encoded.omitted += dropped;
+    encoded.bytes = Encode(status);
+  }
+  return encoded;
+}
+
 std::string Encode(const peers::PeerStatus& bulletin) {
   return internal::EncodeMessage(bulletin, kCode);
 }
--- a/packages/wire/tests/fleet_messages_test.cc
+++ b/packages/wire/tests/fleet_messages_test.cc
@@ -43,6 +43,51 @@
   CHECK(DecodeItemsTransfer(Encode(transfer)) == transfer);
 }
 
+// Guards against processes that ended by themselves because an upstream had a long id (review/2).
+TEST_CASE("an upstream with the longest id of the store is part of a status") {
+  peers::PeerStatus status = Sample();
+  const core::UpstreamId longest(std::string(200, 'i'));
+  status.loads.push_back({longest, 2});
+  status.rate_limits.push_back({longest, 1.5, std::chrono::milliseconds(10)});
+  const EncodedStatus encoded = EncodeWithin(status, 65'507);
+  CHECK(encoded.omitted == 0);
+  CHECK(DecodePeerStatus(encoded.bytes) == status);
+}
+
+// Guards against processes that ended by themselves because a status could not be encoded.
+TEST_CASE("a status leaves out what its format cannot hold") {
+  peers::PeerStatus status = Sample();
+  status.loads.push_back({core::UpstreamId(std::string(201, 'i')), 2});
+  status.loads.push_back({core::UpstreamId("i-3"), 4});
+  status.queues.push_back({core::ServiceId(std::string(300, 's')), 1});
+  status.rate_limits.push_back({core::UpstreamId(std::string(70'000, 'i')), 1.0, {}});
+  status.suspects.push_back({quarantine::Fingerprint(9), {}, {}});
+  status.suspects.back().crashes.resize(1'000);
+  const EncodedStatus encoded = EncodeWithin(status, 65'507);
+  CHECK(encoded.omitted == 4);
+  peers::PeerStatus expected = Sample();
+  expected.loads.push_back({core::UpstreamId("i-3"), 4});
+  CHECK(DecodePeerStatus(encoded.bytes) == expected);
+}
+
+// Guards against statuses that receivers cut and ignore, so that the sender counts as silent.
+TEST_CASE("a status of a process with many upstreams fits in a datagram") {
+  peers::PeerStatus status = Sample();
+  for (int n = 0; n < 5'000; ++n) {
+    const core::UpstreamId id(std::string(150, 'i') + std::to_string(n));
+    status.loads.push_back({id, 1});
+    status.rate_limits.push_back({id, 1.0, {}});
+  }
+  const EncodedStatus encoded = EncodeWithin(status, 65'507);
+  CHECK(encoded.bytes.size() <= 65'507);
+  const peers::PeerStatus decoded = DecodePeerStatus(encoded.bytes);
+  CHECK(decoded.loads.size() >= 100);
+  CHECK(decoded.queues == status.queues);
+  CHECK(decoded.suspects.size() == status.suspects.size());
+  CHECK(encoded.omitted == status.loads.size() + status.rate_limits.size() - decoded.loads.size() -
+                               decoded.rate_limits.size());
+}
+
 TEST_CASE("calls to ranks and their replies keep their values") {
   RankCall call{7, 2, balance::PrepareMap{28673, balance::SharedLayerMap({{{0, 2}, {1, 0}}})},
                 true};
