--- a/packages/relay/include/cornelrelay/relay/relay_gateway.h
+++ b/packages/relay/include/cornelrelay/relay/relay_gateway.h
@@ -39,6 +39,8 @@
   std::variant<RoutedRequest, Failure> Admit(RelayRequest request, bool body_fits);
   boost::asio::awaitable<void> Refuse(Failure failure, core::RequestId id,
                                       net::ResponseStream& response);
+  /// \brief Answers a request that a fault of this program has ended.
+  boost::asio::awaitable<void> AnswerFailed(core::RequestId id, net::ResponseStream& response);
 
   RelayServices m_services;
   const FleetView& m_fleet;
--- a/packages/relay/include/cornelrelay/relay/relay_task.h
+++ b/packages/relay/include/cornelrelay/relay/relay_task.h
@@ -14,6 +14,7 @@
 #include "cornelrelay/relay/request_record.h"
 #include "cornelrelay/relay/routed_request.h"
 #include "cornelrelay/relay/upstream_call.h"
+#include "cornelrelay/relay/upstream_place.h"
 
 namespace cornelrelay::relay {
 
@@ -69,6 +70,7 @@
   core::RequestId m_internal_id;
   quarantine::RequestFeatures m_features;
   RelayWriter m_writer;
+  std::unique_ptr<UpstreamPlace> m_place;  ///< while an upstream is chosen or works on the request
   std::shared_ptr<UpstreamCall> m_call;
   std::shared_ptr<UpstreamCall> m_failed_call;  ///< call that received the last error response
   std::uint64_t m_upstream_incarnation = 0;     ///< of the upstream of m_call
--- a/packages/relay/src/relay_gateway.cc
+++ b/packages/relay/src/relay_gateway.cc
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <boost/scope_exit.hpp>
+#include <exception>
 #include <utility>
 
+#include "cornelrelay/net/errors.h"
 #include "cornelrelay/relay/malformed_request.h"
 
 namespace cornelrelay::relay {
@@ -51,7 +53,29 @@
                  core::RequestId(m_id_prefix + std::to_string(++m_last_id)), response);
   m_tasks.insert(&task);
   BOOST_SCOPE_EXIT_ALL(this, &task) { m_tasks.erase(&task); };
-  co_await task.Run();
+  bool failed = false;
+  try {
+    co_await task.Run();
+  } catch (const net::CallerGone&) {
+    throw;
+  } catch (const std::exception& error) {
+    m_services.log.Error("request_failed", {{"request", id}, {"reason", error.what()}});
+    failed = true;
+  }
+  if (failed) {
+    co_await AnswerFailed(id, response);
+  }
+}
+
+boost::asio::awaitable<void> RelayGateway::AnswerFailed(core::RequestId id,
+                                                        net::ResponseStream& response) {
+  if (response.Started()) {
+    response.Abort();
+    co_return;
+  }
+  const Failure failure{FailureKind::kUpstreamFailed, Execution::kUnknown, {}};
+  net::HttpResponse answer = m_services.callers.Encode(failure, id);
+  co_await response.SendWhole(std::move(answer));
 }
 
 std::variant<RoutedRequest, Failure> RelayGateway::Admit(RelayRequest request, bool body_fits) {
--- a/packages/relay/src/relay_task.cc
+++ b/packages/relay/src/relay_task.cc
@@ -81,7 +81,7 @@
 boost::asio::awaitable<void> RelayTask::Run() {
   m_services.retries.ForService(m_routed.service).OnRequest();
   co_await Drive();
-  m_services.dispatchers.Withdraw(m_routed.service, m_internal_id);
+  m_place.reset();
   co_await Finish();
 }
 
@@ -113,18 +113,18 @@
 void RelayTask::Perform(const request::ChooseUpstream& action) {
   if (RefuseIfQuarantined()) return;
   dispatch::RequestArrived arrival;
-  arrival.request = m_internal_id;
   if (m_routed.account) arrival.account = m_routed.account->id;
   arrival.priority = m_routed.Priority();
   arrival.target_latency = m_routed.route.target_latency;
   arrival.deadline = m_routed.deadline;
   arrival.prompt_tokens = m_routed.request.prompt_tokens;
   arrival.excluded = action.excluded;
-  m_services.dispatchers.Submit(
-      m_routed.service, arrival,
-      [this, mailbox = mailbox()](const ServiceDispatchers::Decision& decision) {
-        if (!mailbox->closed()) OnDecision(decision);
-      });
+  m_place =
+      std::make_unique<UpstreamPlace>(m_services.dispatchers, m_routed.service, m_internal_id);
+  m_place->Request(arrival,
+                   [this, mailbox = mailbox()](const ServiceDispatchers::Decision& decision) {
+                     if (!mailbox->closed()) OnDecision(decision);
+                   });
 }
 
 void RelayTask::OnDecision(const ServiceDispatchers::Decision& decision) {
@@ -141,7 +141,7 @@
                                               {"configuration", m_routed.configuration_version},
                                               {"directory", m_services.directory.version()}});
                          if (RefuseIfQuarantined()) {
-                           m_services.dispatchers.Withdraw(m_routed.service, m_internal_id);
+                           m_place.reset();
                            return;
                          }
                          mailbox()->Push(request::UpstreamChosen{assigned.upstream});
@@ -251,7 +251,7 @@
 
 void RelayTask::RecordOutput() {
   m_stall_detector.RecordOutput(m_services.clock.Now());
-  m_services.dispatchers.RecordFirstOutput(m_routed.service, m_internal_id);
+  m_place->RecordOutput();
   m_services.quarantine.RecordOutput(m_features);
 }
 
@@ -320,7 +320,7 @@
   m_last_result = action.result;
   RecordHead();
   if (action.result == request::AttemptResult::kFailed) m_failed_call = m_call;
-  m_services.dispatchers.RecordAttemptEnd(m_routed.service, m_internal_id, AttemptEndOf(action));
+  m_place->RecordAttemptEnd(AttemptEndOf(action));
   if (action.result == request::AttemptResult::kBroken && m_call->lost_before_output()) {
     ExamineLostAttempt(action.upstream);
   }
