--- a/packages/dispatch/include/cornelrelay/dispatch/dispatch_event.h
+++ b/packages/dispatch/include/cornelrelay/dispatch/dispatch_event.h
@@ -69,6 +69,18 @@
   double prompt_tokens = 0;
   std::set<core::UpstreamId> excluded;  ///< upstreams of its earlier attempts
 };
+
+/// \brief A request whose attempt has stalled wants a place on another upstream. The attempt goes
+/// on meanwhile, under another id.
+///
+/// Gets the next free slot, before the requests that wait in the queue: it has begun before them.
+/// It waits until it is assigned or withdrawn and is never rejected.
+struct PlaceSought {
+  core::RequestId request;
+  double prompt_tokens = 0;
+  std::set<core::UpstreamId> excluded;  ///< upstreams of its attempts, which are of no use to it
+};
+
 /// \brief The request no longer needs an upstream.
 ///
 /// It leaves the queue. If it was assigned to an upstream, its attempt ends as with
@@ -101,7 +113,7 @@
 
 using DispatchEvent =
     std::variant<UpstreamsChanged, PeerLoadChanged, RateLimitObserved, BackoffRequested,
-                 PeerRateLimitsChanged, PromptWeightChanged, RequestArrived, RequestWithdrawn,
-                 FirstOutputReceived, AttemptEnded, DispatchTick>;
+                 PeerRateLimitsChanged, PromptWeightChanged, RequestArrived, PlaceSought,
+                 RequestWithdrawn, FirstOutputReceived, AttemptEnded, DispatchTick>;
 
 }  // namespace cornelrelay::dispatch
--- a/packages/dispatch/include/cornelrelay/dispatch/dispatcher.h
+++ b/packages/dispatch/include/cornelrelay/dispatch/dispatcher.h
@@ -63,6 +63,11 @@
   }
   /// \brief Returns when a request of the service last gave output.
   core::Instant last_output() const { return m_upstreams.last_output(); }
+  /// \brief Returns when the upstream last showed a sign of life in any request; the epoch if it
+  /// has not.
+  core::Instant LastSignOfLife(const core::UpstreamId& upstream) const {
+    return m_upstreams.LastSignOfLife(upstream);
+  }
 
  private:
   struct WaitingRequest {
@@ -70,6 +75,10 @@
     core::Instant arrived;
     core::Instant start_by;
   };
+  struct SoughtPlace {
+    PlaceSought request;
+    core::Instant since;
+  };
   struct RunningRequest {
     core::UpstreamId upstream;
     core::Instant started;
@@ -85,6 +94,7 @@
   void Apply(core::Instant now, const PeerRateLimitsChanged& event, Actions& out);
   void Apply(core::Instant now, const PromptWeightChanged& event, Actions& out);
   void Apply(core::Instant now, const RequestArrived& event, Actions& out);
+  void Apply(core::Instant now, const PlaceSought& event, Actions& out);
   void Apply(core::Instant now, const RequestWithdrawn& event, Actions& out);
   void Apply(core::Instant now, const FirstOutputReceived& event, Actions& out);
   void Apply(core::Instant now, const AttemptEnded& event, Actions& out);
@@ -92,10 +102,11 @@
 
   core::Duration ExpectedWait(core::Instant now, const RequestArrived& event) const;
   core::Duration JitteredRetryAfter(core::Duration min_delay);
-  void Assign(core::Instant now, const core::UpstreamId& upstream, const WaitingRequest& waiting,
-              Actions& out);
+  void Assign(core::Instant now, const core::UpstreamId& upstream, const core::RequestId& request,
+              double prompt_tokens, core::Duration waited, Actions& out);
   void Reject(const core::RequestId& request, RejectReason reason, core::Duration wait,
               core::Duration retry_after, Actions& out);
+  void AssignSought(core::Instant now, Actions& out);
   void AssignWaiting(core::Instant now, Actions& out);
   void RejectOverdueOrBlocked(core::Instant now, Actions& out);
 
@@ -106,6 +117,7 @@
   std::map<core::RequestId, WaitingRequest> m_waiting;
   std::map<core::RequestId, RunningRequest> m_running;
   limits::FairQueue m_queue;
+  std::vector<SoughtPlace> m_sought;  ///< in the order of their arrival
   std::uint32_t m_peers_waiting = 0;
   core::Duration m_mean_service_time;
   core::Duration m_mean_time_to_first_output;
--- a/packages/dispatch/include/cornelrelay/dispatch/upstream_pool.h
+++ b/packages/dispatch/include/cornelrelay/dispatch/upstream_pool.h
@@ -93,6 +93,11 @@
   /// \brief Records that some request of the service gave output.
   void RecordOutput(core::Instant now) { m_last_output = now; }
 
+  /// \brief Records that the upstream gave output to some request.
+  void RecordSignOfLife(core::Instant now, const core::UpstreamId& id);
+  /// \brief Returns when the upstream last gave output or answered; the epoch if it has not.
+  core::Instant LastSignOfLife(const core::UpstreamId& id) const;
+
   bool AnyListed() const;
   /// \brief Returns whether all listed upstreams are blocked by an unavailable one and none may be
   /// tried now.
@@ -127,6 +132,7 @@
     /// Set when the upstream is blocked by an unavailable one; cleared by an output.
     std::optional<core::Instant> blocked_until;
     core::Instant backed_off_until{};  ///< it asked for no requests before this time
+    core::Instant last_sign_of_life{};
     RateLimitShare rate;
     std::optional<RateLimitObservation> own_observation;
   };
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -61,6 +61,7 @@
   Actions out;
   m_now = now;
   std::visit([&](const auto& e) { Apply(now, e, out); }, event);
+  AssignSought(now, out);
   AssignWaiting(now, out);
   RejectOverdueOrBlocked(now, out);
   return out;
@@ -124,7 +125,14 @@
   m_waiting.emplace(event.request, std::move(waiting));
 }
 
+void Dispatcher::Apply(core::Instant now, const PlaceSought& event, Actions&) {
+  assert(!m_waiting.contains(event.request) && !m_running.contains(event.request));
+  m_sought.push_back({event, now});
+}
+
 void Dispatcher::Apply(core::Instant now, const RequestWithdrawn& event, Actions& out) {
+  std::erase_if(m_sought,
+                [&](const SoughtPlace& sought) { return sought.request.request == event.request; });
   m_queue.Remove(event.request);
   m_waiting.erase(event.request);
   if (m_running.contains(event.request)) {
@@ -135,7 +143,9 @@
 void Dispatcher::Apply(core::Instant now, const FirstOutputReceived& event, Actions& out) {
   m_upstreams.RecordOutput(now);
   const auto found = m_running.find(event.request);
-  if (found == m_running.end() || found->second.has_output) return;
+  if (found == m_running.end()) return;
+  m_upstreams.RecordSignOfLife(now, found->second.upstream);
+  if (found->second.has_output) return;
   RunningRequest& running = found->second;
   running.has_output = true;
   UpdateMean(m_mean_time_to_first_output, now - running.started);
@@ -179,6 +189,16 @@
   return Scale(base, 1 + m_random.Unit());
 }
 
+void Dispatcher::AssignSought(core::Instant now, Actions& out) {
+  std::erase_if(m_sought, [&](const SoughtPlace& sought) {
+    const PlaceSought& request = sought.request;
+    const auto upstream = m_upstreams.Choose(now, request.excluded);
+    if (!upstream) return false;
+    Assign(now, *upstream, request.request, request.prompt_tokens, now - sought.since, out);
+    return true;
+  });
+}
+
 void Dispatcher::AssignWaiting(core::Instant now, Actions& out) {
   while (m_queue.size() > 0) {
     if (!m_upstreams.Choose(now, {})) return;
@@ -192,17 +212,17 @@
     // If only excluded upstreams have a free slot, the request is sent to one of them again.
     if (!upstream) upstream = m_upstreams.Choose(now, {});
     assert(upstream);
-    Assign(now, *upstream, waiting, out);
+    const RequestArrived& arrival = waiting.arrival;
+    Assign(now, *upstream, arrival.request, arrival.prompt_tokens, now - waiting.arrived, out);
   }
 }
 
 void Dispatcher::Assign(core::Instant now, const core::UpstreamId& upstream,
-                        const WaitingRequest& waiting, Actions& out) {
-  const RequestArrived& arrival = waiting.arrival;
-  const UpstreamPool::Load load = m_upstreams.StartAttempt(now, upstream, arrival.prompt_tokens);
-  m_running.emplace(arrival.request, RunningRequest{upstream, now, arrival.prompt_tokens, false});
-  out.emplace_back(Assigned{arrival.request, upstream, load.own_in_flight, load.peers_in_flight,
-                            now - waiting.arrived});
+                        const core::RequestId& request, double prompt_tokens, core::Duration waited,
+                        Actions& out) {
+  const UpstreamPool::Load load = m_upstreams.StartAttempt(now, upstream, prompt_tokens);
+  m_running.emplace(request, RunningRequest{upstream, now, prompt_tokens, false});
+  out.emplace_back(Assigned{request, upstream, load.own_in_flight, load.peers_in_flight, waited});
 }
 
 void Dispatcher::RejectOverdueOrBlocked(core::Instant now, Actions& out) {
@@ -230,7 +250,7 @@
   std::optional<core::Instant> wake;
   const auto consider = [&](core::Instant at) { wake = wake ? std::min(*wake, at) : at; };
   for (const auto& [request, waiting] : m_waiting) consider(waiting.start_by);
-  if (m_waiting.empty()) return wake;
+  if (m_waiting.empty() && m_sought.empty()) return wake;
   if (const auto unblock = m_upstreams.NextUnblock()) consider(*unblock);
   if (const auto admission = m_upstreams.NextRateAdmission(m_now)) consider(*admission);
   if (const auto end = m_upstreams.NextBackoffEnd(m_now)) consider(*end);
--- a/packages/dispatch/src/upstream_pool.cc
+++ b/packages/dispatch/src/upstream_pool.cc
@@ -197,8 +197,21 @@
   return next;
 }
 
+void UpstreamPool::RecordSignOfLife(core::Instant now, const core::UpstreamId& id) {
+  const auto found = m_upstreams.find(id);
+  if (found != m_upstreams.end()) found->second.last_sign_of_life = now;
+}
+
+core::Instant UpstreamPool::LastSignOfLife(const core::UpstreamId& id) const {
+  const auto found = m_upstreams.find(id);
+  return found == m_upstreams.end() ? core::Instant{} : found->second.last_sign_of_life;
+}
+
 void UpstreamPool::RecordResult(core::Instant now, Upstream& upstream, AttemptEnd end,
                                 Actions& out) {
+  const bool answered = end == AttemptEnd::kCompleted || end == AttemptEnd::kErrorResponse ||
+                        end == AttemptEnd::kRefused;
+  if (answered) upstream.last_sign_of_life = now;
   const HealthState before = upstream.health.state();
   switch (end) {
     case AttemptEnd::kCompleted:
--- a/packages/dispatch/tests/dispatcher_test.cc
+++ b/packages/dispatch/tests/dispatcher_test.cc
@@ -108,6 +108,63 @@
   CHECK(late.front().reason == RejectReason::kQueueTimeout);
 }
 
+// Load pattern: all slots are taken and callers wait. Guards against giving up an attempt before
+// there is a place for the next one (review/5).
+TEST_CASE("a place is sought while the stalled attempt keeps its slot") {
+  Dispatcher dispatcher = MakeDispatcher(2, 1);
+  const auto first = ActionsOf<Assigned>(dispatcher.Step(At(0), Arrival(0))).at(0).upstream;
+  const auto second = ActionsOf<Assigned>(dispatcher.Step(At(0), Arrival(1))).at(0).upstream;
+  REQUIRE(first != second);
+  REQUIRE(ActionsOf<Rejected>(dispatcher.Step(At(0), Arrival(2))).empty());
+  const core::RequestId next("r0-next");
+  CHECK(ActionsOf<Assigned>(dispatcher.Step(At(10), PlaceSought{next, 0, {first}})).empty());
+  CHECK(dispatcher.InFlight()[first] == 1);
+  // Its own slot is of no use to it.
+  const auto own = ActionsOf<Assigned>(
+      dispatcher.Step(At(20), AttemptEnded{RequestNo(0), AttemptEnd::kCompleted}));
+  REQUIRE(own.size() == 1);
+  CHECK(own.front().request == RequestNo(2));
+  // It goes before the requests that wait, as it has begun before them.
+  REQUIRE(ActionsOf<Rejected>(dispatcher.Step(At(25), Arrival(3))).empty());
+  const auto other = ActionsOf<Assigned>(
+      dispatcher.Step(At(30), AttemptEnded{RequestNo(1), AttemptEnd::kCompleted}));
+  REQUIRE(other.size() == 1);
+  CHECK(other.front().request == next);
+  CHECK(other.front().upstream == second);
+  CHECK(other.front().waited == milliseconds(20));
+}
+
+TEST_CASE("a place that is no longer sought is given to others") {
+  Dispatcher dispatcher = MakeDispatcher(2, 1);
+  const auto first = ActionsOf<Assigned>(dispatcher.Step(At(0), Arrival(0))).at(0).upstream;
+  dispatcher.Step(At(0), Arrival(1));
+  const core::RequestId next("r0-next");
+  dispatcher.Step(At(10), PlaceSought{next, 0, {first}});
+  dispatcher.Step(At(20), RequestWithdrawn{next});
+  CHECK(ActionsOf<Assigned>(
+            dispatcher.Step(At(30), AttemptEnded{RequestNo(1), AttemptEnd::kCompleted}))
+            .empty());
+  const auto held = ActionsOf<Assigned>(dispatcher.Step(At(40), PlaceSought{next, 0, {first}}));
+  REQUIRE(held.size() == 1);
+  dispatcher.Step(At(50), RequestWithdrawn{next});
+  CHECK(dispatcher.InFlight().size() == 1);
+}
+
+TEST_CASE("output and answers are signs of life of their upstream") {
+  Dispatcher dispatcher = MakeDispatcher(1, 2);
+  dispatcher.Step(At(0), Arrival(0));
+  dispatcher.Step(At(0), Arrival(1));
+  CHECK(dispatcher.LastSignOfLife(UpstreamNo(0)) == core::Instant{});
+  dispatcher.Step(At(10), FirstOutputReceived{RequestNo(0)});
+  CHECK(dispatcher.LastSignOfLife(UpstreamNo(0)) == At(10));
+  dispatcher.Step(At(20), FirstOutputReceived{RequestNo(0)});
+  CHECK(dispatcher.LastSignOfLife(UpstreamNo(0)) == At(20));
+  dispatcher.Step(At(30), AttemptEnded{RequestNo(0), AttemptEnd::kFailed});
+  CHECK(dispatcher.LastSignOfLife(UpstreamNo(0)) == At(20));
+  dispatcher.Step(At(40), AttemptEnded{RequestNo(1), AttemptEnd::kRefused});
+  CHECK(dispatcher.LastSignOfLife(UpstreamNo(0)) == At(40));
+}
+
 // Load pattern: a slow or failing upstream at peak load. u0 fails every request. It is ejected
 // after two failures and fails once more in a trial.
 TEST_CASE("an upstream that fails twice is ejected, then gets one trial request per ejection") {
--- a/packages/relay/include/cornelrelay/relay/relay_task.h
+++ b/packages/relay/include/cornelrelay/relay/relay_task.h
@@ -36,7 +36,7 @@
   std::size_t pending() const override { return m_writer.pending(); }
   boost::asio::awaitable<void> WriteAnswer() override { return m_writer.Flush(); }
   core::Instant NextWake() const override;
-  void OnEventsProcessed() override { AbandonIfStalled(); }
+  void OnEventsProcessed() override;
 
   void Perform(const request::AcquireAdmission& action) override;
   void Perform(const request::ChooseUpstream& action) override;
@@ -61,9 +61,14 @@
   void RecordHead();
   dispatch::AttemptEnd AttemptEndOf(const request::RecordAttempt& action) const;
   std::optional<dispatch::ServiceActivity> CurrentActivity() const;
-  bool MayRetry() const;
-  /// \brief Breaks off the attempt if it has been silent for too long and a retry is allowed.
-  void AbandonIfStalled();
+  /// \brief Whether another attempt may take the place of the one in flight.
+  bool MayReplaceAttempt() const;
+  /// \brief Seeks a place on another upstream if the attempt has been silent for too long.
+  void SeekPlaceIfStalled();
+  /// \brief Gives up the stalled attempt for the place that is now held, if a retry is granted.
+  void ReplaceAttempt();
+  void DropNextPlace();
+  std::unique_ptr<UpstreamPlace> MakePlace();
 
   RelayServices& m_services;
   RoutedRequest m_routed;
@@ -71,6 +76,11 @@
   quarantine::RequestFeatures m_features;
   RelayWriter m_writer;
   std::unique_ptr<UpstreamPlace> m_place;  ///< while an upstream is chosen or works on the request
+  /// Sought while a stalled attempt goes on. Any output of the attempt drops it.
+  std::unique_ptr<UpstreamPlace> m_next_place;
+  std::optional<dispatch::Assigned> m_next_assigned;  ///< once m_next_place is held
+  bool m_replacing = false;                           ///< a retry is granted for m_next_place
+  std::uint64_t m_places = 0;
   std::shared_ptr<UpstreamCall> m_call;
   std::shared_ptr<UpstreamCall> m_failed_call;  ///< call that received the last error response
   std::uint64_t m_upstream_incarnation = 0;     ///< of the upstream of m_call
--- a/packages/relay/include/cornelrelay/relay/service_dispatchers.h
+++ b/packages/relay/include/cornelrelay/relay/service_dispatchers.h
@@ -42,6 +42,10 @@
   /// Rejects the request if no configuration has named the service so far.
   void Submit(const core::ServiceId& service, const dispatch::RequestArrived& arrival,
               OnDecision on_decision);
+  /// \brief Seeks a place for a request whose present attempt goes on. Calls `on_decision` once
+  /// with the upstream, possibly before returning, unless the place is withdrawn first.
+  void SeekPlace(const core::ServiceId& service, const dispatch::PlaceSought& sought,
+                 OnDecision on_decision);
   void Withdraw(const core::ServiceId& service, const core::RequestId& request);
   void RecordFirstOutput(const core::ServiceId& service, const core::RequestId& request);
   void RecordAttemptEnd(const core::ServiceId& service, const core::RequestId& request,
--- a/packages/relay/include/cornelrelay/relay/upstream_place.h
+++ b/packages/relay/include/cornelrelay/relay/upstream_place.h
@@ -25,6 +25,9 @@
 
   /// \brief Asks for an upstream; see ServiceDispatchers::Submit(). `arrival.request` is ignored.
   void Request(dispatch::RequestArrived arrival, ServiceDispatchers::OnDecision on_decision);
+  /// \brief Asks for another upstream than those of the request's attempts; see
+  /// ServiceDispatchers::SeekPlace(). `sought.request` is ignored.
+  void Seek(dispatch::PlaceSought sought, ServiceDispatchers::OnDecision on_decision);
   void RecordOutput();
   void RecordAttemptEnd(dispatch::AttemptEnd end);
 
--- a/packages/relay/include/cornelrelay/relay/upstream_request.h
+++ b/packages/relay/include/cornelrelay/relay/upstream_request.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 
@@ -17,6 +18,8 @@
   RelayRequest request;
   std::optional<core::ClientAccountId> account;
   std::optional<std::uint64_t> resume_after;  ///< id of the last event that was forwarded
+  /// Time without an event of a stream after which its caller disconnects.
+  core::Duration caller_patience = std::chrono::seconds(2);
   core::Instant deadline;  ///< time at which the upstream stops working on the request
 
   friend bool operator==(const UpstreamRequest&, const UpstreamRequest&) = default;
--- a/packages/relay/src/relay_task.cc
+++ b/packages/relay/src/relay_task.cc
@@ -47,6 +47,11 @@
   return features;
 }
 
+dispatch::ExpectedResponse ExpectedResponseOf(const routes::Route& route) {
+  return {route.kind == routes::RequestKind::kStream, route.target_latency, route.target_gap,
+          route.CallerPatience()};
+}
+
 FailureKind FailureKindOf(request::RequestError error) {
   switch (error) {
     case request::RequestError::kOverloaded:
@@ -76,18 +81,20 @@
       m_internal_id(std::move(internal_id)),
       m_features(FeaturesOf(m_routed)),
       m_writer(response),
-      m_stall_detector(m_routed.route.kind == routes::RequestKind::kStream) {}
+      m_stall_detector(ExpectedResponseOf(m_routed.route)) {}
 
 boost::asio::awaitable<void> RelayTask::Run() {
   m_services.retries.ForService(m_routed.service).OnRequest();
   co_await Drive();
+  DropNextPlace();
   m_place.reset();
   co_await Finish();
 }
 
 core::Instant RelayTask::NextWake() const {
+  const bool check_needed = !m_next_place && MayReplaceAttempt();
   const core::Instant check =
-      MayRetry() ? m_stall_detector.NextCheck(CurrentActivity()) : core::Instant::max();
+      check_needed ? m_stall_detector.NextCheck(CurrentActivity()) : core::Instant::max();
   return std::min(RequestDriver::NextWake(), check);
 }
 
@@ -110,8 +117,18 @@
   EndForQuarantine();
 }
 
+std::unique_ptr<UpstreamPlace> RelayTask::MakePlace() {
+  const core::RequestId id(m_internal_id.value() + '/' + std::to_string(++m_places));
+  return std::make_unique<UpstreamPlace>(m_services.dispatchers, m_routed.service, id);
+}
+
 void RelayTask::Perform(const request::ChooseUpstream& action) {
   if (RefuseIfQuarantined()) return;
+  if (std::exchange(m_replacing, false)) {
+    m_place = std::move(m_next_place);
+    OnDecision(*std::exchange(m_next_assigned, std::nullopt));
+    return;
+  }
   dispatch::RequestArrived arrival;
   if (m_routed.account) arrival.account = m_routed.account->id;
   arrival.priority = m_routed.Priority();
@@ -119,8 +136,7 @@
   arrival.deadline = m_routed.deadline;
   arrival.prompt_tokens = m_routed.request.prompt_tokens;
   arrival.excluded = action.excluded;
-  m_place =
-      std::make_unique<UpstreamPlace>(m_services.dispatchers, m_routed.service, m_internal_id);
+  m_place = MakePlace();
   m_place->Request(arrival,
                    [this, mailbox = mailbox()](const ServiceDispatchers::Decision& decision) {
                      if (!mailbox->closed()) OnDecision(decision);
@@ -163,7 +179,9 @@
 }
 
 void RelayTask::Perform(const request::AcquireRetryToken&) {
-  if (m_examining) {
+  if (m_replacing) {
+    mailbox()->Push(request::RetryGranted{});
+  } else if (m_examining) {
     m_retry_waiting = true;
   } else {
     DecideRetry();
@@ -215,6 +233,7 @@
   if (m_routed.account) message.account = m_routed.account->id;
   message.resume_after = m_routed.request.resume_after;
   if (action.resume_after.sequence > 0) message.resume_after = action.resume_after.sequence;
+  message.caller_patience = m_routed.route.CallerPatience();
   message.deadline = m_routed.deadline;
   m_stall_detector.StartAttempt(m_services.clock.Now());
   // The upstream may close an idle connection while the request is in transit. It is then unknown
@@ -250,8 +269,10 @@
 }
 
 void RelayTask::RecordOutput() {
-  m_stall_detector.RecordOutput(m_services.clock.Now());
+  DropNextPlace();
   m_place->RecordOutput();
+  // After the dispatcher, so that this output is no sign of life after the last output.
+  m_stall_detector.RecordOutput(m_services.clock.Now());
   m_services.quarantine.RecordOutput(m_features);
 }
 
@@ -308,6 +329,12 @@
                                                     : dispatch::AttemptEnd::kCancelled;
     }
     case AttemptResult::kBroken:
+      // An attempt on an upstream that is alive was too slow for its caller, but did not fail.
+      if (m_replacing &&
+          m_stall_detector.UpstreamAlive(m_services.clock.Now(), CurrentActivity())) {
+        return dispatch::AttemptEnd::kCancelled;
+      }
+      return dispatch::AttemptEnd::kFailed;
     case AttemptResult::kConnectFailed:
     case AttemptResult::kForeign:
       return dispatch::AttemptEnd::kFailed;
@@ -321,6 +348,7 @@
   RecordHead();
   if (action.result == request::AttemptResult::kFailed) m_failed_call = m_call;
   m_place->RecordAttemptEnd(AttemptEndOf(action));
+  if (!m_replacing) DropNextPlace();
   if (action.result == request::AttemptResult::kBroken && m_call->lost_before_output()) {
     ExamineLostAttempt(action.upstream);
   }
@@ -337,23 +365,66 @@
 std::optional<dispatch::ServiceActivity> RelayTask::CurrentActivity() const {
   const auto* dispatcher = m_services.dispatchers.FindDispatcher(m_routed.service);
   if (dispatcher == nullptr) return std::nullopt;
-  return dispatch::ServiceActivity{dispatcher->mean_service_time(), dispatcher->last_output()};
+  const core::Instant sign_of_life =
+      m_call ? dispatcher->LastSignOfLife(m_call->upstream_id()) : core::Instant{};
+  return dispatch::ServiceActivity{dispatcher->mean_service_time(), dispatcher->last_output(),
+                                   sign_of_life};
+}
+
+bool RelayTask::MayReplaceAttempt() const {
+  return m_stall_detector.in_flight() && m_routed.route.IsRepeatable() && snapshot().may_retry;
 }
 
-bool RelayTask::MayRetry() const {
-  return m_routed.route.IsRepeatable() && snapshot().attempts < m_routed.route.max_attempts;
+void RelayTask::OnEventsProcessed() {
+  SeekPlaceIfStalled();
+  if (m_next_assigned && !m_replacing) ReplaceAttempt();
 }
 
-void RelayTask::AbandonIfStalled() {
+void RelayTask::SeekPlaceIfStalled() {
+  if (m_next_place || !MayReplaceAttempt()) return;
   const core::Instant now = m_services.clock.Now();
-  if (!MayRetry() || !m_stall_detector.DetectStall(now, CurrentActivity())) return;
+  if (!m_stall_detector.DetectStall(now, CurrentActivity())) return;
   if (m_services.retries.ForService(m_routed.service).saved() < 1) return;
-  m_services.log.Warning("attempt_given_up", {{"request", m_routed.request.id},
-                                              {"service", m_routed.service},
-                                              {"attempt", m_call->attempt()},
-                                              {"silent_us", now - m_stall_detector.last_output()}});
+  m_services.log.Warning("attempt_stalled", {{"request", m_routed.request.id},
+                                             {"service", m_routed.service},
+                                             {"attempt", m_call->attempt()},
+                                             {"upstream", m_call->upstream_id()},
+                                             {"silent_us", now - m_stall_detector.last_output()}});
+  m_next_place = MakePlace();
+  dispatch::PlaceSought sought;
+  sought.prompt_tokens = m_routed.request.prompt_tokens;
+  sought.excluded = snapshot().tried;
+  m_next_place->Seek(sought,
+                     [this, mailbox = mailbox()](const ServiceDispatchers::Decision& decision) {
+                       if (mailbox->closed()) return;
+                       m_next_assigned = std::get<dispatch::Assigned>(decision);
+                       // Wakes the request, which may have output of the attempt to handle first.
+                       mailbox->Push(request::TimePassed{});
+                     });
+}
+
+void RelayTask::ReplaceAttempt() {
+  const auto entry = m_services.directory.Find(m_next_assigned->upstream);
+  const bool usable = entry && !entry->leaving && MayReplaceAttempt();
+  if (!usable || !m_services.retries.ForService(m_routed.service).TryRetry()) {
+    return DropNextPlace();
+  }
+  m_services.log.Warning("attempt_given_up",
+                         {{"request", m_routed.request.id},
+                          {"service", m_routed.service},
+                          {"attempt", m_call->attempt()},
+                          {"silent_us", m_services.clock.Now() - m_stall_detector.last_output()},
+                          {"next_upstream", m_next_assigned->upstream},
+                          {"waited_us", m_next_assigned->waited}});
+  m_replacing = true;
   m_call->Cancel();
   Step(request::UpstreamClosed{m_call->attempt()});
 }
 
+void RelayTask::DropNextPlace() {
+  m_next_place.reset();
+  m_next_assigned.reset();
+  m_replacing = false;
+}
+
 }  // namespace cornelrelay::relay
--- a/packages/relay/src/service_dispatchers.cc
+++ b/packages/relay/src/service_dispatchers.cc
@@ -100,6 +100,15 @@
   m_on_load_change();
 }
 
+void ServiceDispatchers::SeekPlace(const core::ServiceId& service,
+                                   const dispatch::PlaceSought& sought, OnDecision on_decision) {
+  Service* found = Find(service);
+  if (found == nullptr) return;
+  m_pending_decisions.emplace(sought.request, std::move(on_decision));
+  Step(service, *found, sought);
+  m_on_load_change();
+}
+
 void ServiceDispatchers::Withdraw(const core::ServiceId& service, const core::RequestId& request) {
   m_pending_decisions.erase(request);
   if (Service* found = Find(service)) Step(service, *found, dispatch::RequestWithdrawn{request});
--- a/packages/relay/src/upstream_call.cc
+++ b/packages/relay/src/upstream_call.cc
@@ -15,8 +15,6 @@
 constexpr std::size_t kMaxEventBytes = 262'144;
 /// Bytes of events without an id, such as comments, between two events with an id.
 constexpr std::size_t kMaxUnnumberedBytes = 65'536;
-/// How long such bytes, or parts of an event, may arrive. Callers leave after as long a pause.
-constexpr std::chrono::milliseconds kMaxTimeWithoutProgress{2'000};
 /// Body of a refusal that is read so that the connection can be used again.
 constexpr std::size_t kMaxRefusalBytes = 65'536;
 /// A response that is not a stream is buffered as a whole, so that a truncated one never looks
@@ -210,7 +208,7 @@
 
 void UpstreamCall::CheckProgress() {
   const bool too_long =
-      m_no_progress_since && m_clock.Now() - *m_no_progress_since > kMaxTimeWithoutProgress;
+      m_no_progress_since && m_clock.Now() - *m_no_progress_since > m_request.caller_patience;
   if (!too_long && m_unnumbered_bytes <= kMaxUnnumberedBytes) return;
   throw net::ExchangeBroken(upstream(), net::BreakCause::kNoProgress,
                             "the stream sends bytes but no event with an id");
--- a/packages/relay/src/upstream_place.cc
+++ b/packages/relay/src/upstream_place.cc
@@ -16,6 +16,11 @@
   m_dispatchers.Submit(m_service, arrival, std::move(on_decision));
 }
 
+void UpstreamPlace::Seek(dispatch::PlaceSought sought, ServiceDispatchers::OnDecision on_decision) {
+  sought.request = m_id;
+  m_dispatchers.SeekPlace(m_service, sought, std::move(on_decision));
+}
+
 void UpstreamPlace::RecordOutput() { m_dispatchers.RecordFirstOutput(m_service, m_id); }
 
 void UpstreamPlace::RecordAttemptEnd(dispatch::AttemptEnd end) {
--- a/packages/request/include/cornelrelay/request/request_snapshot.h
+++ b/packages/request/include/cornelrelay/request/request_snapshot.h
@@ -23,6 +23,7 @@
   std::set<core::UpstreamId> tried;  ///< upstreams to which an attempt was opened
   std::optional<core::Instant> wake_at;
   std::optional<RequestError> error;
+  bool may_retry = false;  ///< whether another attempt may follow if the current one breaks now
 };
 
 }  // namespace cornelrelay::request
--- a/packages/request/src/request_core.cc
+++ b/packages/request/src/request_core.cc
@@ -181,8 +181,8 @@
 }
 
 RequestSnapshot RequestCore::Snapshot() const {
-  return {m_attributes.id,     m_state,   m_attempts, AnyAttemptSent(), m_claim_held,
-          m_position.sequence, m_attempt, m_tried,    WakeAt(),         m_error};
+  return {m_attributes.id, m_state, m_attempts, AnyAttemptSent(), m_claim_held, m_position.sequence,
+          m_attempt,       m_tried, WakeAt(),   m_error,          MayRetry()};
 }
 
 void RequestCore::RequestUpstream() { m_actions.emplace_back(ChooseUpstream{m_tried}); }
--- a/packages/request/src/to_json.cc
+++ b/packages/request/src/to_json.cc
@@ -9,7 +9,7 @@
       {"id", snapshot.id.value()},         {"state", ToString(snapshot.state)},
       {"attempts", snapshot.attempts},     {"sent", snapshot.sent},
       {"claim_held", snapshot.claim_held}, {"forwarded_sequence", snapshot.forwarded_sequence},
-      {"tried", nlohmann::json::array()}};
+      {"may_retry", snapshot.may_retry},   {"tried", nlohmann::json::array()}};
   for (const auto& upstream : snapshot.tried) out["tried"].push_back(upstream.value());
   if (snapshot.current_attempt) out["current_attempt"] = snapshot.current_attempt->value();
   if (snapshot.wake_at) out["wake_at_us"] = snapshot.wake_at->time_since_epoch().count();
--- a/packages/routes/include/cornelrelay/routes/route.h
+++ b/packages/routes/include/cornelrelay/routes/route.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -40,7 +42,20 @@
     return kind == RequestKind::kIdempotent || (kind == RequestKind::kStream && resumable);
   }
 
+  /// \brief Returns the pause after which callers of a stream disconnect, also before its first
+  /// event.
+  core::Duration CallerPatience() const {
+    return std::max({kLeastCallerPatience, kPatienceInLatencies * target_latency,
+                     kPatienceInGaps * target_gap});
+  }
+
   friend bool operator==(const Route&, const Route&) = default;
+
+ private:
+  // As the operators state it for their callers; see docs/platform.md.
+  static constexpr core::Duration kLeastCallerPatience = std::chrono::seconds(2);
+  static constexpr int kPatienceInLatencies = 4;
+  static constexpr int kPatienceInGaps = 8;
 };
 
 }  // namespace cornelrelay::routes
--- a/tests/system/platform_stand_ins.py
+++ b/tests/system/platform_stand_ins.py
@@ -134,6 +134,9 @@
         self.name = name
         self.plan = ["ok"]
         self.seen = []
+        self.abandoned = 0  # streams whose caller left before their end
+        self.endless_bytes = 0  # that its callers took of answers without end
+        self.endless_kept = 0  # such answers that no caller closed
         self.left_at = None  # when the caller of the last `until left` was gone
         self.address = address
         self.crashing_segment = None  # crashes when it begins to answer a prompt with this segment
@@ -220,6 +223,12 @@
                     return self.hang_up()
                 if step.startswith("unframed"):
                     return self.unframed(step)
+                if step.startswith("endless"):
+                    return self.endless(step.partition(" ")[2])
+                if step.startswith("steady"):
+                    return self.steady(step)
+                if step.startswith("comments"):
+                    return self.comments(step)
                 if step.startswith("stream"):
                     return self.stream(step)
                 if step == "until left":
@@ -292,6 +301,68 @@
                     self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
                     self.connection.close()
 
+            def endless(self, part):
+                """Bytes that are no answer, in a `head`, a `body`, an `event` or as `noise`, until the caller closes."""
+                self.close_connection = True
+                filler = b"0123456789abcdef" * 4096
+                if part == "head":
+                    filler = b"X-Filler: 0123456789\r\n" * 3000
+                    self.wfile.write(b"HTTP/1.1 200 OK\r\n")
+                elif part in ("body", "event"):
+                    more = {"Content_Type": "text/event-stream"} if part == "event" else {}
+                    self.head(200, Replica_Seal="seal-" + replica.name, **more)
+                    if part == "event":
+                        self.wfile.write(b"id: 1\ndata: ")
+                until = time.monotonic() + 10
+                try:
+                    while time.monotonic() < until:
+                        self.wfile.write(filler)
+                        replica.endless_bytes += len(filler)
+                    replica.endless_kept += 1
+                except OSError:
+                    pass  # the caller has closed
+
+            def events(self, numbers):
+                for number in numbers:
+                    self.chunk(f"id: {number}\ndata: piece {number}\n\n".encode())
+                    time.sleep(0.05)
+
+            def chunk(self, data):
+                self.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
+                self.wfile.flush()
+
+            def steady(self, step):
+                """`steady` sends 40 events in 2 s; `steady N S` pauses for S seconds before event N of a new stream."""
+                pause_before, pause = (step.split()[1:] + [0, 0])[:2]
+                first = int(self.headers["Last-Event-Id"] or 0) + 1
+                self.head(200, Replica_Seal="seal-" + replica.name, Content_Type="text/event-stream",
+                          Transfer_Encoding="chunked")
+                try:
+                    if first <= int(pause_before):
+                        self.events(range(first, int(pause_before)))
+                        first = int(pause_before)
+                        time.sleep(float(pause))
+                    self.events(range(first, 41))
+                    self.wfile.write(b"0\r\n\r\n")
+                except OSError:
+                    replica.abandoned += 1
+                    self.close_connection = True
+
+            def comments(self, step):
+                """`comments S`: 3 events, comments for S seconds, and the other 3 events."""
+                self.head(200, Replica_Seal="seal-" + replica.name, Content_Type="text/event-stream",
+                          Transfer_Encoding="chunked")
+                self.events(range(1, 4))
+                until = time.monotonic() + float(step.split()[1])
+                try:
+                    while time.monotonic() < until:
+                        self.chunk(b": busy\n\n")
+                        time.sleep(0.1)
+                    self.events(range(4, 7))
+                    self.wfile.write(b"0\r\n\r\n")
+                except OSError:  # the caller has left
+                    self.close_connection = True
+
             def stream(self, step):
                 """`stream N` sends events up to 6; with N it breaks off in the middle of event N."""
                 last = int(self.headers["Last-Event-Id"] or 0)
--- a/tests/system/relay_case.py
+++ b/tests/system/relay_case.py
@@ -127,8 +127,9 @@
             time.sleep(0.02)
 
     def ask(self, method, path, key="key-1", body=None, entry=0, **headers):
-        connection = http.client.HTTPConnection(HOST, self.entries[entry].callers, timeout=6)
         sent = {"Host": "shop.example", "Attempt-Id": "id-1", "Deadline-Ms": "3000", **headers}
+        timeout = int(sent["Deadline-Ms"]) / 1000 + 3
+        connection = http.client.HTTPConnection(HOST, self.entries[entry].callers, timeout=timeout)
         if key:
             sent["Api-Key"] = key
         connection.request(method, path, body=body, headers=sent)
