--- a/packages/relay/include/cornelrelay/relay/relay_gateway.h
+++ b/packages/relay/include/cornelrelay/relay/relay_gateway.h
@@ -31,6 +31,9 @@
   void AbortAll();
   /// \brief Ends the requests without output that may no longer run.
   void EndQuarantined();
+  /// \brief Ends the requests that wait for an upstream and can no longer end before the limit of
+  /// the graceful shutdown.
+  void EndUnstartable();
   /// \brief Number of requests in progress.
   std::size_t active() const { return m_tasks.size(); }
 
--- a/packages/relay/include/cornelrelay/relay/relay_process.h
+++ b/packages/relay/include/cornelrelay/relay/relay_process.h
@@ -76,6 +76,7 @@
   FleetView m_fleet;
   CrashProbe m_crash_probe;
   QuarantineService m_quarantine;
+  ShutdownLimit m_shutdown;
   RelayGateway m_gateway;
   net::HttpServer m_caller_server;
   net::HttpServer m_health_server;
--- a/packages/relay/include/cornelrelay/relay/relay_services.h
+++ b/packages/relay/include/cornelrelay/relay/relay_services.h
@@ -13,6 +13,7 @@
 #include "cornelrelay/relay/quarantine_service.h"
 #include "cornelrelay/relay/retry_budgets.h"
 #include "cornelrelay/relay/service_dispatchers.h"
+#include "cornelrelay/relay/shutdown_limit.h"
 #include "cornelrelay/relay/upstream_protocol.h"
 #include "cornelrelay/runtime/process_clock.h"
 #include "cornelrelay/telemetry/json_log.h"
@@ -35,6 +36,7 @@
   RetryBudgets& retries;
   const CrashProbe& crash_probe;
   QuarantineService& quarantine;
+  const ShutdownLimit& shutdown;
   std::shared_ptr<limits::ByteBudget> request_bytes;   ///< bodies of the requests in progress
   std::shared_ptr<limits::ByteBudget> response_bytes;  ///< parts of responses, before they are sent
   telemetry::MetricRegistry& metrics;
--- a/packages/relay/include/cornelrelay/relay/relay_task.h
+++ b/packages/relay/include/cornelrelay/relay/relay_task.h
@@ -32,6 +32,9 @@
   /// \brief Ends the request if it has given no output and requests like it are now held back.
   void EndIfQuarantined();
 
+  /// \brief Ends the request if it waits for an upstream and the process stops too soon for it.
+  void EndIfUnstartable();
+
  private:
   std::size_t pending() const override { return m_writer.pending(); }
   boost::asio::awaitable<void> WriteAnswer() override { return m_writer.Flush(); }
@@ -53,6 +56,11 @@
   void OnDecision(const ServiceDispatchers::Decision& decision);
   /// \brief Refuses the request if it may not run now. Returns whether it did.
   bool RefuseIfQuarantined();
+  /// \brief Refuses the request if it was not sent yet and would be cut off by the shutdown.
+  /// Returns whether it did.
+  bool RefuseIfStopping();
+  /// \brief Expected time of the request on its upstream.
+  core::Duration ExpectedTime() const;
   void DecideRetry();
   /// \brief Has the upstream of a lost attempt examined before a retry is decided.
   void ExamineLostAttempt(const core::UpstreamId& upstream);
--- a/packages/relay/src/relay_gateway.cc
+++ b/packages/relay/src/relay_gateway.cc
@@ -131,6 +131,10 @@
   for (RelayTask* task : m_tasks) task->EndIfQuarantined();
 }
 
+void RelayGateway::EndUnstartable() {
+  for (RelayTask* task : m_tasks) task->EndIfUnstartable();
+}
+
 void RelayGateway::AbortAll() {
   for (RelayTask* task : m_tasks) task->EndForShutdown();
 }
--- a/packages/relay/src/relay_process.cc
+++ b/packages/relay/src/relay_process.cc
@@ -101,7 +101,7 @@
               [this](const core::UpstreamId& upstream, std::uint64_t incarnation) {
                 m_fleet.NoteLeaving(upstream, incarnation);
               },
-              m_retries, m_crash_probe, m_quarantine,
+              m_retries, m_crash_probe, m_quarantine, m_shutdown,
               std::make_shared<limits::ByteBudget>(m_settings.memory_bytes / kBodyMemoryDivisor),
               std::make_shared<limits::ByteBudget>(m_settings.memory_bytes / kBodyMemoryDivisor),
               m_metrics, log},
@@ -241,11 +241,13 @@
 asio::awaitable<void> RelayProcess::DrainAndStop() {
   const core::Instant started = m_clock.Now();
   const core::Instant limit = started + m_settings.shutdown_limit - 2 * kFinalResponseTime;
+  m_shutdown.Begin(limit);
   m_caller_server.AnnounceClosing();
   co_await runtime::Pause(m_context, kDeregistrationDelay);
   m_caller_server.StopAccepting();
   while (m_clock.Now() < limit) {
     if (m_gateway.active() == 0 && m_caller_server.ActiveExchanges() == 0) break;
+    m_gateway.EndUnstartable();
     co_await runtime::Pause(m_context, kDrainPollInterval);
   }
   if (m_gateway.active() > 0) {
--- a/packages/relay/src/relay_task.cc
+++ b/packages/relay/src/relay_task.cc
@@ -15,6 +15,8 @@
 /// Failed connections per request that do not count as attempts. The number is limited because each
 /// can take as long as the connect timeout.
 constexpr int kMaxUncountedConnectFailures = 2;
+/// Multiple of the mean service time within which nearly all requests of a service end.
+constexpr int kExpectedTimeFactor = 2;
 
 request::RequestPolicy PolicyOf(const RoutedRequest& routed) {
   request::RequestPolicy policy;
@@ -112,6 +114,29 @@
   return true;
 }
 
+core::Duration RelayTask::ExpectedTime() const {
+  const auto* dispatcher = m_services.dispatchers.FindDispatcher(m_routed.service);
+  const core::Duration usual =
+      dispatcher ? dispatcher->mean_service_time() * kExpectedTimeFactor : core::Duration{};
+  if (m_routed.route.kind == routes::RequestKind::kStream) return usual;
+  // A response may take as long as the route aims at.
+  return std::max(usual, m_routed.route.target_latency);
+}
+
+bool RelayTask::RefuseIfStopping() {
+  const core::Duration needed = ExpectedTime();
+  if (snapshot().sent || m_services.shutdown.Allows(m_services.clock.Now(), needed)) return false;
+  m_services.log.Warning(
+      "request_too_late",
+      {{"request", m_routed.request.id}, {"service", m_routed.service}, {"expected_us", needed}});
+  mailbox()->Push(request::Refused{request::RequestError::kShutdown, std::nullopt});
+  return true;
+}
+
+void RelayTask::EndIfUnstartable() {
+  if (snapshot().state == request::RequestState::kAwaitingUpstreamChoice) RefuseIfStopping();
+}
+
 void RelayTask::EndIfQuarantined() {
   if (m_writer.has_head() || !m_services.quarantine.HoldBack(m_internal_id, m_features)) return;
   EndForQuarantine();
@@ -123,7 +148,7 @@
 }
 
 void RelayTask::Perform(const request::ChooseUpstream& action) {
-  if (RefuseIfQuarantined()) return;
+  if (RefuseIfQuarantined() || RefuseIfStopping()) return;
   if (std::exchange(m_replacing, false)) {
     m_place = std::move(m_next_place);
     OnDecision(*std::exchange(m_next_assigned, std::nullopt));
@@ -156,7 +181,7 @@
                                               {"waited_us", assigned.waited},
                                               {"configuration", m_routed.configuration_version},
                                               {"directory", m_services.directory.version()}});
-                         if (RefuseIfQuarantined()) {
+                         if (RefuseIfQuarantined() || RefuseIfStopping()) {
                            m_place.reset();
                            return;
                          }
