--- a/packages/net/include/cornelrelay/net/http_client.h
+++ b/packages/net/include/cornelrelay/net/http_client.h
@@ -56,9 +56,6 @@
   boost::asio::awaitable<std::unique_ptr<HttpExchange>> Open(core::Endpoint peer, ConnectionUse use,
                                                              ExchangeTimeouts timeouts);
 
-  /// \brief Closes the idle connections to a peer.
-  void Forget(const core::Endpoint& peer);
-
   /// \brief Sends a request and reads the whole response of at most `max_body` bytes.
   /// \param timeout from the open connection to the end of the response
   /// \throws ConnectFailed, ExchangeBroken
--- a/packages/net/src/connection_pool.h
+++ b/packages/net/src/connection_pool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <vector>
@@ -21,11 +22,19 @@
   /// \param announced how long the peer keeps it, if it said so
   void Return(const core::Endpoint& peer, ConnectionPtr connection,
               std::optional<std::chrono::milliseconds> announced);
-  void Forget(const core::Endpoint& peer) { m_idle.erase(peer); }
+  /// \brief Returns the number of idle connections to all peers.
+  std::size_t size() const;
 
  private:
+  using TimePoint = PooledConnection::TimePoint;
+
+  /// \brief Closes the connections to all peers that are over their time, at most once a second.
+  /// Nothing else closes those to a peer that is not called any more.
+  void CloseExpired(TimePoint now);
+
   HttpClientLimits m_limits;
   std::map<core::Endpoint, std::vector<ConnectionPtr>> m_idle;
+  TimePoint m_next_sweep{};
 };
 
 }  // namespace cornelrelay::net::internal
--- a/packages/net/src/http_client.cc
+++ b/packages/net/src/http_client.cc
@@ -30,8 +30,6 @@
         m_limits(limits),
         m_pool(std::make_shared<internal::ConnectionPool>(limits)) {}
 
-  void Forget(const core::Endpoint& peer) { m_pool->Forget(peer); }
-
   asio::awaitable<std::unique_ptr<HttpExchange>> Open(core::Endpoint peer, ConnectionUse use,
                                                       ExchangeTimeouts timeouts) {
     internal::ConnectionPtr connection;
@@ -73,8 +71,6 @@
 
 HttpClient::~HttpClient() = default;
 
-void HttpClient::Forget(const core::Endpoint& peer) { m_impl->Forget(peer); }
-
 asio::awaitable<std::unique_ptr<HttpExchange>> HttpClient::Open(core::Endpoint peer,
                                                                 ConnectionUse use,
                                                                 ExchangeTimeouts timeouts) {
