--- a/packages/net/include/cornelrelay/net/testing/raw_server.h
+++ b/packages/net/include/cornelrelay/net/testing/raw_server.h
@@ -53,6 +53,8 @@
     const linger none{1, 0};
     setsockopt(m_fd, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
   }
+  /// \brief Ends the connection as after a complete response, before it is closed.
+  void EndSending() { shutdown(m_fd, SHUT_WR); }
   /// \brief Has the server refuse further connections.
   void StopListening() { shutdown(m_listener, SHUT_RDWR); }
   std::size_t sent() const { return m_sent; }
--- a/packages/relay/src/quarantine_service.cc
+++ b/packages/relay/src/quarantine_service.cc
@@ -7,16 +7,11 @@
 #include <variant>
 
 #include "cornelrelay/net/rethrow_failure.h"
-#include "cornelrelay/runtime/pause.h"
 
 namespace cornelrelay::relay {
 namespace {
 
 namespace asio = boost::asio;
-using std::chrono::milliseconds;
-
-/// A process that is just ending may still accept connections for a moment.
-constexpr milliseconds kSecondProbeDelay{50};
 /// Several statuses of the largest fleets, whose processes send one every 0.75 s. By then each live
 /// process remembers the suspect itself; one that starts later needs only what is quarantined.
 constexpr std::chrono::seconds kSuspectReportTime{5};
@@ -70,11 +65,7 @@
 asio::awaitable<void> QuarantineService::ExamineUpstream(LostAttempt attempt,
                                                          std::uint64_t incarnation,
                                                          std::function<void()> on_done) {
-  bool crashed = co_await m_probe.HasCrashed(attempt.upstream);
-  if (!crashed) {
-    co_await runtime::Pause(m_context, kSecondProbeDelay);
-    crashed = co_await m_probe.HasCrashed(attempt.upstream);
-  }
+  const bool crashed = co_await m_probe.HasCrashed(attempt.upstream);
   m_log.Warning("lost_attempt_examined", {{"upstream", attempt.upstream},
                                           {"incarnation", incarnation},
                                           {"crashed", crashed},
--- a/packages/relay/src/relay_process.cc
+++ b/packages/relay/src/relay_process.cc
@@ -90,7 +90,7 @@
                [this] { m_dispatchers.SetUpstreams(m_fleet.upstreams()); },
                [this] { OnItemsChanged(); },
                [this](const store::ItemChange& item) { OnInternalItem(item); }}),
-      m_crash_probe(m_upstream_client, m_fleet.upstreams()),
+      m_crash_probe(context, m_upstream_client, m_fleet.upstreams()),
       m_quarantine(context, m_clock, m_crash_probe, m_fleet.upstreams(), seed + 6, log, m_metrics,
                    {[this] { m_peers.Step(peers::LocalSuspectsChanged{}); },
                     [this] { m_gateway.EndQuarantined(); }}),
--- a/packages/relay/tests/upstream_call_test.cc
+++ b/packages/relay/tests/upstream_call_test.cc
@@ -79,7 +79,7 @@
     entry.id = core::UpstreamId("u-1");
     entry.endpoint = server.endpoint();
     directory.Step(clock.Now(), directory::EntriesChanged{{{entry.id, entry}}});
-    const CrashProbe probe(client, directory);
+    const CrashProbe probe(context, client, directory);
     const auto budget = std::make_shared<limits::ByteBudget>(kBudget);
     telemetry::MetricRegistry metrics;
     telemetry::JsonLog log("test", telemetry::LogLevel::kError,
@@ -273,4 +273,27 @@
   CHECK(outcome.payload == kFirstEvent);
 }
 
+// Guards against cut streams that look complete because the kernel of a dying process still
+// accepted the probe (review/3).
+TEST_CASE("a stream is broken off also if its upstream listens a moment longer than it sends") {
+  const Outcome outcome = CallUpstream([](RawConnection& connection) {
+    connection.Send(kStreamHead + kFirstEvent);
+    connection.EndSending();
+    std::this_thread::sleep_for(milliseconds(20));
+    connection.StopListening();
+  });
+  CHECK_FALSE(outcome.completed);
+  CHECK(outcome.payload == kFirstEvent);
+}
+
+TEST_CASE("a stream that ends with its connection is complete if its upstream goes on") {
+  const Outcome outcome = CallUpstream([](RawConnection& connection) {
+    connection.Send(kStreamHead + kFirstEvent);
+    connection.EndSending();
+    std::this_thread::sleep_for(milliseconds(200));
+  });
+  CHECK(outcome.completed);
+  CHECK(outcome.payload == kFirstEvent);
+}
+
 }  // namespace cornelrelay::relay
