--- a/packages/relay/include/cornelrelay/relay/upstream_call.h
+++ b/packages/relay/include/cornelrelay/relay/upstream_call.h
@@ -62,7 +62,7 @@
   boost::asio::awaitable<void> ReadStream();
   request::StreamVerdict CheckSequence(std::string_view event);
   /// \brief Throws ExchangeBroken if only the end of the connection ended the response, and the
-  /// upstream has crashed: its host then ends connections as after a complete response.
+  /// upstream has ended too: its host then ends connections as after a complete response.
   boost::asio::awaitable<void> CheckEnd();
   /// \brief Throws ExchangeBroken if bytes of the stream have arrived for too long, or too many,
   /// without an event that has an id.
--- a/packages/relay/src/upstream_call.cc
+++ b/packages/relay/src/upstream_call.cc
@@ -151,7 +151,8 @@
 asio::awaitable<void> UpstreamCall::CheckEnd() {
   if (!m_ends_with_connection || cancelled()) co_return;
   const bool empty_stream = m_head->event_stream && !m_output;
-  if (empty_stream || co_await m_crash_probe.HasCrashed(m_request.upstream)) {
+  // Also of an upstream that leaves: it may end before its last answers do.
+  if (empty_stream || co_await m_crash_probe.HasEnded(m_request.endpoint)) {
     throw net::ExchangeBroken(upstream(), net::BreakCause::kConnection,
                               "the connection ended, but not the response");
   }
--- a/packages/relay/tests/upstream_call_test.cc
+++ b/packages/relay/tests/upstream_call_test.cc
@@ -61,7 +61,8 @@
   std::chrono::steady_clock::duration time{};
 };
 
-Outcome CallUpstream(const RawServer::Handler& respond, milliseconds time_left = seconds(20)) {
+Outcome CallUpstream(const RawServer::Handler& respond, milliseconds time_left = seconds(20),
+                     bool leaving = false) {
   Outcome outcome;
   const auto start = std::chrono::steady_clock::now();
   {
@@ -78,6 +79,7 @@
     directory::UpstreamEntry entry;
     entry.id = core::UpstreamId("u-1");
     entry.endpoint = server.endpoint();
+    entry.leaving = leaving;
     directory.Step(clock.Now(), directory::EntriesChanged{{{entry.id, entry}}});
     const CrashProbe probe(context, client, directory);
     const auto budget = std::make_shared<limits::ByteBudget>(kBudget);
@@ -286,6 +288,19 @@
   CHECK(outcome.payload == kFirstEvent);
 }
 
+// Guards against cut streams that look complete because their upstream had said that it leaves
+// (review/4).
+TEST_CASE("a stream is broken off also if its upstream was leaving when it ended") {
+  const Outcome outcome = CallUpstream(
+      [](RawConnection& connection) {
+        connection.Send(kStreamHead + kFirstEvent);
+        connection.StopListening();
+      },
+      seconds(20), true);
+  CHECK_FALSE(outcome.completed);
+  CHECK(outcome.payload == kFirstEvent);
+}
+
 TEST_CASE("a stream that ends with its connection is complete if its upstream goes on") {
   const Outcome outcome = CallUpstream([](RawConnection& connection) {
     connection.Send(kStreamHead + kFirstEvent);
