--- a/packages/net/src/http_session.h
+++ b/packages/net/src/http_session.h
@@ -198,8 +198,11 @@
     m_on_gone = nullptr;
     m_busy = false;
     ++m_watch;
-    // Ends this connection; the owner of the event loop logs the reason.
-    if (thrown) std::rethrow_exception(thrown);
+    if (thrown) {
+      // Ends this connection only; the owner of the event loop logs the reason.
+      Close();
+      std::rethrow_exception(thrown);
+    }
     co_return !gone && m_open && m_keep_alive && !m_registry->draining();
   }
 
--- a/packages/runtime/include/cornelrelay/runtime/wake_timer.h
+++ b/packages/runtime/include/cornelrelay/runtime/wake_timer.h
@@ -47,7 +47,8 @@
     try {
       on_wake();
     } catch (...) {
-      if (!alive.expired()) SetAt(m_clock.Now() + kRetryDelay);
+      // The caller holds the function too; the timer may be gone.
+      if (alive.use_count() > 1) SetAt(m_clock.Now() + kRetryDelay);
       throw;
     }
   }
--- a/packages/runtime/tests/event_loop_test.cc
+++ b/packages/runtime/tests/event_loop_test.cc
@@ -14,7 +14,11 @@
 #include <set>
 #include <sstream>
 #include <stdexcept>
+#include <utility>
 
+#include "cornelrelay/net/errors.h"
+#include "cornelrelay/net/http_client.h"
+#include "cornelrelay/net/http_server.h"
 #include "cornelrelay/net/rethrow_failure.h"
 #include "cornelrelay/runtime/process_clock.h"
 #include "cornelrelay/runtime/wake_timer.h"
@@ -70,6 +74,52 @@
   CHECK(calls == 2);
 }
 
+TEST_CASE("a function that destroys its timer and throws is not called again") {
+  Fixture fixture;
+  EventLoop loop(fixture.log);
+  const ProcessClock clock;
+  int calls = 0;
+  std::optional<WakeTimer> timer;
+  timer.emplace(loop, clock, [&] {
+    ++calls;
+    timer.reset();
+    throw std::runtime_error("without a timer");
+  });
+  timer->SetAt(clock.Now());
+  loop.Run();
+  CHECK(calls == 1);
+}
+
+// Guards against callers that wait for the answer of a request whose handler has thrown.
+TEST_CASE("a handler of a server that throws ends its connection") {
+  Fixture fixture;
+  EventLoop loop(fixture.log);
+  const core::Endpoint endpoint{"127.0.0.1", 18'471};
+  net::HttpServer server(loop, endpoint, {}, std::nullopt,
+                         [](net::HttpRequest, net::ResponseStream&) -> asio::awaitable<void> {
+                           throw std::runtime_error("fault of a handler");
+                           co_return;
+                         });
+  server.Start();
+  net::HttpClient client(loop, {});
+  std::optional<net::BreakCause> cause;
+  const auto ask = [&]() -> asio::awaitable<void> {
+    net::HttpRequest request{"GET", "/", {}, ""};
+    try {
+      co_await client.Fetch(endpoint, std::move(request), std::chrono::seconds(5), 1024);
+    } catch (const net::ExchangeBroken& error) {
+      cause = error.cause();
+    }
+    loop.stop();
+  };
+  asio::co_spawn(loop, ask, net::RethrowFailure{});
+  loop.Run();
+  fixture.log.Flush();
+  loop.DiscardHandlers();
+  CHECK(cause == net::BreakCause::kConnection);
+  CHECK(fixture.text.str().find("fault of a handler") != std::string::npos);
+}
+
 TEST_CASE("a stopped loop returns although handlers are left") {
   Fixture fixture;
   EventLoop loop(fixture.log);
