--- a/packages/relay/src/relay_task.cc
+++ b/packages/relay/src/relay_task.cc
@@ -354,7 +354,7 @@
                                                     : dispatch::AttemptEnd::kCancelled;
     }
     case AttemptResult::kBroken:
-      // An attempt on an upstream that is alive was too slow for its caller, but did not fail.
+      // An upstream that gives output to others has not failed; this process ends the attempt.
       if (m_replacing &&
           m_stall_detector.UpstreamAlive(m_services.clock.Now(), CurrentActivity())) {
         return dispatch::AttemptEnd::kCancelled;
