--- a/packages/ranks/include/cornelrelay/ranks/group_leader.h
+++ b/packages/ranks/include/cornelrelay/ranks/group_leader.h
@@ -94,6 +94,9 @@
   /// \brief Adds the experts of a map that the leader knows, which agents omit.
   balance::RankState CompleteState(const balance::RankReport& report) const;
   bool IsOfGroup(const balance::RankReport& report) const;
+  /// \brief Leaves the engine out of later calls if its report names another group.
+  /// \return whether it does
+  bool NoteOtherGroup(const core::Endpoint& engine, const balance::RankReport& report);
   /// \brief Notes which of the called agents have answered, and what their engines reported.
   void NoteReplies(const std::vector<core::Endpoint>& called,
                    const std::vector<wire::ForwardedReply>& replies);
--- a/packages/ranks/include/cornelrelay/ranks/group_members.h
+++ b/packages/ranks/include/cornelrelay/ranks/group_members.h
@@ -23,16 +23,22 @@
   /// The agent answered the last call, or has not been called yet. Calls to several agents at once
   /// leave the others out, because each of them would delay the answer of the agents above it.
   bool agent_answers = true;
+  /// The engine reported that it belongs to another group of the service. Its agent is not called
+  /// until the member is added again.
+  bool other_group = false;
 };
 
 /// \brief The engines of a group with their ranks, and the agents that are called together.
 class GroupMembers {
  public:
-  /// \brief Adds a member, or updates one whose engine is known.
+  /// \brief Adds a member, or updates one whose engine is known. Its group has to be asked for
+  /// again if it belonged to another one.
   void Add(const GroupMember& member);
   /// \brief Records the rank that an engine reported. Another engine that had this rank loses it.
   void SetRank(const core::Endpoint& engine, balance::RankIndex rank);
   void SetAgentAnswers(const core::Endpoint& engine, bool answers);
+  /// \brief Records that the engine reported another group. It loses its rank.
+  void SetOtherGroup(const core::Endpoint& engine);
 
   /// \brief Returns whether the engines of at least `ranks` ranks are known.
   bool AllRanksKnown(std::size_t ranks) const;
@@ -43,7 +49,8 @@
   const GroupMember* FindByRank(balance::RankIndex rank) const;
   /// \brief Returns the member whose agent has this endpoint, or null.
   const GroupMember* FindByAgent(const core::Endpoint& agent) const;
-  std::size_t size() const { return m_members.size(); }
+  /// \brief Returns the number of members that may belong to the group.
+  std::size_t size() const;
 
   /// \brief Returns all agents that answer, in groups for one call.
   ForwardingGroups AnsweringAgents() const;
--- a/packages/ranks/include/cornelrelay/ranks/rank_process.h
+++ b/packages/ranks/include/cornelrelay/ranks/rank_process.h
@@ -6,10 +6,10 @@
 #include <memory>
 #include <optional>
 
-#include "cornelrelay/balance/fence_guard.h"
 #include "cornelrelay/net/http_client.h"
 #include "cornelrelay/net/http_server.h"
 #include "cornelrelay/ranks/agent_client.h"
+#include "cornelrelay/ranks/call_admission.h"
 #include "cornelrelay/ranks/candidacy.h"
 #include "cornelrelay/ranks/engine_client.h"
 #include "cornelrelay/ranks/expert_count_tracker.h"
@@ -61,6 +61,8 @@
   bool ResolveMap(wire::RankCall& call);
   /// \brief Adds the state of the local engine to a reply, and its counts if the call wants them.
   boost::asio::awaitable<void> AddOwnState(const wire::RankCall& call, wire::RankReply& reply);
+  /// \brief Adds the replies of the agents to which a call was passed on.
+  boost::asio::awaitable<void> AddForwardedReplies(GroupCall& forwarded, wire::RankReply& reply);
   /// \brief Records a call of the group's leader.
   void NoteLeaderCall();
   void StepCandidacy();
@@ -82,7 +84,7 @@
   net::HttpClient m_client;
   std::shared_ptr<runtime::StoreLink> m_store;
   EngineClient m_engines;
-  balance::FenceGuard m_fence_guard;
+  CallAdmission m_admission;
   ExpertCountTracker m_count_tracker;
   MapCache m_maps;
   AgentClient m_agents;
--- a/packages/ranks/src/group_leader.cc
+++ b/packages/ranks/src/group_leader.cc
@@ -194,6 +194,7 @@
 
 wire::RankCall GroupLeader::MakePoll() const {
   wire::RankCall call;
+  call.group = m_own_report.group;
   call.fence = m_switch_leader.fence();
   call.want_expert_counts = m_map_planner.has_value();
   if (m_known_map) call.known_map = m_known_map->version;
@@ -278,6 +279,13 @@
   RecordReport(engine, *reply->report, requested_at);
 }
 
+// An engine that has just started may report no group yet.
+bool GroupLeader::NoteOtherGroup(const core::Endpoint& engine, const balance::RankReport& report) {
+  if (report.group == m_own_report.group || report.group.empty()) return false;
+  m_members.SetOtherGroup(engine);
+  return true;
+}
+
 bool GroupLeader::IsOfGroup(const balance::RankReport& report) const {
   return report.group == m_own_report.group && report.rank < m_own_report.size;
 }
@@ -298,6 +306,7 @@
     const GroupMember* member = m_members.FindByAgent(reply.agent);
     if (member == nullptr || !reply.report) continue;
     answered.insert(reply.agent);
+    if (NoteOtherGroup(member->engine, *reply.report)) continue;
     if (!IsOfGroup(*reply.report)) continue;
     // The states of a map whose experts the agents omit are of no use in another epoch.
     if (m_known_map && reply.report->state.epoch != m_known_map->epoch) m_known_map.reset();
@@ -315,6 +324,7 @@
 
 void GroupLeader::RecordReport(const core::Endpoint& engine, const balance::RankReport& report,
                                core::Instant requested_at) {
+  if (NoteOtherGroup(engine, report)) return;
   if (!IsOfGroup(report) || !m_leading) return;
   if (m_known_map && report.state.epoch != m_known_map->epoch) m_known_map.reset();
   m_members.SetRank(engine, report.rank);
@@ -354,6 +364,7 @@
                              bool as_difference) {
   if (ranks.empty()) return;
   wire::RankCall call;
+  call.group = m_own_report.group;
   call.fence = batch.fence;
   call.epoch = batch.epoch;
   call.order = batch.order;
@@ -431,6 +442,7 @@
     agent = forwarder->agent;
     call.engine = engine;
   }
+  call.group = m_own_report.group;
   call.fence = order.fence;
   call.epoch = order.epoch;
   call.order = order.order;
--- a/packages/ranks/src/group_members.cc
+++ b/packages/ranks/src/group_members.cc
@@ -22,6 +22,7 @@
   known.upstream = member.upstream;
   known.agent = member.agent;
   known.data_centre = member.data_centre;
+  known.other_group = false;
   m_engines_by_agent.insert_or_assign(member.agent, member.engine);
 }
 
@@ -39,6 +40,20 @@
   m_members.at(engine).member.agent_answers = answers;
 }
 
+void GroupMembers::SetOtherGroup(const core::Endpoint& engine) {
+  GroupMember& member = m_members.at(engine).member;
+  member.other_group = true;
+  if (!member.rank) return;
+  m_engines_by_rank.erase(*member.rank);
+  member.rank.reset();
+}
+
+std::size_t GroupMembers::size() const {
+  return static_cast<std::size_t>(
+      std::count_if(m_members.begin(), m_members.end(),
+                    [](const auto& entry) { return !entry.second.member.other_group; }));
+}
+
 bool GroupMembers::AllRanksKnown(std::size_t ranks) const {
   return m_engines_by_rank.size() >= ranks;
 }
@@ -61,7 +76,8 @@
 ForwardingGroups GroupMembers::AnsweringAgents() const {
   std::vector<const GroupMember*> members;
   for (const auto& [engine, entry] : m_members) {
-    if (entry.member.agent_answers) members.push_back(&entry.member);
+    const GroupMember& member = entry.member;
+    if (member.agent_answers && !member.other_group) members.push_back(&member);
   }
   return GroupAgents(members);
 }
@@ -80,7 +96,8 @@
   std::vector<core::Endpoint> engines;
   for (std::size_t seen = 0; seen < m_members.size() && engines.size() < max_count; ++seen) {
     const core::Endpoint engine = m_schedule.NextBatch(1).front();
-    if (!At(engine).agent_answers) engines.push_back(engine);
+    const GroupMember& member = At(engine);
+    if (!member.agent_answers && !member.other_group) engines.push_back(engine);
   }
   return engines;
 }
--- a/packages/ranks/src/rank_process.cc
+++ b/packages/ranks/src/rank_process.cc
@@ -96,6 +96,7 @@
                               {"rank", report.rank},
                               {"size", report.size},
                               {"epoch", report.state.epoch}});
+  m_admission.JoinGroup(report.group);
   m_leader_key = "cornelrelay/groups/" + report.group.value() + "/leader";
   LeaderLeaseConfig lease;
   lease.key = m_leader_key;
@@ -161,18 +162,25 @@
 
 asio::awaitable<wire::RankReply> RankProcess::HandleCall(wire::RankCall call) {
   wire::RankReply reply;
-  if (!m_fence_guard.Admit(call.fence)) {
+  std::shared_ptr<GroupCall> forwarded;
+  const CallVerdict verdict = m_admission.Admit(call.group, call.fence);
+  if (verdict == CallVerdict::kOtherGroup) {
+    // The agents to which the call passes from here may belong to the caller's group.
+    if (!call.forward_to.empty()) forwarded = m_agents.Forward(call);
+    reply.report = co_await m_engines.FetchReport(m_settings.engine);
+    if (forwarded) co_await AddForwardedReplies(*forwarded, reply);
+    co_return reply;
+  }
+  if (verdict != CallVerdict::kAdmitted) {
     m_log.Warning("order_not_admitted", {{"order", KindName(call.order)},
+                                         {"group", call.group},
                                          {"fence", call.fence},
-                                         {"known_fence", m_fence_guard.fence().value_or(0)},
-                                         {"fence_known", m_fence_guard.fence().has_value()}});
-    // Before the first read of the store, the agent knows no fence and cannot tell whether there is
-    // a newer leader.
-    if (m_fence_guard.fence()) reply.result = balance::OrderResult::kFenced;
+                                         {"known_fence", m_admission.fence().value_or(0)},
+                                         {"fence_known", m_admission.fence().has_value()}});
+    if (verdict == CallVerdict::kFenced) reply.result = balance::OrderResult::kFenced;
     co_return reply;
   }
   NoteLeaderCall();
-  std::shared_ptr<GroupCall> forwarded;
   if (!call.forward_to.empty()) forwarded = m_agents.Forward(call);
   reply.lacks_map = !ResolveMap(call);
   if (!reply.lacks_map) {
@@ -182,14 +190,17 @@
   if (!call.engine) {
     co_await AddOwnState(call, reply);
   }
-  if (forwarded) {
-    GroupReply others = co_await forwarded->Replies();
-    AddExpertCounts(reply.expert_counts, others.expert_counts);
-    reply.forwarded = std::move(others.replies);
-  }
+  if (forwarded) co_await AddForwardedReplies(*forwarded, reply);
   co_return reply;
 }
 
+asio::awaitable<void> RankProcess::AddForwardedReplies(GroupCall& forwarded,
+                                                       wire::RankReply& reply) {
+  GroupReply others = co_await forwarded.Replies();
+  AddExpertCounts(reply.expert_counts, others.expert_counts);
+  reply.forwarded = std::move(others.replies);
+}
+
 bool RankProcess::ResolveMap(wire::RankCall& call) {
   auto* prepare = std::get_if<balance::PrepareMap>(&call.order);
   if (prepare == nullptr) return true;
@@ -245,7 +256,7 @@
   if (complete && items.empty()) {
     // Nobody has led since the store's start, or the last lease has expired. Any leader is newer
     // and has a fence above 0. A known fence is kept.
-    m_fence_guard.RaiseFence(0);
+    m_admission.RaiseFence(0);
     if (m_candidacy->candidate()) StepLease(LeaderKeyObserved{std::nullopt, era});
   }
   for (const store::ItemChange& item : items) {
@@ -256,8 +267,8 @@
       const LeaderEntry leader = DecodeLeaderEntry(*item.value);
       const balance::Fence fence = FenceOf({leader.era, item.revision});
       observed.stored = store::StoredValue{leader.host, item.revision};
-      observed.outdated = fence < m_fence_guard.fence().value_or(0);
-      m_fence_guard.RaiseFence(fence);
+      observed.outdated = fence < m_admission.fence().value_or(0);
+      m_admission.RaiseFence(fence);
     }
     if (m_candidacy->candidate()) StepLease(observed);
   }
@@ -278,7 +289,7 @@
 }
 
 void RankProcess::Perform(const LeadershipAcquired& action) {
-  m_fence_guard.RaiseFence(action.fence);
+  m_admission.RaiseFence(action.fence);
   m_leader->StartLeading(action.fence);
 }
 
--- a/packages/ranks/tests/group_members_test.cc
+++ b/packages/ranks/tests/group_members_test.cc
@@ -88,6 +88,25 @@
   CHECK(members.BeginPoll(kFirst));
 }
 
+// Guards against a leader that keeps calling the ranks of the other groups of its service: its
+// calls reached them in each round, and their engines counted as ranks of its own.
+TEST_CASE("engines of another group get no calls until the members are read again") {
+  GroupMembers members = MakeTwoMembers();
+  members.SetRank(kFirst, 0);
+  members.SetRank(kSecond, 1);
+  members.SetAgentAnswers(kSecond, false);
+  members.SetOtherGroup(kSecond);
+  CHECK(members.size() == 1);
+  CHECK(members.FindByRank(1) == nullptr);
+  CHECK_FALSE(members.AllRanksKnown(2));
+  CHECK(members.NextUnanswering(4).empty());
+  CHECK(Flatten(members.AnsweringAgents()) ==
+        std::vector<core::Endpoint>{members.At(kFirst).agent});
+  members.Add(MemberAt(kSecond));
+  CHECK(members.size() == 2);
+  CHECK(members.NextUnanswering(4) == std::vector<core::Endpoint>{kSecond});
+}
+
 // Load pattern: a round of polls in groups of up to 192 ranks whose hosts have slow links. If a
 // group of calls came from few data centres and the leader lost its connection to them, a shift of
 // the demand would go unnoticed.
--- a/packages/wire/include/cornelrelay/wire/rank_messages.h
+++ b/packages/wire/include/cornelrelay/wire/rank_messages.h
@@ -11,6 +11,7 @@
 #include "cornelrelay/balance/rank_order.h"
 #include "cornelrelay/balance/rank_report.h"
 #include "cornelrelay/core/endpoint.h"
+#include "cornelrelay/core/ids.h"
 
 namespace cornelrelay::wire {
 
@@ -31,6 +32,8 @@
   std::chrono::milliseconds forward_time{0};
   /// Time that an agent needs besides waiting for those to which it passes the call on.
   std::chrono::milliseconds hop_time{0};
+  /// Group that the caller leads. The fence orders the leaders of this group only.
+  core::GroupId group{};
 
   friend bool operator==(const RankCall&, const RankCall&) = default;
 };
--- a/packages/wire/src/rank_messages.cc
+++ b/packages/wire/src/rank_messages.cc
@@ -70,6 +70,7 @@
 
 template <class Ar>
 void Code(Ar& ar, Ref<Ar, RankCall> call) {
+  internal::Identifier(ar, call.group);
   ar.archive(call.fence, call.epoch);
   internal::Flag(ar, call.want_expert_counts);
   internal::Optional(ar, call.engine, [&](auto& engine) { internal::Address(ar, engine); });
--- a/packages/wire/tests/fleet_messages_test.cc
+++ b/packages/wire/tests/fleet_messages_test.cc
@@ -96,6 +96,7 @@
   call.engine = core::Endpoint{"10.1.0.43", 8228};
   CHECK(DecodeRankCall(Encode(call)) == call);
   call.engine.reset();
+  call.group = core::GroupId("g0-2");
   call.known_map = 28673;
   call.forward_to = {{"10.1.0.44", 8228}, {"10.1.0.45", 8228}};
   call.forward_time = std::chrono::milliseconds(120);
