--- a/packages/policybench/include/cornelrelay/policybench/matters.h
+++ b/packages/policybench/include/cornelrelay/policybench/matters.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -15,4 +16,8 @@
 Table RetryTable(std::uint64_t seed);
 Table PlacementTable(std::uint64_t seed);
 
+/// \brief Parts of the skew of a group under shifting demand for its experts.
+/// \param run_time simulated time of each run
+Table ExpertMapTable(std::uint64_t seed, std::chrono::seconds run_time = std::chrono::seconds(60));
+
 }  // namespace cornelrelay::policybench
--- a/packages/policybench/main/cornelrelay-policy-bench.cc
+++ b/packages/policybench/main/cornelrelay-policy-bench.cc
@@ -29,8 +29,8 @@
   std::string matter = "all";
   std::string out = "bench-out";
   app.add_option("--seed", seed, "seed of workload and policies");
-  app.add_option("--matter", matter, "routing, fairness, retry, placement or all")
-      ->check(CLI::IsMember({"routing", "fairness", "retry", "placement", "all"}));
+  app.add_option("--matter", matter, "routing, fairness, retry, placement, expert-maps or all")
+      ->check(CLI::IsMember({"routing", "fairness", "retry", "placement", "expert-maps", "all"}));
   app.add_option("--out", out, "directory for CSV and SVG files");
   std::vector<std::string> settings;
   bool ours_only = false;
@@ -62,5 +62,6 @@
   if (wanted("fairness")) Emit(cornelrelay::policybench::FairnessTable(seed), out, 3, {0, 1});
   if (wanted("retry")) Emit(cornelrelay::policybench::RetryTable(seed), out, 2, {0, 1});
   if (wanted("placement")) Emit(cornelrelay::policybench::PlacementTable(seed), out, 2, {0, 1});
+  if (wanted("expert-maps")) Emit(cornelrelay::policybench::ExpertMapTable(seed), out, 1, {0});
   return 0;
 }
--- a/packages/policybench/tests/policybench_test.cc
+++ b/packages/policybench/tests/policybench_test.cc
@@ -1,7 +1,9 @@
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 
+#include "cornelrelay/policybench/matters.h"
 #include "cornelrelay/policybench/routing_run.h"
 #include "cornelrelay/policybench/sample.h"
 #include "cornelrelay/policybench/table.h"
@@ -38,6 +40,17 @@
   }
 }
 
+// Guards against rows before and after a change of the planner that differ by chance.
+TEST_CASE("the table of expert maps depends on its seed alone") {
+  const auto print = [](std::uint64_t seed) {
+    std::ostringstream out;
+    ExpertMapTable(seed, std::chrono::seconds(3)).Print(out);
+    return out.str();
+  };
+  CHECK(print(1) == print(1));
+  CHECK(print(1) != print(2));
+}
+
 // Guards against quantiles that are off by one rank.
 TEST_CASE("quantiles use the nearest rank") {
   CHECK(Quantile({5, 1, 4, 2, 3}, 0.5) == 3);
--- a/packages/ranks/include/cornelrelay/ranks/expert_map_planner.h
+++ b/packages/ranks/include/cornelrelay/ranks/expert_map_planner.h
@@ -11,6 +11,7 @@
 #include "cornelrelay/core/time.h"
 #include "cornelrelay/placement/demand_estimator.h"
 #include "cornelrelay/placement/layout_planner.h"
+#include "cornelrelay/routes/engine_model.h"
 
 namespace cornelrelay::ranks {
 
@@ -34,6 +35,9 @@
   double urgent_skew = 1.8;
 };
 
+/// \brief Returns the settings for a group of engines of this model.
+ExpertMapPlannerConfig MakeExpertMapPlannerConfig(const routes::EngineModel& engine);
+
 /// \brief A proposed map and the skew expected from it, as a mean over the sets.
 struct MapProposal {
   balance::LayerMap map;
@@ -58,6 +62,9 @@
   /// \brief Size of the counts of one rank.
   std::size_t counts_per_rank() const { return m_config.layer_sets * m_config.experts_per_set; }
 
+  /// \brief Changes of layouts evaluated so far, a measure of the planner's work.
+  std::uint64_t changes_considered() const { return m_changes_considered; }
+
   /// \brief Ends a window of counts and updates the estimates of the demand.
   void EndWindow();
 
@@ -78,6 +85,7 @@
   std::vector<double> m_pace;         ///< by rank; ranks beyond the end are sound
   std::vector<std::vector<double>> m_window;
   std::vector<placement::DemandEstimator> m_estimators;
+  std::uint64_t m_changes_considered = 0;
   std::optional<double> m_last_skew;  ///< MapProposal::skew_before of the last call
 };
 
--- a/packages/ranks/src/expert_map_planner.cc
+++ b/packages/ranks/src/expert_map_planner.cc
@@ -11,9 +11,30 @@
 
 /// A rank that works no longer than this counts as sound: its pace varies by some percent.
 constexpr double kMaxSoundPace = 1.15;
+/// LayoutLimits::min_gain_per_copy for experts that take kReferenceLoadTime to load. It is less for
+/// smaller experts, whose copies cost less.
+constexpr double kReferenceMinGain = 0.008;
+constexpr std::chrono::milliseconds kReferenceLoadTime{100};
+constexpr double kLeastMinGain = 0.0005;
+
+double MinGainPerCopy(core::Duration load_time) {
+  const double part = std::chrono::duration<double>(load_time) / kReferenceLoadTime;
+  return std::clamp(kReferenceMinGain * part, kLeastMinGain, kReferenceMinGain);
+}
 
 }  // namespace
 
+ExpertMapPlannerConfig MakeExpertMapPlannerConfig(const routes::EngineModel& engine) {
+  ExpertMapPlannerConfig config;
+  config.layer_sets = engine.expert_layer_sets;
+  config.experts_per_set = engine.experts;
+  config.limits.slots_per_rank = engine.max_experts_per_rank;
+  config.limits.max_new_per_rank = engine.max_new_experts_per_rank;
+  config.limits.min_gain_per_copy = MinGainPerCopy(engine.expert_load_time);
+  config.expert_load_time = engine.expert_load_time;
+  return config;
+}
+
 ExpertMapPlanner::ExpertMapPlanner(ExpertMapPlannerConfig config)
     : m_config(config),
       m_max_copies_per_rank(std::max<std::size_t>(
@@ -75,6 +96,7 @@
     const placement::ExpertLayout& layout = layouts[set];
     auto plan = placement::PlanLayout(layout, m_estimators[set].loads(), m_config.limits,
                                       remaining_copies, pace);
+    m_changes_considered += plan.changes_considered;
     const auto copies = placement::NewCopiesByRank(layout, plan.layout);
     for (std::size_t rank = 0; rank < ranks; ++rank) remaining_copies[rank] -= copies[rank];
     proposal.new_copies += plan.new_copies;
--- a/packages/ranks/src/group_leader.cc
+++ b/packages/ranks/src/group_leader.cc
@@ -52,21 +52,11 @@
 constexpr std::size_t kMaxMapsToUnanswering = 2;
 /// Orders of the same kind that are sent one by one. More are passed on from agent to agent.
 constexpr std::size_t kMaxSingleOrders = 3;
-/// LayoutLimits::min_gain_per_copy for experts that take kReferenceLoadTime to load. It is less for
-/// smaller experts, whose copies cost less.
-constexpr double kReferenceMinGain = 0.008;
-constexpr milliseconds kReferenceLoadTime{100};
-constexpr double kLeastMinGain = 0.0005;
 
 milliseconds AgentTimeout(balance::RankIndex ranks) {
   return std::chrono::ceil<milliseconds>(kAgentTimeout + kAgentTimeoutPerRank * ranks);
 }
 
-double MinGainPerCopy(core::Duration load_time) {
-  const double part = std::chrono::duration<double>(load_time) / kReferenceLoadTime;
-  return std::clamp(kReferenceMinGain * part, kLeastMinGain, kReferenceMinGain);
-}
-
 balance::SwitchLeaderConfig MakeSwitchLeaderConfig(const balance::RankReport& own_report) {
   balance::SwitchLeaderConfig config;
   config.ranks = own_report.size;
@@ -154,14 +144,7 @@
   if (service == item->configuration.services.end() || !service->second.engine) return;
   const routes::EngineModel& engine = *service->second.engine;
   if (engine.expert_layer_sets == 0) return;
-  ExpertMapPlannerConfig config;
-  config.layer_sets = engine.expert_layer_sets;
-  config.experts_per_set = engine.experts;
-  config.limits.slots_per_rank = engine.max_experts_per_rank;
-  config.limits.max_new_per_rank = engine.max_new_experts_per_rank;
-  config.limits.min_gain_per_copy = MinGainPerCopy(engine.expert_load_time);
-  config.expert_load_time = engine.expert_load_time;
-  m_map_planner.emplace(config);
+  m_map_planner.emplace(MakeExpertMapPlannerConfig(engine));
 }
 
 void GroupLeader::RunRound() {
