Plan expert maps over all sets by gain per copy, up to what pays until the next shift

The first sets used up the copies that a rank may load, and the copies of a switch delayed the map longer than they gained. The planner estimates the time between shifts, and the demand estimate averages the windows since a shift, so that fewer maps follow sampling noise.

--- a/packages/placement/include/cornelrelay/placement/layout_planner.h
+++ b/packages/placement/include/cornelrelay/placement/layout_planner.h
@@ -47,4 +47,42 @@
                       const std::vector<std::size_t>& max_copies_by_rank = {},
                       const std::vector<double>& pace = {});
 
+/// \brief Time that a switch takes, by which a plan weighs its copies. Times are in seconds.
+struct SwitchCost {
+  std::size_t max_copies_per_rank = 1;  ///< over all sets
+  double time_per_copy = 0.1;           ///< in which a rank loads one copy
+  double fixed_time = 0.12;             ///< from the last copy until the layouts are in use
+  /// Part by which passes take longer while a rank loads. Measured: 15%.
+  double slowdown = 0.15;
+  double until_shift = 2.5;  ///< expected time until the demand shifts again
+  /// Copies by which the plan raises the limit of each rank before it checks whether the switch
+  /// gains from them. Fewer fit the switch better but take more changes to consider.
+  std::size_t copies_per_round = 4;
+};
+
+/// \brief Planned layouts of several sets. Skews are means over the sets that have load.
+struct JointPlan {
+  std::vector<ExpertLayout> layouts;
+  std::size_t new_copies = 0;
+  double skew_before = 1;
+  double skew_after = 1;
+  std::size_t changes_considered = 0;
+  /// Expected reduction of the work of the slowest ranks until the demand shifts, with the cost of
+  /// the switch subtracted, in seconds of mean load. 0 if no copy pays for its load.
+  double saved_time = 0;
+};
+
+/// \brief Improves the layouts of several sets that share the time in which their ranks load.
+///
+/// The change with the greatest gain per copy over all sets comes first. A switch lasts as long as
+/// its busiest rank loads, so ranks get more copies only while the reduction of the skew until the
+/// next shift exceeds the time by which the switch is in use later.
+///
+/// \param loads expected load of each expert of each set
+/// \param pace see PlanLayout()
+JointPlan PlanLayoutsTogether(const std::vector<ExpertLayout>& current,
+                              const std::vector<std::vector<double>>& loads,
+                              const LayoutLimits& limits, const SwitchCost& cost,
+                              const std::vector<double>& pace = {});
+
 }  // namespace cornelrelay::placement
--- a/packages/placement/src/demand_estimator.cc
+++ b/packages/placement/src/demand_estimator.cc
@@ -66,7 +66,11 @@
     }
     for (double& share : m_window) share /= sum;
   }
-  const double gain = !m_initialized || m_shifted ? 1 : m_config.gain;
+  // All counts since a shift weigh the same at first, so that the noise falls with each window.
+  if (!m_initialized || m_shifted) m_weight = 0;
+  m_weight += total;
+  const double gain = std::max(total / m_weight, std::min(1.0, m_config.gain));
+  m_weight = std::min(m_weight, total / gain);
   for (std::size_t i = 0; i < m_window.size(); ++i) {
     m_loads[i] += gain * (m_window[i] - m_loads[i]);
   }
--- a/packages/placement/tests/demand_estimator_test.cc
+++ b/packages/placement/tests/demand_estimator_test.cc
@@ -72,6 +72,18 @@
   }
 }
 
+// Load pattern: steady drift. Guards against copies that follow the noise of the last window.
+TEST_CASE("the noise of single windows averages out, and a steady drift is followed") {
+  DemandEstimator estimator(4, {});
+  for (int i = 0; i < 20; ++i) {
+    const double noise = i % 2 == 0 ? 40 : -40;
+    estimator.AddCounts({400 + noise, 400 - noise, 400, 400});
+  }
+  CHECK(estimator.loads()[0] == Approx(0.25).margin(0.006));
+  for (int i = 1; i <= 40; ++i) estimator.AddCounts({400.0 + 5 * i, 400.0 - 5 * i, 400, 400});
+  CHECK(estimator.loads()[0] == Approx(0.375).margin(0.02));
+}
+
 TEST_CASE("windows with few counts are merged with the next one") {
   DemandEstimator estimator(2, {});
   estimator.AddCounts({100, 100});
--- a/packages/placement/tests/layout_planner_test.cc
+++ b/packages/placement/tests/layout_planner_test.cc
@@ -110,6 +110,72 @@
   }
 }
 
+namespace {
+
+constexpr std::size_t kSets = 16, kSetExperts = 96, kGroupRanks = 24;
+constexpr LayoutLimits kGroupLimits{
+    .slots_per_rank = 5, .max_new_per_rank = 2, .min_gain_per_copy = 0.00216};
+constexpr SwitchCost kGroupCost{.max_copies_per_rank = 11, .time_per_copy = 0.027};
+
+/// \brief Demand in all sets of which two thirds went to other experts.
+std::vector<std::vector<double>> ShiftedLoads() {
+  std::vector<std::vector<double>> loads;
+  for (std::size_t set = 0; set < kSets; ++set) {
+    loads.push_back(SkewedLoads(kSetExperts, set + 1));
+    const auto after = SkewedLoads(kSetExperts, set + 100);
+    for (std::size_t e = 0; e < kSetExperts; ++e) loads[set][e] += 2 * after[e];
+  }
+  return loads;
+}
+
+}  // namespace
+
+// Load pattern: two thirds of the demand shift in all sets at once. Planned set after set, the
+// first sets use up the copies that the ranks may load.
+TEST_CASE("after a shift in all sets no set is left out, and no rank loads more than it may") {
+  const std::vector<ExpertLayout> current(kSets, RoundRobinLayout(kSetExperts, kGroupRanks));
+  const auto loads = ShiftedLoads();
+  const JointPlan plan = PlanLayoutsTogether(current, loads, kGroupLimits, kGroupCost);
+  std::vector<std::size_t> copies(kGroupRanks, 0);
+  for (std::size_t set = 0; set < kSets; ++set) {
+    CAPTURE(set);
+    CHECK(plan.layouts[set].Complete());
+    CHECK(SlowestRankLoad(plan.layouts[set], loads[set], {}) <
+          0.75 * SlowestRankLoad(current[set], loads[set], {}));
+    const auto added = NewCopiesByRank(current[set], plan.layouts[set]);
+    for (std::size_t rank = 0; rank < kGroupRanks; ++rank) {
+      CHECK(added[rank] <= kGroupLimits.max_new_per_rank);
+      CHECK(plan.layouts[set].ranks()[rank].size() <= kGroupLimits.slots_per_rank);
+      copies[rank] += added[rank];
+    }
+  }
+  for (const std::size_t of_rank : copies) CHECK(of_rank <= kGroupCost.max_copies_per_rank);
+  CHECK(plan.saved_time > 0);
+}
+
+// Load pattern: two thirds of the demand shift in all sets at once.
+TEST_CASE("copies that do not pay for their load until the next shift are not made") {
+  const std::vector<ExpertLayout> current(kSets, RoundRobinLayout(kSetExperts, kGroupRanks));
+  const auto copies = [&](double until_shift) {
+    SwitchCost cost = kGroupCost;
+    cost.until_shift = until_shift;
+    return PlanLayoutsTogether(current, ShiftedLoads(), kGroupLimits, cost).new_copies;
+  };
+  CHECK(copies(0.15) == 0);
+  CHECK(copies(0.5) < copies(5));
+}
+
+// Load pattern: one rank turns slow, and all ranks wait for it in each pass.
+TEST_CASE("a joint plan takes experts away from a slow rank in all sets") {
+  const std::vector<ExpertLayout> current(kSets, RoundRobinLayout(kSetExperts, kGroupRanks));
+  const std::vector<std::vector<double>> even(kSets, std::vector<double>(kSetExperts, 1));
+  std::vector<double> pace(kGroupRanks, 1);
+  pace[5] = 3;
+  const JointPlan plan = PlanLayoutsTogether(current, even, kGroupLimits, kGroupCost, pace);
+  CHECK(plan.skew_before == Approx(3));
+  CHECK(plan.skew_after < 2);
+}
+
 TEST_CASE("an even demand causes no copies") {
   const auto plan = PlanLayout(RoundRobinLayout(64, 16), std::vector<double>(64, 1.0),
                                {.slots_per_rank = 5, .max_new_per_rank = 2});
--- a/packages/policybench/src/expert_map_table.cc
+++ b/packages/policybench/src/expert_map_table.cc
@@ -224,7 +224,8 @@
         // The leader asks for no counts during a switch; the next ones are of all the time.
         if (now + kStepMs >= window_end && !pending) {
           m_planner->AddCounts(Sample(expected));
-          m_planner->EndWindow();
+          m_planner->EndWindow(milliseconds(now + kStepMs - m_window_start));
+          m_window_start = now + kStepMs;
           pending = Plan(now + kStepMs);
           window_end = NextWindow(now + kStepMs);
         }
@@ -232,7 +233,8 @@
       m_figures.skew += MeanSkew(m_layouts, *demand);
       m_figures.bound += MeanBound(m_shape, *demand);
     }
-    const double steps = run_ms / kStepMs, seconds = run_ms / 1'000.0;
+    const auto steps = static_cast<double>(m_demand.size());
+    const double seconds = run_ms / 1'000.0;
     m_figures.skew /= steps;
     m_figures.bound /= steps;
     m_figures.copies_per_second /= seconds;
@@ -327,6 +329,7 @@
   balance::LayerMap m_map;  ///< in force
   std::vector<placement::ExpertLayout> m_layouts;
   double m_switches = 0;
+  int m_window_start = 0;
   RunFigures m_figures;
 };
 
--- a/packages/ranks/include/cornelrelay/ranks/expert_map_planner.h
+++ b/packages/ranks/include/cornelrelay/ranks/expert_map_planner.h
@@ -33,6 +33,8 @@
   /// From this skew on, a switch does not wait for the shift to end: the growth so far has shown
   /// most of it.
   double urgent_skew = 1.8;
+  /// Time between shifts of the demand that is assumed before the first ones are seen.
+  core::Duration initial_shift_interval = std::chrono::milliseconds(2'500);
 };
 
 /// \brief Returns the settings for a group of engines of this model.
@@ -66,7 +68,8 @@
   std::uint64_t changes_considered() const { return m_changes_considered; }
 
   /// \brief Ends a window of counts and updates the estimates of the demand.
-  void EndWindow();
+  /// \param length time since the last window ended
+  void EndWindow(core::Duration length = std::chrono::milliseconds(100));
 
   /// \brief Proposes a better map if there is one whose gain is worth its copies.
   ///
@@ -80,12 +83,17 @@
   /// \brief Pace of each of the ranks.
   std::vector<double> PaceOf(std::size_t ranks) const;
 
+  /// \brief Expected time until the demand shifts again.
+  core::Duration UntilShift() const;
+
   ExpertMapPlannerConfig m_config;
   std::size_t m_max_copies_per_rank;  ///< over all sets, for one switch
   std::vector<double> m_pace;         ///< by rank; ranks beyond the end are sound
   std::vector<std::vector<double>> m_window;
   std::vector<placement::DemandEstimator> m_estimators;
   std::uint64_t m_changes_considered = 0;
+  core::Duration m_since_shift{};     ///< time since the last shift, or since the first window
+  core::Duration m_shift_interval;    ///< mean time between shifts
   std::optional<double> m_last_skew;  ///< MapProposal::skew_before of the last call
 };
 
--- a/packages/ranks/include/cornelrelay/ranks/group_leader.h
+++ b/packages/ranks/include/cornelrelay/ranks/group_leader.h
@@ -116,6 +116,7 @@
   GroupMembers m_members;
   OrderOutbox m_outbox;
   std::optional<ExpertMapPlanner> m_map_planner;
+  std::optional<core::Instant> m_window_start;  ///< of the window of counts, once one has ended
   std::optional<KnownMap> m_known_map;
   std::set<balance::MapDigest> m_sent_maps;  ///< that the agents have been sent by this leader
   runtime::WakeTimer m_round_timer;
--- a/packages/ranks/src/expert_map_planner.cc
+++ b/packages/ranks/src/expert_map_planner.cc
@@ -11,6 +11,13 @@
 
 /// A rank that works no longer than this counts as sound: its pace varies by some percent.
 constexpr double kMaxSoundPace = 1.15;
+/// Shifts in windows closer than this are one shift that several windows show.
+constexpr std::chrono::milliseconds kLeastShiftInterval{500};
+/// Longer intervals count as this long. Copies of a steady demand pay for themselves anyway.
+constexpr core::Duration kMaxShiftInterval = std::chrono::seconds(20);
+constexpr double kShiftIntervalGain = 0.3;  ///< weight of the newest interval in the mean
+/// A shift that is late is expected within the mean interval over this.
+constexpr int kLeastRemainingPart = 3;
 /// LayoutLimits::min_gain_per_copy for experts that take kReferenceLoadTime to load. It is less for
 /// smaller experts, whose copies cost less.
 constexpr double kReferenceMinGain = 0.008;
@@ -41,7 +48,8 @@
           1, static_cast<std::size_t>(config.max_load_time /
                                       std::max(config.expert_load_time, core::Duration(1))))),
       m_window(config.layer_sets, std::vector<double>(config.experts_per_set, 0)),
-      m_estimators(config.layer_sets, placement::DemandEstimator(config.experts_per_set, {})) {}
+      m_estimators(config.layer_sets, placement::DemandEstimator(config.experts_per_set, {})),
+      m_shift_interval(config.initial_shift_interval) {}
 
 void ExpertMapPlanner::SetPace(balance::RankIndex rank, double pace) {
   if (m_pace.size() <= rank) m_pace.resize(rank + 1, 1);
@@ -61,11 +69,23 @@
   }
 }
 
-void ExpertMapPlanner::EndWindow() {
+void ExpertMapPlanner::EndWindow(core::Duration length) {
+  std::size_t shifted = 0;
   for (std::size_t set = 0; set < m_config.layer_sets; ++set) {
     m_estimators[set].AddCounts(m_window[set]);
+    if (m_estimators[set].shifted()) ++shifted;
     std::fill(m_window[set].begin(), m_window[set].end(), 0);
   }
+  m_since_shift += length;
+  if (2 * shifted <= m_config.layer_sets || m_since_shift < kLeastShiftInterval) return;
+  const core::Duration interval = std::min(m_since_shift, kMaxShiftInterval);
+  m_shift_interval += std::chrono::duration_cast<core::Duration>(kShiftIntervalGain *
+                                                                 (interval - m_shift_interval));
+  m_since_shift = core::Duration(0);
+}
+
+core::Duration ExpertMapPlanner::UntilShift() const {
+  return std::max(m_shift_interval - m_since_shift, m_shift_interval / kLeastRemainingPart);
 }
 
 double ExpertMapPlanner::MeanSkew(const std::vector<placement::ExpertLayout>& layouts) const {
@@ -91,18 +111,17 @@
   if (proposal.skew_before - 1 < m_config.min_gain) return std::nullopt;
   const std::size_t ranks = current.empty() ? 0 : current.front().size();
   const std::vector<double> pace = PaceOf(ranks);
-  std::vector<std::size_t> remaining_copies(ranks, m_max_copies_per_rank);
-  for (std::size_t set = 0; set < m_config.layer_sets; ++set) {
-    const placement::ExpertLayout& layout = layouts[set];
-    auto plan = placement::PlanLayout(layout, m_estimators[set].loads(), m_config.limits,
-                                      remaining_copies, pace);
-    m_changes_considered += plan.changes_considered;
-    const auto copies = placement::NewCopiesByRank(layout, plan.layout);
-    for (std::size_t rank = 0; rank < ranks; ++rank) remaining_copies[rank] -= copies[rank];
-    proposal.new_copies += plan.new_copies;
-    proposal.skew_after += plan.skew_after / static_cast<double>(m_config.layer_sets);
-    proposal.map.push_back(plan.layout.ranks());
-  }
+  std::vector<std::vector<double>> loads;
+  for (const auto& estimator : m_estimators) loads.push_back(estimator.loads());
+  placement::SwitchCost cost;
+  cost.max_copies_per_rank = m_max_copies_per_rank;
+  cost.time_per_copy = std::chrono::duration<double>(m_config.expert_load_time).count();
+  cost.until_shift = std::chrono::duration<double>(UntilShift()).count();
+  auto plan = placement::PlanLayoutsTogether(layouts, loads, m_config.limits, cost, pace);
+  m_changes_considered += plan.changes_considered;
+  proposal.new_copies = plan.new_copies;
+  proposal.skew_after = plan.skew_after;
+  for (const placement::ExpertLayout& layout : plan.layouts) proposal.map.push_back(layout.ranks());
   if (proposal.skew_before - proposal.skew_after < m_config.min_gain) return std::nullopt;
   return proposal;
 }
--- a/packages/ranks/src/group_leader.cc
+++ b/packages/ranks/src/group_leader.cc
@@ -216,7 +216,9 @@
 void GroupLeader::EndRound() {
   if (!m_leading) return;
   if (m_map_planner) {
-    m_map_planner->EndWindow();
+    const core::Instant now = m_dependencies.clock.Now();
+    m_map_planner->EndWindow(m_window_start ? now - *m_window_start : kRoundInterval);
+    m_window_start = now;
     PlanMap();
   }
   m_round_timer.SetAt(std::max(m_dependencies.clock.Now(), m_round_start + kRoundInterval));
@@ -463,6 +465,7 @@
   }
   if (m_leading && m_switch_leader.phase() == balance::SwitchLeader::Phase::kFollowing) {
     m_leading = false;
+    m_window_start.reset();
     m_on_fenced();
     m_dependencies.log.Warning("group_lead_fenced",
                                {{"group", m_own_report.group}, {"fence", m_switch_leader.fence()}});
--- a/packages/ranks/tests/expert_map_planner_test.cc
+++ b/packages/ranks/tests/expert_map_planner_test.cc
@@ -127,6 +127,39 @@
   }
 }
 
+// Load pattern: the demand shifts every 600 ms, faster than a switch with many copies pays.
+TEST_CASE("copies are fewer where shifts follow each other soon") {
+  const auto copies_after_shifts = [](int windows_between_shifts) {
+    ExpertMapPlannerConfig config;
+    config.layer_sets = 8;
+    config.experts_per_set = 32;
+    config.limits = {.slots_per_rank = 6, .max_new_per_rank = 3};
+    config.expert_load_time = std::chrono::milliseconds(27);
+    ExpertMapPlanner planner(config);
+    balance::LayerMap current(8, std::vector<std::vector<std::uint16_t>>(8));
+    for (auto& set : current) {
+      for (std::uint16_t e = 0; e < 32; ++e) set[e % 8].push_back(e);
+    }
+    for (std::size_t shift = 0; shift < 12; ++shift) {
+      std::vector<std::uint32_t> counts(planner.counts_per_rank(), 300);
+      for (std::size_t set = 0; set < 8; ++set) {
+        counts[set * 32 + (set * 3 + shift) % 32] = 8'000;
+        counts[set * 32 + (set * 3 + shift + 5) % 32] = 4'000;
+      }
+      for (int window = 0; window < windows_between_shifts; ++window) {
+        planner.AddCounts(counts);
+        planner.EndWindow(std::chrono::milliseconds(100));
+      }
+    }
+    const auto proposal = planner.ProposeMap(current);
+    return proposal ? proposal->new_copies : 0;
+  };
+  const std::size_t soon = copies_after_shifts(6), late = copies_after_shifts(60);
+  CAPTURE(soon, late);
+  CHECK(late > 0);
+  CHECK(soon < late);
+}
+
 TEST_CASE("no map is proposed without counts") {
   CHECK_FALSE(ExpertMapPlanner(Config()).ProposeMap(kRoundRobinMap));
   CHECK_FALSE(ExpertMapPlanner(Config()).ProposeMap({}));
