Requests that no upstream has run are answered 503 with a retry time

A refusal stays a proof if its connection breaks afterwards; an attempt that is cancelled or loses its connection before the first byte counts as not sent; a stalled connect that is replaced counts as failed connect; a 503 that says not run always has a Retry-After.

An upstream's 408, 429 or 503 without proof of refusal is no longer passed on: an attempt of the request may have run, and callers take these statuses for a guarantee. They get 502.

The new tests and the fuzz oracle check both sides of that moment.

--- a/packages/driver/include/cornelrelay/driver/attempt_call.h
+++ b/packages/driver/include/cornelrelay/driver/attempt_call.h
@@ -49,6 +49,7 @@
   /// \brief Sends the request on the open connection and reports the response.
   /// \throws net::ExchangeBroken, request::SseEventTooLarge; the base class reports both as
   /// request::UpstreamClosed
+  /// \throws net::ConnectFailed if no byte was written; reported as request::ConnectFailed
   virtual boost::asio::awaitable<void> Exchange() = 0;
 
   /// \brief Called before a broken exchange is reported, unless this process cancelled it.
@@ -77,6 +78,7 @@
   std::shared_ptr<RequestMailbox> m_mailbox;
   std::unique_ptr<net::HttpExchange> m_exchange;
   bool m_cancelled = false;
+  bool m_write_permitted = false;  ///< the request has handled BytesSent and goes on
 };
 
 }  // namespace cornelrelay::driver
--- a/packages/driver/src/attempt_call.cc
+++ b/packages/driver/src/attempt_call.cc
@@ -39,7 +39,11 @@
     co_await RunAttempt();
   } catch (const std::exception&) {
     // The request must not wait any longer for an attempt that a fault of this program has ended.
-    Report(request::UpstreamClosed{m_target.attempt});
+    if (m_write_permitted) {
+      Report(request::UpstreamClosed{m_target.attempt});
+    } else {
+      Report(request::ConnectFailed{m_target.attempt});
+    }
     throw;
   }
 }
@@ -63,9 +67,13 @@
   Report(request::BytesSent{m_target.attempt});
   co_await m_mailbox->UntilTaken();
   if (m_cancelled || m_mailbox->closed()) co_return;
+  m_write_permitted = true;
   bool broken = false;
+  bool unsent = false;
   try {
     co_await Exchange();
+  } catch (const net::ConnectFailed&) {
+    unsent = true;
   } catch (const net::ExchangeBroken& error) {
     broken = true;
     HandleBreak(error.cause(), error);
@@ -73,6 +81,7 @@
     broken = true;
     HandleBreak(net::BreakCause::kBodyTooLarge, error);
   }
+  if (unsent) Report(request::ConnectFailed{m_target.attempt});
   if (broken) Report(request::UpstreamClosed{m_target.attempt});
 }
 
--- a/packages/net/include/cornelrelay/net/errors.h
+++ b/packages/net/include/cornelrelay/net/errors.h
@@ -8,7 +8,8 @@
 
 namespace cornelrelay::net {
 
-/// \brief No connection was established, so the peer received no byte of the request.
+/// \brief No connection was established, or it was lost before the first byte was written, so the
+/// peer received no byte of the request.
 class ConnectFailed : public core::Error {
  public:
   ConnectFailed(const core::Endpoint& peer, const std::string& reason, bool refused = false);
--- a/packages/net/include/cornelrelay/net/http_exchange.h
+++ b/packages/net/include/cornelrelay/net/http_exchange.h
@@ -19,6 +19,7 @@
   ///
   /// A peer may answer and close before it has read a long body. A failed write is therefore
   /// reported by ReadHead(), and only if no response has arrived.
+  /// \throws ConnectFailed if the connection was lost before the kernel accepted the first byte
   virtual boost::asio::awaitable<void> SendRequest(HttpRequest request) = 0;
 
   /// \brief Head of the final response; interim responses are skipped.
--- a/packages/net/src/pooled_exchange.cc
+++ b/packages/net/src/pooled_exchange.cc
@@ -84,8 +84,10 @@
   if (m_head_only) m_parser->skip(true);
   error_code ec;
   StartTimer();
-  co_await http::async_write(m_connection->stream, message, Redirect(ec));
+  const std::size_t written =
+      co_await http::async_write(m_connection->stream, message, Redirect(ec));
   m_written = !ec;
+  if (ec && written == 0) throw ConnectFailed(m_peer, ec.message());
 }
 
 asio::awaitable<HttpResponseHead> PooledExchange::ReadHead() {
--- a/packages/net/tests/endless_response_test.cc
+++ b/packages/net/tests/endless_response_test.cc
@@ -168,6 +168,63 @@
   CHECK(cause == BreakCause::kBodyTooLarge);
 }
 
+// Guards against a 502 for a request of which no byte was written: its connection was reset after
+// it was opened, or taken from the pool, and before the first write.
+TEST_CASE("a connection that is reset before the first byte counts as not established") {
+  RawServer server([](RawConnection& connection) { connection.ResetOnClose(); });
+  boost::asio::io_context context(1);
+  HttpClient client(context, {});
+  bool unsent = false;
+  boost::asio::co_spawn(
+      context,
+      [&]() -> boost::asio::awaitable<void> {
+        auto exchange = co_await client.Open(server.endpoint(), HttpClient::ConnectionUse::kFresh,
+                                             {seconds(2), seconds(2)});
+        // Blocks the event loop, so that the reset has arrived at the kernel before the write.
+        std::this_thread::sleep_for(milliseconds(200));
+        HttpRequest request{"POST", "/", {}, std::string(kMaxBody, 'x')};
+        try {
+          co_await exchange->SendRequest(std::move(request));
+          co_await exchange->ReadHead();
+        } catch (const ConnectFailed&) {
+          unsent = true;
+        } catch (const ExchangeBroken&) {
+          unsent = false;
+        }
+      },
+      boost::asio::detached);
+  context.run();
+  CHECK(unsent);
+}
+
+// Guards against a false proof: a peer that has read a part of the request may run it.
+TEST_CASE("a connection that is reset after the first byte counts as broken") {
+  RawServer server([](RawConnection& connection) {
+    std::string bytes;
+    connection.Receive(bytes);
+    connection.ResetOnClose();
+  });
+  boost::asio::io_context context(1);
+  HttpClient client(context, {});
+  bool broken = false;
+  boost::asio::co_spawn(
+      context,
+      [&]() -> boost::asio::awaitable<void> {
+        auto exchange = co_await client.Open(server.endpoint(), HttpClient::ConnectionUse::kFresh,
+                                             {seconds(2), seconds(2)});
+        HttpRequest request{"POST", "/", {}, std::string(16'777'216, 'x')};
+        try {
+          co_await exchange->SendRequest(std::move(request));
+          co_await exchange->ReadHead();
+        } catch (const ExchangeBroken&) {
+          broken = true;
+        }
+      },
+      boost::asio::detached);
+  context.run();
+  CHECK(broken);
+}
+
 // A request that waits in the kernel, because a link is cut, would otherwise be delivered after its
 // caller has left.
 TEST_CASE("the connection of a cancelled exchange is reset, not closed") {
--- a/packages/relay/src/relay_task.cc
+++ b/packages/relay/src/relay_task.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <variant>
 
+#include "cornelrelay/core/http_status.h"
 #include "cornelrelay/core/overloaded.h"
 
 namespace cornelrelay::relay {
@@ -15,6 +16,10 @@
 /// Failed connections per request that do not count as attempts. The number is limited because each
 /// can take as long as the connect timeout.
 constexpr int kMaxUncountedConnectFailures = 2;
+/// Retry-After of a request that was not run, if nothing else gives one. Within this time the
+/// statuses of the other entry processes, which are up to 250 ms old, and the results of other
+/// requests show whether an upstream is usable again.
+constexpr milliseconds kUnsentRetryAfter{250};
 /// Multiple of the mean service time within which nearly all requests of a service end.
 constexpr int kExpectedTimeFactor = 2;
 
@@ -324,13 +329,24 @@
 
 void RelayTask::Perform(const request::ForwardErrorResponse&) {
   assert(m_failed_call && m_failed_call->head());
-  m_writer.SetHead(m_failed_call->head()->forwarded_head, false);
+  const net::HttpResponseHead& head = m_failed_call->head()->forwarded_head;
+  if (core::PromisesNotRun(head.status)) {
+    // The upstream gave no proof that it has not run the request, and earlier attempts may have
+    // run.
+    const Failure failure{FailureKind::kUpstreamFailed, core::Execution::kUnknown, std::nullopt};
+    m_writer.Fail(m_services.callers.Encode(failure, m_routed.request.id));
+    return;
+  }
+  m_writer.SetHead(head, false);
   m_writer.Append(m_failed_call->failure_body());
   m_writer.Finish();
 }
 
 void RelayTask::Perform(const request::SendError& action) {
-  const Failure failure{FailureKindOf(action.error), action.execution, action.retry_after};
+  Failure failure{FailureKindOf(action.error), action.execution, action.retry_after};
+  if (!failure.retry_after && failure.execution == core::Execution::kNotRun) {
+    failure.retry_after = kUnsentRetryAfter;
+  }
   m_writer.Fail(m_services.callers.Encode(failure, m_routed.request.id));
 }
 
@@ -353,6 +369,7 @@
       return m_stall_detector.silent() && timed_out ? dispatch::AttemptEnd::kFailed
                                                     : dispatch::AttemptEnd::kCancelled;
     }
+    case AttemptResult::kConnectFailed:
     case AttemptResult::kBroken:
       // An upstream that gives output to others has not failed; this process ends the attempt.
       if (m_replacing &&
@@ -360,7 +377,6 @@
         return dispatch::AttemptEnd::kCancelled;
       }
       return dispatch::AttemptEnd::kFailed;
-    case AttemptResult::kConnectFailed:
     case AttemptResult::kForeign:
       return dispatch::AttemptEnd::kFailed;
   }
@@ -442,8 +458,14 @@
                           {"next_upstream", m_next_assigned->upstream},
                           {"waited_us", m_next_assigned->waited}});
   m_replacing = true;
+  const bool connecting = snapshot().state == request::RequestState::kConnecting;
   m_call->Cancel();
-  Step(request::UpstreamClosed{m_call->attempt()});
+  if (connecting) {
+    // Nothing was written, and after Cancel() nothing will be.
+    Step(request::ConnectFailed{m_call->attempt()});
+  } else {
+    Step(request::UpstreamClosed{m_call->attempt()});
+  }
 }
 
 void RelayTask::DropNextPlace() {
--- a/packages/relay/src/upstream_call.cc
+++ b/packages/relay/src/upstream_call.cc
@@ -32,7 +32,7 @@
 }
 
 bool IsFailure(int status) {
-  return status == core::kStatusTooManyRequests || status >= core::kFirstServerErrorStatus;
+  return core::PromisesNotRun(status) || status >= core::kFirstServerErrorStatus;
 }
 
 }  // namespace
--- a/packages/request/include/cornelrelay/request/request_event.h
+++ b/packages/request/include/cornelrelay/request/request_event.h
@@ -55,12 +55,14 @@
 /// \brief The retry budget is exhausted.
 struct RetryDenied {};
 
-/// \brief The connection could not be set up. No byte of the attempt was written or will be.
+/// \brief The connection could not be set up, or it was lost before the first byte. No byte of the
+/// attempt was written or will be.
 struct ConnectFailed {
   core::AttemptId attempt;
 };
 /// \brief The attempt is about to be written. The driver must pass this event to the machine before
-/// it hands the first byte to the socket.
+/// it hands the first byte to the socket, and writes nothing if the machine cancels the attempt in
+/// the same step.
 struct BytesSent {
   core::AttemptId attempt;
 };
@@ -83,7 +85,7 @@
 };
 
 /// \brief The upstream proved that it has not run the attempt and never will. The attempt counts as
-/// not sent.
+/// not sent, also if its connection breaks afterwards.
 struct AttemptRefused {
   core::AttemptId attempt;
   std::optional<core::Duration> retry_after;
--- a/packages/request/src/request_core.cc
+++ b/packages/request/src/request_core.cc
@@ -55,7 +55,14 @@
   return !m_policy.idempotent && m_policy.key_required && !m_attributes.has_key;
 }
 
+void RequestCore::MarkNotRun(const core::AttemptId& attempt) {
+  if (!IsCurrent(attempt)) return;
+  m_not_run.insert(attempt);
+  m_current_attempt_sent = false;
+}
+
 void RequestCore::MarkSent(const core::AttemptId& attempt) {
+  if (m_not_run.contains(attempt)) return;
   (IsCurrent(attempt) ? m_current_attempt_sent : m_earlier_attempt_sent) = true;
 }
 
@@ -201,7 +208,8 @@
   m_error = error;
   // Only a granted claim proves that no earlier call under the same key has run.
   const bool earlier_call_possible = NeedsClaim() && !m_claim_held;
-  const bool not_run = (!AnyAttemptSent() && !earlier_call_possible) ||
+  const bool not_run = (!AnyAttemptSent() && !earlier_call_possible &&
+                        m_fault != InjectedFault::kReportUnknownBeforeSending) ||
                        m_fault == InjectedFault::kReportNotRunAfterSending;
   const core::Execution reported_execution =
       execution.value_or(not_run ? core::Execution::kNotRun : core::Execution::kUnknown);
--- a/packages/request/src/request_core.h
+++ b/packages/request/src/request_core.h
@@ -64,9 +64,9 @@
   void MarkSent(const core::AttemptId& attempt);
   /// \brief Records that the current attempt has not reached an upstream.
   void CountConnectFailure() { ++m_connect_failures; }
-  /// \brief Records that the upstream has not run the current attempt, which then counts as not
-  /// sent.
-  void MarkAttemptRefused() { m_current_attempt_sent = false; }
+  /// \brief Records that `attempt` was not run and never will be, if it is the current one. It then
+  /// counts as not sent, whatever happens to its connection afterwards.
+  void MarkNotRun(const core::AttemptId& attempt);
   /// \brief True if any attempt may have begun to run.
   bool AnyAttemptSent() const { return m_earlier_attempt_sent || m_current_attempt_sent; }
   /// \brief Releases a claim that is granted only after the request has failed.
@@ -132,6 +132,7 @@
   std::optional<core::Instant> m_claim_deadline;
   std::optional<core::AttemptId> m_attempt;
   core::UpstreamId m_upstream;
+  std::set<core::AttemptId> m_not_run;  ///< attempts that were proved not to run
   std::set<core::UpstreamId> m_tried;
   StreamPosition m_position;
   std::optional<RequestError> m_error;  ///< error of the last failed attempt or of the request
--- a/packages/request/src/request_machine.cc
+++ b/packages/request/src/request_machine.cc
@@ -40,12 +40,18 @@
 
   std::vector<RequestAction> Step(core::Instant now, const RequestEvent& event) {
     m_core.SetNow(now);
-    // Runs before the timer checks, so that bytes sent at the deadline are not reported as not run.
+    // Runs before the timer checks, so that an answer or refusal that arrives at the deadline
+    // counts.
     std::visit([this](const auto& e) { UpdateSentState(e); }, event);
     // A timer may fire late. An event that arrives after the due time of a timer must not be
     // processed before that timer.
     if (m_core.DeadlinePassed()) m_fsm.process_event(Stopped{RequestError::kDeadlineExceeded});
     if (m_core.ClaimOverdue()) m_fsm.process_event(ClaimTimedOut{});
+    // Runs after the timer checks: if these cancel the attempt, the driver writes nothing.
+    if (const auto* sent = std::get_if<BytesSent>(&event);
+        sent && m_core.IsCurrent(sent->attempt)) {
+      m_core.MarkSent(sent->attempt);
+    }
     std::visit([this](const auto& e) { ProcessIfCurrent(e); }, event);
     if (m_core.fault() == InjectedFault::kRetryWithoutToken) m_fsm.process_event(RetryGranted{});
     return m_core.TakeActions();
@@ -55,13 +61,13 @@
 
  private:
   // ConnectFailed and AttemptRefused mean that the attempt has not run and will not. Every other
-  // event of an attempt shows that it may have begun, even if the event is too late to be
-  // processed.
+  // event of an attempt but BytesSent shows that it may have begun, even if the event is too late
+  // to be processed.
   template <class Event>
   void UpdateSentState(const Event& event) {
-    if constexpr (std::is_same_v<Event, AttemptRefused>) {
-      if (m_core.IsCurrent(event.attempt)) m_core.MarkAttemptRefused();
-    } else if constexpr (AttemptEvent<Event> && !std::is_same_v<Event, ConnectFailed>) {
+    if constexpr (std::is_same_v<Event, AttemptRefused> || std::is_same_v<Event, ConnectFailed>) {
+      m_core.MarkNotRun(event.attempt);
+    } else if constexpr (AttemptEvent<Event> && !std::is_same_v<Event, BytesSent>) {
       m_core.MarkSent(event.attempt);
     }
   }
@@ -99,7 +105,11 @@
   }
 
   void Process(const ConnectFailed&) {
-    if (m_core.state() == RequestState::kConnecting) m_core.CountConnectFailure();
+    const RequestState state = m_core.state();
+    // The connection may also be lost after BytesSent, but before the first byte was written.
+    if (state == RequestState::kConnecting || state == RequestState::kAwaitingHead) {
+      m_core.CountConnectFailure();
+    }
     m_fsm.process_event(
         AttemptFailed{AttemptResult::kConnectFailed, RequestError::kConnectFailed, false});
   }
--- a/packages/request/tests/refusal_test.cc
+++ b/packages/request/tests/refusal_test.cc
@@ -62,6 +62,20 @@
   CHECK(Find<SendError>(actions)->retry_after == milliseconds(70));
 }
 
+// Guards against a 502 for a request that every upstream refused: the connection of a refusal may
+// break while the rest of the refusal is read.
+TEST_CASE("a refusal stays valid if its connection breaks afterwards") {
+  SentRequest request(Policy(false, 2));
+  const core::AttemptId refused = request.attempt;
+  request.machine.Step(kStart, AttemptRefused{refused, {}});
+  request.machine.Step(kStart, UpstreamClosed{refused});
+  request.machine.Step(kStart, RetryGranted{});
+  request.Open("u-2");
+  const auto actions = request.machine.Step(kStart, AttemptRefused{request.attempt, {}});
+  REQUIRE(Find<SendError>(actions));
+  CHECK(Find<SendError>(actions)->execution == core::Execution::kNotRun);
+}
+
 // Guards against a false not_run when an earlier attempt was interrupted after it was sent.
 TEST_CASE(
     "the execution is unknown if the last attempt was refused but an earlier one may have run") {
--- a/packages/request/tests/request_fuzz_test.cc
+++ b/packages/request/tests/request_fuzz_test.cc
@@ -88,6 +88,8 @@
       {InjectedFault::kRetryAfterBytesSent, "a non-idempotent call is sent once"},
       {InjectedFault::kReportNotRunAfterSending,
        "not_run is reported only if every attempt was unsent or refused"},
+      {InjectedFault::kReportUnknownBeforeSending,
+       "unknown is reported only if an attempt was sent and not refused"},
       {InjectedFault::kReleaseAfterSending, "a claim is released only if no attempt was sent"},
       {InjectedFault::kAcceptPreviousAttempts, "chunks are forwarded in order"},
       {InjectedFault::kRetryWithoutToken, "each retry has a token"},
--- /dev/null
+++ b/tests/system/test_final_status.py
@@ -0,0 +1,70 @@
+"""Whether the last answer to a request says truly that no replica has run it."""
+
+import socket
+import unittest
+
+from relay_case import HOST, RelayCase, free_ports
+
+
+class FinalStatusTest(RelayCase):
+    def assert_not_run(self, answer):
+        response, body = answer
+        self.assertEqual(response.status, 503, body)
+        self.assertIn(b'"execution":"not_run"', body)
+        self.assertGreater(float(response.getheader("Retry-After", "0")), 0)
+
+    def move_replicas(self, addresses):
+        """Gives the replicas other addresses in the store, and waits until the entry process uses them."""
+        for replica, (host, port) in zip(self.replicas, addresses):
+            self.store.put("servers/" + replica.name, {**replica.entry("svc", sequence=5), "address": f"{host}:{port}"})
+        self.wait_for(lambda: self.ask("POST", "/order/0", body=b"x", **{"Deadline-Ms": "300"})[0].status != 200)
+
+    # Guards against a 502 after refusals of which the connection broke while the body was read.
+    def test_refusals_that_break_off(self):
+        self.plan("refuse cut")
+        for number in range(4):
+            self.assert_not_run(self.ask("POST", f"/order/{number}", body=b"x"))
+            self.assert_not_run(self.ask("GET", f"/look/{number}"))
+        self.plan("refuse cut", "ok")
+        self.assertEqual(self.ask("POST", "/order/9", body=b"x")[0].status, 200)
+
+    # Guards against a 503 without a retry time, or a 502, for a request that no replica could be reached for.
+    def test_replicas_that_refuse_connections(self):
+        self.move_replicas((HOST, port) for port in free_ports(2))
+        self.assert_not_run(self.ask("POST", "/order/1", body=b"x"))
+        self.assert_not_run(self.ask("GET", "/look/1"))
+
+    # Guards against a 504 for a request whose deadline passed while its connection was being established.
+    def test_deadline_that_passes_during_a_connect(self):
+        addresses = []
+        for _ in self.replicas:
+            listener = socket.socket()
+            self.addCleanup(listener.close)
+            listener.bind((HOST, 0))
+            listener.listen(0)
+            # Fills the backlog, so that the kernel drops further connection requests.
+            for _ in range(4):
+                filler = socket.socket()
+                self.addCleanup(filler.close)
+                filler.setblocking(False)
+                filler.connect_ex(listener.getsockname())
+            addresses.append(listener.getsockname())
+        self.move_replicas(addresses)
+        for deadline in ("200", "700", "1500"):
+            self.assert_not_run(self.ask("POST", "/order/1", body=b"x", **{"Deadline-Ms": deadline}))
+            self.assert_not_run(self.ask("GET", "/look/1", **{"Deadline-Ms": deadline}))
+
+    # Guards against a promise that the request has not run, although an earlier attempt may have run: a status of a
+    # replica that gave no proof of it was passed on.
+    def test_status_of_a_replica_without_proof(self):
+        for status in (408, 429, 503):
+            for plan in (("reset", f"status {status}"), (f"status {status}", "reset"), (f"status {status}",)):
+                with self.subTest(plan):
+                    self.plan(*plan)
+                    self.assertEqual(self.ask("GET", "/look/1")[0].status, 502)
+            self.plan(f"status {status}")
+            self.assertEqual(self.ask("POST", "/order/1", body=b"x")[0].status, 502)
+
+
+if __name__ == "__main__":
+    unittest.main()
