--- a/packages/core/include/cornelrelay/core/http_status.h
+++ b/packages/core/include/cornelrelay/core/http_status.h
@@ -17,7 +17,9 @@
 inline constexpr int kStatusTooManyRequests = 429;
 inline constexpr int kFirstServerErrorStatus = 500;
 inline constexpr int kStatusInternalError = 500;
+inline constexpr int kStatusBadGateway = 502;
 inline constexpr int kStatusUnavailable = 503;
+inline constexpr int kStatusGatewayTimeout = 504;
 
 /// \brief Whether callers take the status as a guarantee that the request has not run and never
 /// will.
--- a/packages/relay/include/cornelrelay/relay/relay_task.h
+++ b/packages/relay/include/cornelrelay/relay/relay_task.h
@@ -4,6 +4,8 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
+#include <string_view>
 
 #include "cornelrelay/dispatch/stall_detector.h"
 #include "cornelrelay/driver/request_driver.h"
@@ -76,6 +78,12 @@
   /// \brief Gives up the stalled attempt for the place that is now held, if a retry is granted.
   void ReplaceAttempt();
   void DropNextPlace();
+  /// \brief Notes why it is unknown whether the attempt has run.
+  void RecordUnknownCause(request::AttemptResult result);
+  /// \brief Logs and counts an answer that does not say whether the request has run.
+  /// \param answer the status, or `cut` for a connection that is closed inside the answer
+  /// \param ended_by why the request ended
+  void ReportUnknownOutcome(const std::string& answer, std::string_view ended_by);
   std::unique_ptr<UpstreamPlace> MakePlace();
 
   RelayServices& m_services;
@@ -94,6 +102,7 @@
   std::uint64_t m_upstream_incarnation = 0;     ///< of the upstream of m_call
   std::set<core::UpstreamId> m_tried;
   request::AttemptResult m_last_result = request::AttemptResult::kCancelled;
+  std::optional<std::string> m_unknown_cause;    ///< of the last attempt that may have run
   std::optional<std::uint64_t> m_last_event_id;  ///< of the stream, as far as it was forwarded
   bool m_examining = false;      ///< it is not known yet whether the upstream has crashed
   bool m_retry_waiting = false;  ///< a retry is decided once it is known
--- a/packages/relay/include/cornelrelay/relay/relay_writer.h
+++ b/packages/relay/include/cornelrelay/relay/relay_writer.h
@@ -21,6 +21,8 @@
   /// \param stream whether the response is forwarded piece by piece instead of as a whole
   void SetHead(net::HttpResponseHead head, bool stream);
   bool has_head() const { return m_head.has_value(); }
+  /// \brief Whether a part of the response has been written, so that a failure cuts it off.
+  bool started() const { return m_response.Started(); }
 
   void Append(const std::string& bytes) { m_pending += bytes; }
   void Finish() { m_finished = true; }
--- a/packages/relay/include/cornelrelay/relay/upstream_call.h
+++ b/packages/relay/include/cornelrelay/relay/upstream_call.h
@@ -10,6 +10,7 @@
 #include "cornelrelay/core/ids.h"
 #include "cornelrelay/driver/attempt_call.h"
 #include "cornelrelay/limits/byte_budget.h"
+#include "cornelrelay/net/break_cause.h"
 #include "cornelrelay/net/http_client.h"
 #include "cornelrelay/relay/crash_probe.h"
 #include "cornelrelay/relay/upstream_protocol.h"
@@ -41,6 +42,8 @@
   /// \brief Head of the response; set before any event about the response is reported.
   const std::optional<UpstreamResponseHead>& head() const { return m_head; }
   const core::UpstreamId& upstream_id() const { return m_request.upstream; }
+  /// \brief Why the exchange broke; empty if it did not, or was cancelled.
+  const std::optional<net::BreakCause>& break_cause() const { return m_break_cause; }
   /// \brief Body of the response that was reported as ErrorResponseReceived.
   const std::string& failure_body() const { return m_failure_body; }
   /// \brief Id of the last event of a stream; the id after which it resumes before the first one.
@@ -76,6 +79,7 @@
   UpstreamRequest m_request;
   limits::ByteReservation m_held_bytes;
   std::optional<UpstreamResponseHead> m_head;
+  std::optional<net::BreakCause> m_break_cause;
   std::string m_failure_body;
   std::optional<std::uint64_t> m_last_event_id;
   bool m_ends_with_connection = false;  ///< the response has neither a length nor chunks
--- a/packages/relay/src/relay_task.cc
+++ b/packages/relay/src/relay_task.cc
@@ -334,9 +334,14 @@
     // The upstream gave no proof that it has not run the request, and earlier attempts may have
     // run.
     const Failure failure{FailureKind::kUpstreamFailed, core::Execution::kUnknown, std::nullopt};
-    m_writer.Fail(m_services.callers.Encode(failure, m_routed.request.id));
+    net::HttpResponse answer = m_services.callers.Encode(failure, m_routed.request.id);
+    ReportUnknownOutcome(std::to_string(answer.status), ToString(failure.kind));
+    m_writer.Fail(std::move(answer));
     return;
   }
+  if (head.status == core::kStatusBadGateway || head.status == core::kStatusGatewayTimeout) {
+    ReportUnknownOutcome(std::to_string(head.status), "answer_of_upstream");
+  }
   m_writer.SetHead(head, false);
   m_writer.Append(m_failed_call->failure_body());
   m_writer.Finish();
@@ -347,7 +352,61 @@
   if (!failure.retry_after && failure.execution == core::Execution::kNotRun) {
     failure.retry_after = kUnsentRetryAfter;
   }
-  m_writer.Fail(m_services.callers.Encode(failure, m_routed.request.id));
+  net::HttpResponse answer = m_services.callers.Encode(failure, m_routed.request.id);
+  if (m_writer.started()) {
+    ReportUnknownOutcome("cut", ToString(action.error));
+  } else if (failure.execution == core::Execution::kUnknown) {
+    ReportUnknownOutcome(std::to_string(answer.status), ToString(action.error));
+  }
+  m_writer.Fail(std::move(answer));
+}
+
+void RelayTask::RecordUnknownCause(request::AttemptResult result) {
+  using request::AttemptResult;
+  switch (result) {
+    case AttemptResult::kBroken:
+      if (m_replacing) {
+        m_unknown_cause = "replaced";
+      } else if (m_call->break_cause()) {
+        m_unknown_cause = "broken_" + std::string(ToString(*m_call->break_cause()));
+      } else {
+        m_unknown_cause = "invalid_answer";
+      }
+      return;
+    case AttemptResult::kFailed:
+      m_unknown_cause = "error_response";
+      return;
+    case AttemptResult::kForeign:
+      m_unknown_cause = "foreign_answer";
+      return;
+    case AttemptResult::kCancelled:
+      // The reason why the request ended is the cause.
+      m_unknown_cause.reset();
+      return;
+    case AttemptResult::kCompleted:
+    case AttemptResult::kConnectFailed:
+    case AttemptResult::kRefused:
+      return;
+  }
+  assert(false);
+}
+
+void RelayTask::ReportUnknownOutcome(const std::string& answer, std::string_view ended_by) {
+  const std::string cause = m_unknown_cause.value_or(std::string(ended_by));
+  m_services.log.Warning("outcome_unknown",
+                         {{"request", m_routed.request.id},
+                          {"service", m_routed.service},
+                          {"upstream", m_call ? m_call->upstream_id() : core::UpstreamId()},
+                          {"answer", answer},
+                          {"cause", cause},
+                          {"ended_by", ended_by},
+                          {"elapsed_us", m_services.clock.Now() - m_routed.arrived}});
+  m_services.metrics
+      .GetCounter("cornelrelay_unknown_outcome_total",
+                  "Answers 502 or 504, and answers cut off, by the cause of the last attempt that "
+                  "may have run.",
+                  {{"answer", answer}, {"cause", cause}})
+      .Add();
 }
 
 dispatch::AttemptEnd RelayTask::AttemptEndOf(const request::RecordAttempt& action) const {
@@ -387,6 +446,7 @@
 void RelayTask::Perform(const request::RecordAttempt& action) {
   m_last_result = action.result;
   RecordHead();
+  RecordUnknownCause(action.result);
   if (action.result == request::AttemptResult::kFailed) m_failed_call = m_call;
   m_place->RecordAttemptEnd(AttemptEndOf(action));
   if (!m_replacing) DropNextPlace();
--- a/packages/relay/src/upstream_call.cc
+++ b/packages/relay/src/upstream_call.cc
@@ -87,6 +87,7 @@
 }
 
 void UpstreamCall::OnBroken(net::BreakCause cause, const core::Error& error) {
+  m_break_cause = cause;
   m_connection_ended = cause == net::BreakCause::kConnection;
   m_log.Warning("attempt_broken", {{"request", m_request.request.id},
                                    {"upstream", m_request.upstream},
--- a/tests/system/test_final_status.py
+++ b/tests/system/test_final_status.py
@@ -1,6 +1,9 @@
 """Whether the last answer to a request says truly that no replica has run it."""
 
+import json
+import pathlib
 import socket
+import urllib.request
 import unittest
 
 from relay_case import HOST, RelayCase, free_ports
@@ -54,6 +57,34 @@
             self.assert_not_run(self.ask("POST", "/order/1", body=b"x", **{"Deadline-Ms": deadline}))
             self.assert_not_run(self.ask("GET", "/look/1", **{"Deadline-Ms": deadline}))
 
+    # Guards against a 502 or 504 whose cause an operator can't find from the request's id.
+    def test_unknown_outcomes_are_logged_and_counted_by_cause(self):
+        for number, (step, answer, cause) in enumerate((
+                ("reset", "502", "broken_connection"), ("status 429", "502", "error_response"),
+                ("status 502", "502", "error_response"), ("slow 5", "504", "deadline_exceeded"))):
+            with self.subTest(step):
+                self.plan(step)
+                request = {"Attempt-Id": f"u-{number}", "Deadline-Ms": "600"}
+                status = self.ask("POST", "/order/1", body=b"x", **request)[0].status
+                self.assertEqual(str(status), answer)
+                self.wait_for(lambda number=number: self.events_of(f"u-{number}"))
+                event = self.events_of(f"u-{number}")[0]
+                self.assertEqual((event["answer"], event["cause"]), (answer, cause))
+                self.assertRegex(event["upstream"], "i-[01]")
+                self.assertIn(f'cornelrelay_unknown_outcome_total{{answer="{answer}",cause="{cause}"}}', self.metrics())
+
+    def events_of(self, request):
+        """The lines about unknown outcomes of a request."""
+        lines = pathlib.Path(self.entries[0].log.name).read_text().splitlines()
+        events = [json.loads(line) for line in lines if '"outcome_unknown"' in line]
+        return [event for event in events if event["request"] == request]
+
+    def metrics(self):
+        port = next(int(line.split(":")[1].strip('"')) for line in self.entries[0].settings.read_text().splitlines()
+                    if line.startswith("metrics = "))
+        with urllib.request.urlopen(f"http://{HOST}:{port}/metrics", timeout=3) as response:
+            return response.read().decode()
+
     # Guards against a promise that the request has not run, although an earlier attempt may have run: a status of a
     # replica that gave no proof of it was passed on.
     def test_status_of_a_replica_without_proof(self):
