--- a/tests/system/platform_stand_ins.py
+++ b/tests/system/platform_stand_ins.py
@@ -136,6 +136,8 @@
         self.seen = []
         self.abandoned = 0  # streams whose caller left before their end
         self.endless_bytes = 0  # that its callers took of answers without end
+        self.flooded_bytes = 0  # that its callers took of a `flood`
+        self.unread_path = None  # requests for it are not read beyond their head
         self.endless_kept = 0  # such answers that no caller closed
         self.left_at = None  # when the caller of the last `until left` was gone
         self.address = address
@@ -189,6 +191,10 @@
                 self.serve()
 
             def serve(self):
+                if self.path == replica.unread_path:
+                    self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                    time.sleep(4)
+                    return self.hang_up()
                 body = self.rfile.read(int(self.headers["Content-Length"] or 0))
                 step = replica.plan.pop(0) if len(replica.plan) > 1 else replica.plan[0]
                 replica.seen.append({"path": self.path, "body": body, "headers": dict(self.headers),
@@ -228,6 +234,11 @@
                     return self.unframed(step)
                 if step.startswith("endless"):
                     return self.endless(step.partition(" ")[2])
+                if step.startswith("large"):
+                    self.head(200, int(step.split()[1]), Replica_Seal="seal-" + replica.name)
+                    return self.wfile.write(b"x" * int(step.split()[1]))
+                if step == "flood":
+                    return self.flood()
                 if step.startswith("steady"):
                     return self.steady(step)
                 if step.startswith("comments"):
@@ -331,6 +342,19 @@
                 except OSError:
                     pass  # the caller has closed
 
+            def flood(self):
+                """A stream of 64 MiB, as fast as its caller takes it."""
+                self.head(200, Replica_Seal="seal-" + replica.name, Content_Type="text/event-stream",
+                          Transfer_Encoding="chunked")
+                try:
+                    for number in range(1, 4097):
+                        self.chunk(b"id: %d\ndata: %s\n\n" % (number, b"x" * 16384))
+                        replica.flooded_bytes += 16384
+                    self.wfile.write(b"0\r\n\r\n")
+                except OSError:
+                    replica.abandoned += 1
+                    self.close_connection = True
+
             def events(self, numbers):
                 for number in numbers:
                     self.chunk(f"id: {number}\ndata: piece {number}\n\n".encode())
