--- a/tests/system/test_final_status.py
+++ b/tests/system/test_final_status.py
@@ -3,10 +3,11 @@
 import json
 import pathlib
 import socket
-import urllib.request
+import time
 import unittest
+import urllib.request
 
-from relay_case import HOST, RelayCase, free_ports
+from relay_case import HOST, ROUTES, RelayCase, configuration, free_ports, route
 
 
 class FinalStatusTest(RelayCase):
@@ -22,6 +23,41 @@
             self.store.put("servers/" + replica.name, {**replica.entry("svc", sequence=5), "address": f"{host}:{port}"})
         self.wait_for(lambda: self.ask("POST", "/order/0", body=b"x", **{"Deadline-Ms": "300"})[0].status != 200)
 
+    def silent_address(self):
+        """An address at which connections are neither accepted nor refused."""
+        listener = socket.socket()
+        self.addCleanup(listener.close)
+        listener.bind((HOST, 0))
+        listener.listen(0)
+        # Fills the backlog, so that the kernel drops further connection requests.
+        for _ in range(4):
+            filler = socket.socket()
+            self.addCleanup(filler.close)
+            filler.setblocking(False)
+            filler.connect_ex(listener.getsockname())
+        return listener.getsockname()
+
+    # Guards against a 502 after a connect that stalled and was replaced by an attempt that was refused.
+    def test_stalled_connect_that_is_replaced(self):
+        stalled, refusing = self.replicas
+        refusing.plan = ["refuse"]
+        host, port = self.silent_address()
+        # A response is late after 120 ms there, and a connect fails after 250 ms.
+        quick = route("quick", "idempotent", target_latency_ms=50)
+        self.store.put("op/config", configuration(5, ROUTES + [quick]))
+        log = pathlib.Path(self.entries[0].log.name)
+        self.wait_for(lambda: self.ask("GET", "/quick/0")[0].status != 404)
+        # Which replica is asked first is random, and one that failed is avoided until it starts again.
+        for born in range(2, 12):
+            changed = {**stalled.entry("svc", sequence=5 + born), "address": f"{host}:{port}", "born": born}
+            self.store.put("servers/" + stalled.name, changed)
+            time.sleep(0.3)
+            for number in range(6):
+                self.assert_not_run(self.ask("GET", f"/quick/{number}"))
+            if log.read_bytes().count(b'"attempt_given_up"') >= 2:
+                break
+        self.assertIn(b'"attempt_given_up"', log.read_bytes())
+
     # Guards against a 502 after refusals of which the connection broke while the body was read.
     def test_refusals_that_break_off(self):
         self.plan("refuse cut")
@@ -39,20 +75,7 @@
 
     # Guards against a 504 for a request whose deadline passed while its connection was being established.
     def test_deadline_that_passes_during_a_connect(self):
-        addresses = []
-        for _ in self.replicas:
-            listener = socket.socket()
-            self.addCleanup(listener.close)
-            listener.bind((HOST, 0))
-            listener.listen(0)
-            # Fills the backlog, so that the kernel drops further connection requests.
-            for _ in range(4):
-                filler = socket.socket()
-                self.addCleanup(filler.close)
-                filler.setblocking(False)
-                filler.connect_ex(listener.getsockname())
-            addresses.append(listener.getsockname())
-        self.move_replicas(addresses)
+        self.move_replicas([self.silent_address() for _ in self.replicas])
         for deadline in ("200", "700", "1500"):
             self.assert_not_run(self.ask("POST", "/order/1", body=b"x", **{"Deadline-Ms": deadline}))
             self.assert_not_run(self.ask("GET", "/look/1", **{"Deadline-Ms": deadline}))
