--- a/packages/relay/src/relay_task.cc
+++ b/packages/relay/src/relay_task.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <variant>
 
+#include "cornelrelay/core/http_status.h"
 #include "cornelrelay/core/overloaded.h"
 
 namespace cornelrelay::relay {
@@ -15,6 +16,10 @@
 /// Failed connections per request that do not count as attempts. The number is limited because each
 /// can take as long as the connect timeout.
 constexpr int kMaxUncountedConnectFailures = 2;
+/// Retry-After of a request that was not run, if nothing else gives one. Within this time the
+/// statuses of the other entry processes, which are up to 250 ms old, and the results of other
+/// requests show whether an upstream is usable again.
+constexpr milliseconds kUnsentRetryAfter{250};
 /// Multiple of the mean service time within which nearly all requests of a service end.
 constexpr int kExpectedTimeFactor = 2;
 
@@ -324,14 +329,84 @@
 
 void RelayTask::Perform(const request::ForwardErrorResponse&) {
   assert(m_failed_call && m_failed_call->head());
-  m_writer.SetHead(m_failed_call->head()->forwarded_head, false);
+  const net::HttpResponseHead& head = m_failed_call->head()->forwarded_head;
+  if (core::PromisesNotRun(head.status)) {
+    // The upstream gave no proof that it has not run the request, and earlier attempts may have
+    // run.
+    const Failure failure{FailureKind::kUpstreamFailed, core::Execution::kUnknown, std::nullopt};
+    net::HttpResponse answer = m_services.callers.Encode(failure, m_routed.request.id);
+    ReportUnknownOutcome(std::to_string(answer.status), ToString(failure.kind));
+    m_writer.Fail(std::move(answer));
+    return;
+  }
+  if (head.status == core::kStatusBadGateway || head.status == core::kStatusGatewayTimeout) {
+    ReportUnknownOutcome(std::to_string(head.status), "answer_of_upstream");
+  }
+  m_writer.SetHead(head, false);
   m_writer.Append(m_failed_call->failure_body());
   m_writer.Finish();
 }
 
 void RelayTask::Perform(const request::SendError& action) {
-  const Failure failure{FailureKindOf(action.error), action.execution, action.retry_after};
-  m_writer.Fail(m_services.callers.Encode(failure, m_routed.request.id));
+  Failure failure{FailureKindOf(action.error), action.execution, action.retry_after};
+  if (!failure.retry_after && failure.execution == core::Execution::kNotRun) {
+    failure.retry_after = kUnsentRetryAfter;
+  }
+  net::HttpResponse answer = m_services.callers.Encode(failure, m_routed.request.id);
+  if (m_writer.started()) {
+    ReportUnknownOutcome("cut", ToString(action.error));
+  } else if (failure.execution == core::Execution::kUnknown) {
+    ReportUnknownOutcome(std::to_string(answer.status), ToString(action.error));
+  }
+  m_writer.Fail(std::move(answer));
+}
+
+void RelayTask::RecordUnknownCause(request::AttemptResult result) {
+  using request::AttemptResult;
+  switch (result) {
+    case AttemptResult::kBroken:
+      if (m_replacing) {
+        m_unknown_cause = "replaced";
+      } else if (m_call->break_cause()) {
+        m_unknown_cause = "broken_" + std::string(ToString(*m_call->break_cause()));
+      } else {
+        m_unknown_cause = "invalid_answer";
+      }
+      return;
+    case AttemptResult::kFailed:
+      m_unknown_cause = "error_response";
+      return;
+    case AttemptResult::kForeign:
+      m_unknown_cause = "foreign_answer";
+      return;
+    case AttemptResult::kCancelled:
+      // The reason why the request ended is the cause.
+      m_unknown_cause.reset();
+      return;
+    case AttemptResult::kCompleted:
+    case AttemptResult::kConnectFailed:
+    case AttemptResult::kRefused:
+      return;
+  }
+  assert(false);
+}
+
+void RelayTask::ReportUnknownOutcome(const std::string& answer, std::string_view ended_by) {
+  const std::string cause = m_unknown_cause.value_or(std::string(ended_by));
+  m_services.log.Warning("outcome_unknown",
+                         {{"request", m_routed.request.id},
+                          {"service", m_routed.service},
+                          {"upstream", m_call ? m_call->upstream_id() : core::UpstreamId()},
+                          {"answer", answer},
+                          {"cause", cause},
+                          {"ended_by", ended_by},
+                          {"elapsed_us", m_services.clock.Now() - m_routed.arrived}});
+  m_services.metrics
+      .GetCounter("cornelrelay_unknown_outcome_total",
+                  "Answers 502 or 504, and answers cut off, by the cause of the last attempt that "
+                  "may have run.",
+                  {{"answer", answer}, {"cause", cause}})
+      .Add();
 }
 
 dispatch::AttemptEnd RelayTask::AttemptEndOf(const request::RecordAttempt& action) const {
@@ -353,6 +428,7 @@
       return m_stall_detector.silent() && timed_out ? dispatch::AttemptEnd::kFailed
                                                     : dispatch::AttemptEnd::kCancelled;
     }
+    case AttemptResult::kConnectFailed:
     case AttemptResult::kBroken:
       // An upstream that gives output to others has not failed; this process ends the attempt.
       if (m_replacing &&
@@ -360,7 +436,6 @@
         return dispatch::AttemptEnd::kCancelled;
       }
       return dispatch::AttemptEnd::kFailed;
-    case AttemptResult::kConnectFailed:
     case AttemptResult::kForeign:
       return dispatch::AttemptEnd::kFailed;
   }
@@ -371,6 +446,7 @@
 void RelayTask::Perform(const request::RecordAttempt& action) {
   m_last_result = action.result;
   RecordHead();
+  RecordUnknownCause(action.result);
   if (action.result == request::AttemptResult::kFailed) m_failed_call = m_call;
   m_place->RecordAttemptEnd(AttemptEndOf(action));
   if (!m_replacing) DropNextPlace();
@@ -442,8 +518,14 @@
                           {"next_upstream", m_next_assigned->upstream},
                           {"waited_us", m_next_assigned->waited}});
   m_replacing = true;
+  const bool connecting = snapshot().state == request::RequestState::kConnecting;
   m_call->Cancel();
-  Step(request::UpstreamClosed{m_call->attempt()});
+  if (connecting) {
+    // Nothing was written, and after Cancel() nothing will be.
+    Step(request::ConnectFailed{m_call->attempt()});
+  } else {
+    Step(request::UpstreamClosed{m_call->attempt()});
+  }
 }
 
 void RelayTask::DropNextPlace() {
--- a/packages/relay/src/upstream_call.cc
+++ b/packages/relay/src/upstream_call.cc
@@ -32,7 +32,7 @@
 }
 
 bool IsFailure(int status) {
-  return status == core::kStatusTooManyRequests || status >= core::kFirstServerErrorStatus;
+  return core::PromisesNotRun(status) || status >= core::kFirstServerErrorStatus;
 }
 
 }  // namespace
@@ -87,6 +87,7 @@
 }
 
 void UpstreamCall::OnBroken(net::BreakCause cause, const core::Error& error) {
+  m_break_cause = cause;
   m_connection_ended = cause == net::BreakCause::kConnection;
   m_log.Warning("attempt_broken", {{"request", m_request.request.id},
                                    {"upstream", m_request.upstream},
