Send nothing to evacuated data centres

An operator's key op/evacuate/ZONE keeps requests away from the upstreams of a data centre until it is removed. UpstreamDirectory leaves them out, and no attempt is opened to one, also if it was assigned just before. An order that a restored store lacks stays in force for the time of re-registration, because the copy may be older than the order.

--- a/packages/directory/include/cornelrelay/directory/directory_messages.h
+++ b/packages/directory/include/cornelrelay/directory/directory_messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -30,14 +31,22 @@
   core::UpstreamId id;
   std::uint64_t incarnation = 0;  ///< of the upstream that answered
 };
+/// \brief The operator's order to send nothing to a data centre was written or removed.
+struct EvacuationChanged {
+  core::DataCentreId data_centre;
+  bool active = false;
+  /// The order is missing in a store that was restored from a copy, so it may be newer than the
+  /// copy.
+  bool restored = false;
+};
 /// \brief Neither this process nor any peer is connected to the store.
 struct StoreLost {};
 /// \brief This process or a peer is connected to the store again.
 struct StoreRegained {};
 struct DirectoryTick {};
 
-using DirectoryEvent =
-    std::variant<EntriesChanged, LeavingAnnounced, StoreLost, StoreRegained, DirectoryTick>;
+using DirectoryEvent = std::variant<EntriesChanged, LeavingAnnounced, EvacuationChanged, StoreLost,
+                                    StoreRegained, DirectoryTick>;
 
 enum class LeaveReason {
   kDraining,   ///< its entry says that it leaves
@@ -67,7 +76,27 @@
   core::UpstreamId id;
 };
 
+/// \brief The upstreams of the data centre get no requests until the order is removed.
+struct DataCentreEvacuated {
+  core::DataCentreId data_centre;
+  std::size_t upstreams = 0;  ///< known ones in the data centre
+};
+/// \brief The upstreams of the data centre may get requests again.
+struct DataCentreRestored {
+  core::DataCentreId data_centre;
+};
+/// \brief An order names a data centre without known upstreams. It takes effect when one appears.
+struct EvacuationPending {
+  core::DataCentreId data_centre;
+};
+/// \brief A restored store lacks the order. It stays in force for a bounded time.
+struct EvacuationEndDeferred {
+  core::DataCentreId data_centre;
+  core::Instant until;  ///< when the order ends unless it is written again
+};
+
 using DirectoryAction =
-    std::variant<UpstreamJoined, UpstreamLeft, RemovalDeferred, OldEntryIgnored>;
+    std::variant<UpstreamJoined, UpstreamLeft, RemovalDeferred, OldEntryIgnored,
+                 DataCentreEvacuated, DataCentreRestored, EvacuationPending, EvacuationEndDeferred>;
 
 }  // namespace cornelrelay::directory
--- a/packages/directory/include/cornelrelay/directory/upstream_directory.h
+++ b/packages/directory/include/cornelrelay/directory/upstream_directory.h
@@ -37,6 +37,10 @@
 /// ones, and do not bring back upstreams that have left. An upstream that says in an answer that it
 /// leaves gets no more requests until it starts again.
 ///
+/// Upstreams of an evacuated data centre get no requests until the order is removed. Their records
+/// are kept up to date meanwhile. A restored store that lacks an order ends it only after the time
+/// of re-registration, because the copy may be older than the order.
+///
 /// \code
 /// UpstreamDirectory directory({});
 /// for (const auto& action : directory.Step(now, EntriesChanged{changes})) Log(action);
@@ -52,11 +56,14 @@
   std::vector<UpstreamEntry> Usable(const core::ServiceId& service) const;
   /// \brief Returns the entry as last written, also while its removal is deferred; none if unknown.
   std::optional<UpstreamEntry> Find(const core::UpstreamId& id) const;
+  /// \brief Returns the entry if the upstream may get requests; none otherwise.
+  std::optional<UpstreamEntry> FindUsable(const core::UpstreamId& id) const;
   std::size_t size() const { return m_records.size(); }
 
   /// \brief Returns a counter that changes whenever the result of Usable() may have changed.
   std::uint64_t version() const { return m_version; }
-  /// \brief Returns when DirectoryTick is due; none if no removal is deferred or the store is lost.
+  /// \brief Returns when DirectoryTick is due; none if no removal of an entry or order is deferred
+  /// or the store is lost.
   std::optional<core::Instant> NextWake() const;
 
  private:
@@ -73,10 +80,16 @@
     core::Instant at;
     UpstreamEntry last_entry;
   };
+  /// An order of the operator.
+  struct Evacuation {
+    bool announced = false;                       ///< an upstream of the data centre is known
+    std::optional<core::Instant> deferred_until;  ///< set if a restored store lacks the order
+  };
   using Actions = std::vector<DirectoryAction>;
 
   void Apply(core::Instant now, const EntriesChanged& event, Actions& out);
   void Apply(core::Instant now, const LeavingAnnounced& event, Actions& out);
+  void Apply(core::Instant now, const EvacuationChanged& event, Actions& out);
   void Apply(core::Instant now, const StoreLost& event, Actions& out);
   void Apply(core::Instant now, const StoreRegained& event, Actions& out);
   void Apply(core::Instant now, const DirectoryTick& event, Actions& out);
@@ -84,6 +97,10 @@
   void Remove(core::Instant now, const core::UpstreamId& id, Actions& out);
   std::optional<core::Instant> DeferralEnd(core::Instant now, const core::ServiceId& service) const;
   void ApplyDeferredRemovals(core::Instant now, Actions& out);
+  void EndDeferredEvacuations(core::Instant now, Actions& out);
+  void AnnounceEvacuation(const core::DataCentreId& data_centre, Actions& out);
+  void EndEvacuation(const core::DataCentreId& data_centre, Actions& out);
+  bool MayGetRequests(const UpstreamEntry& entry) const;
   /// \brief Returns whether more recent is known of the upstream than this entry.
   bool IsOutdated(const UpstreamEntry& entry) const;
   void RememberDeparture(core::Instant now, const UpstreamEntry& entry);
@@ -92,6 +109,7 @@
   std::map<core::UpstreamId, Record> m_records;
   std::map<core::UpstreamId, Departure> m_departures;
   std::deque<Removal> m_removals;
+  std::map<core::DataCentreId, Evacuation> m_evacuations;
   bool m_store_lost = false;
   std::optional<core::Instant> m_store_regained;
   std::uint64_t m_version = 0;
--- a/packages/directory/src/upstream_directory.cc
+++ b/packages/directory/src/upstream_directory.cc
@@ -26,6 +26,7 @@
   Actions out;
   std::visit([&](const auto& e) { Apply(now, e, out); }, event);
   ApplyDeferredRemovals(now, out);
+  EndDeferredEvacuations(now, out);
   return out;
 }
 
@@ -65,6 +66,61 @@
   out.emplace_back(UpstreamLeft{event.id, LeaveReason::kAnnounced});
 }
 
+void UpstreamDirectory::Apply(core::Instant now, const EvacuationChanged& event, Actions& out) {
+  const auto found = m_evacuations.find(event.data_centre);
+  if (event.active && found != m_evacuations.end()) {
+    found->second.deferred_until.reset();
+  } else if (event.active) {
+    m_evacuations.emplace(event.data_centre, Evacuation{});
+    ++m_version;
+    AnnounceEvacuation(event.data_centre, out);
+    if (!m_evacuations.at(event.data_centre).announced) {
+      out.emplace_back(EvacuationPending{event.data_centre});
+    }
+  } else if (found != m_evacuations.end() && event.restored) {
+    const core::Instant until = now + m_config.reregistration_time;
+    found->second.deferred_until = until;
+    out.emplace_back(EvacuationEndDeferred{event.data_centre, until});
+  } else if (found != m_evacuations.end()) {
+    EndEvacuation(event.data_centre, out);
+  }
+}
+
+void UpstreamDirectory::AnnounceEvacuation(const core::DataCentreId& data_centre, Actions& out) {
+  const auto found = m_evacuations.find(data_centre);
+  if (found == m_evacuations.end() || found->second.announced) return;
+  const auto upstreams = std::count_if(m_records.begin(), m_records.end(), [&](const auto& entry) {
+    return entry.second.entry.data_centre == data_centre;
+  });
+  if (upstreams == 0) return;
+  found->second.announced = true;
+  out.emplace_back(DataCentreEvacuated{data_centre, static_cast<std::size_t>(upstreams)});
+}
+
+void UpstreamDirectory::EndEvacuation(const core::DataCentreId& data_centre, Actions& out) {
+  const auto found = m_evacuations.find(data_centre);
+  assert(found != m_evacuations.end());
+  const bool announced = found->second.announced;
+  m_evacuations.erase(found);
+  ++m_version;
+  if (announced) out.emplace_back(DataCentreRestored{data_centre});
+}
+
+void UpstreamDirectory::EndDeferredEvacuations(core::Instant now, Actions& out) {
+  // During a store outage the order cannot be written again.
+  if (m_store_lost) return;
+  std::vector<core::DataCentreId> ended;
+  for (const auto& [data_centre, evacuation] : m_evacuations) {
+    const auto& until = evacuation.deferred_until;
+    if (until && now >= *until) ended.push_back(data_centre);
+  }
+  for (const core::DataCentreId& data_centre : ended) EndEvacuation(data_centre, out);
+}
+
+bool UpstreamDirectory::MayGetRequests(const UpstreamEntry& entry) const {
+  return !entry.leaving && !m_evacuations.contains(entry.data_centre);
+}
+
 void UpstreamDirectory::Apply(core::Instant, const StoreLost&, Actions&) { m_store_lost = true; }
 
 void UpstreamDirectory::Apply(core::Instant now, const StoreRegained&, Actions&) {
@@ -74,6 +130,9 @@
   for (auto& [id, record] : m_records) {
     if (record.deferred_until) record.deferred_until = now + m_config.reregistration_time;
   }
+  for (auto& [data_centre, evacuation] : m_evacuations) {
+    if (evacuation.deferred_until) evacuation.deferred_until = now + m_config.reregistration_time;
+  }
 }
 
 void UpstreamDirectory::Apply(core::Instant, const DirectoryTick&, Actions&) {}
@@ -91,6 +150,7 @@
   record = Record{entry, std::nullopt, announced};
   if (joined) out.emplace_back(UpstreamJoined{entry, restarted});
   if (left) out.emplace_back(UpstreamLeft{entry.id, LeaveReason::kDraining});
+  AnnounceEvacuation(entry.data_centre, out);
 }
 
 void UpstreamDirectory::Remove(core::Instant now, const core::UpstreamId& id, Actions& out) {
@@ -163,7 +223,9 @@
 std::vector<UpstreamEntry> UpstreamDirectory::Usable(const core::ServiceId& service) const {
   std::vector<UpstreamEntry> usable;
   for (const auto& [id, record] : m_records) {
-    if (record.entry.service == service && !record.entry.leaving) usable.push_back(record.entry);
+    if (record.entry.service == service && MayGetRequests(record.entry)) {
+      usable.push_back(record.entry);
+    }
   }
   return usable;
 }
@@ -174,6 +236,12 @@
   return found->second.entry;
 }
 
+std::optional<UpstreamEntry> UpstreamDirectory::FindUsable(const core::UpstreamId& id) const {
+  auto entry = Find(id);
+  if (entry && !MayGetRequests(*entry)) entry.reset();
+  return entry;
+}
+
 std::optional<core::Instant> UpstreamDirectory::NextWake() const {
   std::optional<core::Instant> wake;
   if (m_store_lost) return wake;
@@ -181,6 +249,10 @@
     const auto& until = record.deferred_until;
     if (until) wake = std::min(wake.value_or(*until), *until);
   }
+  for (const auto& [data_centre, evacuation] : m_evacuations) {
+    const auto& until = evacuation.deferred_until;
+    if (until) wake = std::min(wake.value_or(*until), *until);
+  }
   return wake;
 }
 
--- a/packages/directory/tests/upstream_directory_test.cc
+++ b/packages/directory/tests/upstream_directory_test.cc
@@ -172,4 +172,133 @@
   CHECK(directory.Usable(kService).size() == 16);
 }
 
+// The cases below guard against requests to a data centre that the operator has evacuated (EVAC).
+namespace {
+
+const core::DataCentreId kEast("east");
+const core::DataCentreId kWest("west");
+
+/// Upstreams 0 to 7 are in one data centre, 8 to 15 in the other.
+EntriesChanged TwoDataCentres() {
+  EntriesChanged event = Added(0, 16);
+  for (int n = 0; n < 16; ++n) event.changes[n].entry->data_centre = n < 8 ? kEast : kWest;
+  return event;
+}
+
+UpstreamDirectory DirectoryOfTwoDataCentres() {
+  UpstreamDirectory directory({});
+  directory.Step(At(0), TwoDataCentres());
+  return directory;
+}
+
+template <typename Action>
+std::size_t Count(const std::vector<DirectoryAction>& actions) {
+  std::size_t count = 0;
+  for (const DirectoryAction& action : actions) count += std::holds_alternative<Action>(action);
+  return count;
+}
+
+}  // namespace
+
+TEST_CASE("upstreams of an evacuated data centre are unusable until the order is removed") {
+  UpstreamDirectory directory = DirectoryOfTwoDataCentres();
+  const std::uint64_t before = directory.version();
+  const auto ordered = directory.Step(At(10), EvacuationChanged{kEast, true});
+  CHECK(Count<DataCentreEvacuated>(ordered) == 1);
+  CHECK(directory.version() != before);
+  CHECK(directory.Usable(kService).size() == 8);
+  CHECK_FALSE(directory.FindUsable(Id(0)));
+  CHECK(directory.FindUsable(Id(8)));
+  CHECK(directory.Find(Id(0)));
+  // A repeated order changes and logs nothing.
+  CHECK(directory.Step(At(20), EvacuationChanged{kEast, true}).empty());
+  const std::uint64_t evacuated = directory.version();
+  const auto removed = directory.Step(At(30), EvacuationChanged{kEast, false});
+  CHECK(Count<DataCentreRestored>(removed) == 1);
+  CHECK(directory.version() != evacuated);
+  CHECK(directory.Usable(kService).size() == 16);
+}
+
+TEST_CASE("an upstream that starts in an evacuated data centre is unusable") {
+  UpstreamDirectory directory = DirectoryOfTwoDataCentres();
+  directory.Step(At(10), EvacuationChanged{kEast, true});
+  UpstreamEntry restarted = Entry(0, 2);
+  restarted.data_centre = kEast;
+  directory.Step(At(20), EntriesChanged{{{Id(0), restarted}}});
+  CHECK_FALSE(directory.FindUsable(Id(0)));
+  CHECK(directory.Usable(kService).size() == 8);
+}
+
+TEST_CASE("two orders hold independently of each other") {
+  UpstreamDirectory directory = DirectoryOfTwoDataCentres();
+  directory.Step(At(10), EvacuationChanged{kEast, true});
+  directory.Step(At(20), EvacuationChanged{kWest, true});
+  CHECK(directory.Usable(kService).empty());
+  directory.Step(At(30), EvacuationChanged{kEast, false});
+  CHECK(directory.FindUsable(Id(0)));
+  CHECK_FALSE(directory.FindUsable(Id(8)));
+}
+
+TEST_CASE("an order for an unknown data centre is reported once and waits for an upstream there") {
+  UpstreamDirectory directory = SixteenUpstreams();
+  const auto first = directory.Step(At(10), EvacuationChanged{kEast, true});
+  CHECK(Count<EvacuationPending>(first) == 1);
+  CHECK(directory.Step(At(20), EvacuationChanged{kEast, true}).empty());
+  CHECK(directory.Usable(kService).size() == 16);
+  UpstreamEntry entry = Entry(0);
+  entry.data_centre = kEast;
+  const auto appeared = directory.Step(At(30), EntriesChanged{{{Id(0), entry}}});
+  CHECK(Count<DataCentreEvacuated>(appeared) == 1);
+  CHECK(directory.Usable(kService).size() == 15);
+}
+
+TEST_CASE("an order that a restored store lacks stays in force for the time of re-registration") {
+  UpstreamDirectory directory = DirectoryOfTwoDataCentres();
+  directory.Step(At(10), EvacuationChanged{kEast, true});
+  const auto deferred = directory.Step(At(5'000), EvacuationChanged{kEast, false, true});
+  CHECK(Count<EvacuationEndDeferred>(deferred) == 1);
+  REQUIRE(directory.NextWake() == At(7'000));
+  directory.Step(At(6'999), DirectoryTick{});
+  CHECK(directory.Usable(kService).size() == 8);
+  const auto ended = directory.Step(At(7'000), DirectoryTick{});
+  CHECK(Count<DataCentreRestored>(ended) == 1);
+  CHECK(directory.Usable(kService).size() == 16);
+}
+
+TEST_CASE("an order that is written again after a restore stays in force") {
+  UpstreamDirectory directory = DirectoryOfTwoDataCentres();
+  directory.Step(At(10), EvacuationChanged{kEast, true});
+  directory.Step(At(5'000), EvacuationChanged{kEast, false, true});
+  directory.Step(At(6'000), EvacuationChanged{kEast, true});
+  CHECK_FALSE(directory.NextWake());
+  directory.Step(At(9'000), DirectoryTick{});
+  CHECK(directory.Usable(kService).size() == 8);
+}
+
+// The store may be lost again before the order can be written once more.
+TEST_CASE("an order does not end during a store outage after a restore") {
+  UpstreamDirectory directory = DirectoryOfTwoDataCentres();
+  directory.Step(At(10), EvacuationChanged{kEast, true});
+  directory.Step(At(5'000), EvacuationChanged{kEast, false, true});
+  directory.Step(At(5'500), StoreLost{});
+  directory.Step(At(9'000), DirectoryTick{});
+  CHECK(directory.Usable(kService).size() == 8);
+  directory.Step(At(10'000), StoreRegained{});
+  directory.Step(At(11'999), DirectoryTick{});
+  CHECK(directory.Usable(kService).size() == 8);
+  directory.Step(At(12'000), DirectoryTick{});
+  CHECK(directory.Usable(kService).size() == 16);
+}
+
+TEST_CASE("a withdrawn order that a restored store holds is in force until it is removed") {
+  UpstreamDirectory directory = DirectoryOfTwoDataCentres();
+  directory.Step(At(10), EvacuationChanged{kEast, true});
+  directory.Step(At(20), EvacuationChanged{kEast, false});
+  directory.Step(At(5'000), EvacuationChanged{kEast, true, true});
+  directory.Step(At(9'000), DirectoryTick{});
+  CHECK(directory.Usable(kService).size() == 8);
+  directory.Step(At(9'500), EvacuationChanged{kEast, false});
+  CHECK(directory.Usable(kService).size() == 16);
+}
+
 }  // namespace cornelrelay::directory
--- a/packages/relay/include/cornelrelay/relay/fleet_item.h
+++ b/packages/relay/include/cornelrelay/relay/fleet_item.h
@@ -19,6 +19,11 @@
   core::UpstreamId id;
   std::optional<directory::UpstreamEntry> entry;
 };
+/// \brief An operator's order to send nothing to the upstreams of a data centre, or its removal.
+struct EvacuationItem {
+  core::DataCentreId data_centre;
+  bool active = false;
+};
 /// \brief An item that cannot be decoded. `upstream` is set if the item is a registration: that
 /// upstream must no longer be used.
 struct UnreadableItem {
@@ -29,6 +34,7 @@
 struct UnrelatedItem {};
 
 /// \brief Decoded content of one store item.
-using FleetItem = std::variant<ConfigurationItem, UpstreamItem, UnreadableItem, UnrelatedItem>;
+using FleetItem =
+    std::variant<ConfigurationItem, UpstreamItem, EvacuationItem, UnreadableItem, UnrelatedItem>;
 
 }  // namespace cornelrelay::relay
--- a/packages/relay/include/cornelrelay/relay/fleet_view.h
+++ b/packages/relay/include/cornelrelay/relay/fleet_view.h
@@ -94,11 +94,17 @@
                     bool restored = false);
   void ApplyConfiguration(const store::ItemChange& item, ConfigurationItem configuration,
                           std::string_view source);
-  void StepUpstreams(const directory::DirectoryEvent& event);
+  /// \brief Applies events that belong together; the listener hears of them once.
+  void StepUpstreams(const std::vector<directory::DirectoryEvent>& events);
   void Log(const directory::UpstreamJoined& action);
   void Log(const directory::UpstreamLeft& action);
   void Log(const directory::RemovalDeferred& action);
   void Log(const directory::OldEntryIgnored& action);
+  void Log(const directory::DataCentreEvacuated& action);
+  void Log(const directory::DataCentreRestored& action);
+  void Log(const directory::EvacuationPending& action);
+  void Log(const directory::EvacuationEndDeferred& action);
+  void SetEvacuatedMetric(const core::DataCentreId& data_centre, bool evacuated);
 
   const runtime::ProcessClock& m_clock;
   runtime::StoreLink& m_store;
--- a/packages/relay/src/fleet_view.cc
+++ b/packages/relay/src/fleet_view.cc
@@ -31,7 +31,7 @@
                seed),
       m_upstreams(config),
       m_reader_timer(context, clock, [this] { Run(m_reader.OnTick(m_clock.Now())); }),
-      m_directory_timer(context, clock, [this] { StepUpstreams(directory::DirectoryTick{}); }) {}
+      m_directory_timer(context, clock, [this] { StepUpstreams({directory::DirectoryTick{}}); }) {}
 
 void FleetView::Start() { Run(m_reader.Start(m_clock.Now())); }
 
@@ -121,7 +121,7 @@
 }
 
 void FleetView::NoteLeaving(const core::UpstreamId& upstream, std::uint64_t incarnation) {
-  StepUpstreams(directory::LeavingAnnounced{upstream, incarnation});
+  StepUpstreams({directory::LeavingAnnounced{upstream, incarnation}});
 }
 
 void FleetView::SetStoreReachable(bool reachable) {
@@ -129,9 +129,9 @@
   m_log.Warning(reachable ? "fleet_hears_store" : "fleet_lost_store",
                 {{"revision", m_cache.version().revision}});
   if (reachable) {
-    StepUpstreams(directory::StoreRegained{});
+    StepUpstreams({directory::StoreRegained{}});
   } else {
-    StepUpstreams(directory::StoreLost{});
+    StepUpstreams({directory::StoreLost{}});
   }
 }
 
@@ -151,6 +151,7 @@
 void FleetView::ApplyChanges(const std::vector<store::ItemChange>& changes, std::string_view source,
                              bool restored) {
   directory::EntriesChanged entries;
+  std::vector<directory::DirectoryEvent> events;
   entries.restored = restored;
   for (const store::ItemChange& change : changes) {
     if (change.key.starts_with(kInternalKeyPrefix)) {
@@ -164,6 +165,10 @@
                                 [&](UpstreamItem& item) {
                                   entries.changes.push_back({item.id, std::move(item.entry)});
                                 },
+                                [&](const EvacuationItem& item) {
+                                  events.emplace_back(directory::EvacuationChanged{
+                                      item.data_centre, item.active, restored});
+                                },
                                 [&](const UnreadableItem& item) {
                                   m_log.Warning("item_unreadable", {{"key", change.key},
                                                                     {"revision", change.revision},
@@ -179,7 +184,9 @@
                                 [](const UnrelatedItem&) {}},
                decoded);
   }
-  if (restored || !entries.changes.empty()) StepUpstreams(entries);
+  // Entries come first, so that orders meet the data centres that were read with them.
+  if (restored || !entries.changes.empty()) events.emplace(events.begin(), std::move(entries));
+  StepUpstreams(events);
 }
 
 void FleetView::ApplyConfiguration(const store::ItemChange& item, ConfigurationItem configuration,
@@ -207,10 +214,12 @@
   m_listener.on_configuration(m_table->configuration());
 }
 
-void FleetView::StepUpstreams(const directory::DirectoryEvent& event) {
+void FleetView::StepUpstreams(const std::vector<directory::DirectoryEvent>& events) {
   const std::uint64_t before = m_upstreams.version();
-  for (const auto& action : m_upstreams.Step(m_clock.Now(), event)) {
-    std::visit([this](const auto& a) { Log(a); }, action);
+  for (const directory::DirectoryEvent& event : events) {
+    for (const auto& action : m_upstreams.Step(m_clock.Now(), event)) {
+      std::visit([this](const auto& a) { Log(a); }, action);
+    }
   }
   if (const auto wake = m_upstreams.NextWake()) m_directory_timer.SetAt(*wake);
   if (m_upstreams.version() != before) m_listener.on_upstreams();
@@ -241,4 +250,36 @@
                 {{"upstream", action.id}, {"revision", m_cache.version().revision}});
 }
 
+void FleetView::Log(const directory::DataCentreEvacuated& action) {
+  m_log.Warning("data_centre_evacuated", {{"data_centre", action.data_centre},
+                                          {"upstreams", action.upstreams},
+                                          {"revision", m_cache.version().revision}});
+  SetEvacuatedMetric(action.data_centre, true);
+}
+
+void FleetView::Log(const directory::DataCentreRestored& action) {
+  m_log.Warning("data_centre_restored",
+                {{"data_centre", action.data_centre}, {"revision", m_cache.version().revision}});
+  SetEvacuatedMetric(action.data_centre, false);
+}
+
+void FleetView::Log(const directory::EvacuationPending& action) {
+  m_log.Warning("evacuation_of_unknown_data_centre",
+                {{"data_centre", action.data_centre}, {"revision", m_cache.version().revision}});
+}
+
+void FleetView::Log(const directory::EvacuationEndDeferred& action) {
+  m_log.Warning("evacuation_end_doubted", {{"data_centre", action.data_centre},
+                                           {"for_us", action.until - m_clock.Now()},
+                                           {"revision", m_cache.version().revision}});
+}
+
+void FleetView::SetEvacuatedMetric(const core::DataCentreId& data_centre, bool evacuated) {
+  m_metrics
+      .GetGauge("cornelrelay_data_centre_evacuated",
+                "1 while an order keeps requests away from the data centre.",
+                {{"data_centre", data_centre.value()}})
+      .Set(evacuated ? 1 : 0);
+}
+
 }  // namespace cornelrelay::relay
--- a/packages/relay/src/relay_task.cc
+++ b/packages/relay/src/relay_task.cc
@@ -245,8 +245,12 @@
 
 void RelayTask::Perform(const request::OpenAttempt& action) {
   m_call.reset();
-  const auto entry = m_services.directory.Find(action.upstream);
-  if (!entry || entry->leaving) {
+  const auto entry = m_services.directory.FindUsable(action.upstream);
+  if (!entry) {
+    // It was assigned just before its entry or an order of the operator ruled it out.
+    m_services.log.Info("attempt_not_opened", {{"request", m_routed.request.id},
+                                               {"upstream", action.upstream},
+                                               {"directory", m_services.directory.version()}});
     mailbox()->Push(request::ConnectFailed{action.attempt});
     return;
   }
@@ -361,6 +365,8 @@
       }
       return dispatch::AttemptEnd::kFailed;
     case AttemptResult::kConnectFailed:
+      // Without a call this process did not try, which says nothing about the upstream.
+      return m_call ? dispatch::AttemptEnd::kFailed : dispatch::AttemptEnd::kCancelled;
     case AttemptResult::kForeign:
       return dispatch::AttemptEnd::kFailed;
   }
@@ -429,8 +435,8 @@
 }
 
 void RelayTask::ReplaceAttempt() {
-  const auto entry = m_services.directory.Find(m_next_assigned->upstream);
-  const bool usable = entry && !entry->leaving && MayReplaceAttempt();
+  const auto entry = m_services.directory.FindUsable(m_next_assigned->upstream);
+  const bool usable = entry && MayReplaceAttempt();
   if (!usable || !m_services.retries.ForService(m_routed.service).TryRetry()) {
     return DropNextPlace();
   }
