Limit cold upstreams to the rate that they tolerate

A service may name cold_per_s. While an upstream's entry says that it is cold, all entry processes together keep to that rate: with the shares of named rate limits, but counting silent processes among those that share it for ten minutes, so that a cut link does not spend it twice, and sending nothing in the first half second. A ramp follows the cold time.

--- a/packages/directory/include/cornelrelay/directory/upstream_directory.h
+++ b/packages/directory/include/cornelrelay/directory/upstream_directory.h
@@ -93,7 +93,7 @@
   void Apply(core::Instant now, const StoreLost& event, Actions& out);
   void Apply(core::Instant now, const StoreRegained& event, Actions& out);
   void Apply(core::Instant now, const DirectoryTick& event, Actions& out);
-  void Put(UpstreamEntry entry, Actions& out);
+  void Put(core::Instant now, UpstreamEntry entry, bool restored, Actions& out);
   void Remove(core::Instant now, const core::UpstreamId& id, Actions& out);
   std::optional<core::Instant> DeferralEnd(core::Instant now, const core::ServiceId& service) const;
   void ApplyDeferredRemovals(core::Instant now, Actions& out);
--- a/packages/directory/include/cornelrelay/directory/upstream_entry.h
+++ b/packages/directory/include/cornelrelay/directory/upstream_entry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "cornelrelay/core/endpoint.h"
@@ -17,7 +18,10 @@
   core::DataCentreId data_centre;
   std::uint32_t slots = 1;             ///< maximum number of concurrent requests
   bool leaving = false;                ///< draining: accepts no new requests
-  core::Duration remaining_warm_up{};  ///< time for which it is still slower than normal
+  core::Duration remaining_warm_up{};  ///< time for which it was still cold when it wrote this
+  /// End of the cold time on the clock of this process; none if it is not cold. Set by
+  /// UpstreamDirectory when it takes over the entry.
+  std::optional<core::Instant> cold_until;
   std::string software_version;
   std::uint64_t incarnation = 0;  ///< changes with each start of the upstream
   std::uint64_t sequence = 0;     ///< increases with the writes of an incarnation
--- a/packages/directory/src/upstream_directory.cc
+++ b/packages/directory/src/upstream_directory.cc
@@ -49,7 +49,7 @@
     if (change.entry && event.restored && IsOutdated(*change.entry)) {
       out.emplace_back(OldEntryIgnored{change.id});
     } else if (change.entry) {
-      Put(*change.entry, out);
+      Put(now, *change.entry, event.restored, out);
     } else {
       Remove(now, change.id, out);
     }
@@ -137,11 +137,19 @@
 
 void UpstreamDirectory::Apply(core::Instant, const DirectoryTick&, Actions&) {}
 
-void UpstreamDirectory::Put(UpstreamEntry entry, Actions& out) {
+void UpstreamDirectory::Put(core::Instant now, UpstreamEntry entry, bool restored, Actions& out) {
+  entry.cold_until.reset();
+  if (entry.remaining_warm_up > core::Duration{}) entry.cold_until = now + entry.remaining_warm_up;
+
   const auto [found, added] = m_records.try_emplace(entry.id, Record{entry, std::nullopt});
   Record& record = found->second;
   m_departures.erase(entry.id);
   const bool restarted = !added && record.entry.incarnation != entry.incarnation;
+  // What a copy of the store says may be old, so it only lengthens the cold time. An empty
+  // optional is less than any time.
+  if (restored && !restarted) {
+    entry.cold_until = std::max(entry.cold_until, record.entry.cold_until);
+  }
   const bool announced = !restarted && record.announced_leaving;
   entry.leaving |= announced;
   const bool left = entry.leaving && (added || !record.entry.leaving);
--- a/packages/directory/tests/upstream_directory_test.cc
+++ b/packages/directory/tests/upstream_directory_test.cc
@@ -172,6 +172,42 @@
   CHECK(directory.Usable(kService).size() == 16);
 }
 
+// The cases below guard against a cold upstream that gets its full load too early, because its
+// entry is old or was read twice.
+TEST_CASE("the end of the cold time follows the newest entry on the clock of this process") {
+  UpstreamDirectory directory({});
+  UpstreamEntry cold = Entry(0);
+  cold.remaining_warm_up = milliseconds(4'000);
+  directory.Step(At(1'000), EntriesChanged{{{Id(0), cold}}});
+  REQUIRE(directory.Find(Id(0)));
+  CHECK(directory.Find(Id(0))->cold_until == At(5'000));
+  cold.sequence = 1;
+  cold.remaining_warm_up = milliseconds(9'000);
+  directory.Step(At(2'000), EntriesChanged{{{Id(0), cold}}});
+  CHECK(directory.Find(Id(0))->cold_until == At(11'000));
+  cold.sequence = 2;
+  cold.remaining_warm_up = {};
+  directory.Step(At(3'000), EntriesChanged{{{Id(0), cold}}});
+  CHECK_FALSE(directory.Find(Id(0))->cold_until);
+}
+
+TEST_CASE("an entry of a restored store only lengthens the cold time") {
+  UpstreamDirectory directory({});
+  UpstreamEntry cold = Entry(0);
+  cold.remaining_warm_up = milliseconds(4'000);
+  directory.Step(At(1'000), EntriesChanged{{{Id(0), cold}}});
+  UpstreamEntry warm = cold;
+  warm.remaining_warm_up = {};
+  directory.Step(At(2'000), EntriesChanged{{{Id(0), warm}}, true});
+  CHECK(directory.Find(Id(0))->cold_until == At(5'000));
+  directory.Step(At(3'000), EntriesChanged{{{Id(0), cold}}, true});
+  CHECK(directory.Find(Id(0))->cold_until == At(7'000));
+  // A restarted upstream is as cold as its entry says.
+  UpstreamEntry restarted = Entry(0, 2);
+  directory.Step(At(3'500), EntriesChanged{{{Id(0), restarted}}, true});
+  CHECK_FALSE(directory.Find(Id(0))->cold_until);
+}
+
 // The cases below guard against requests to a data centre that the operator has evacuated (EVAC).
 namespace {
 
--- a/packages/dispatch/include/cornelrelay/dispatch/dispatch_action.h
+++ b/packages/dispatch/include/cornelrelay/dispatch/dispatch_action.h
@@ -62,7 +62,17 @@
   double own_per_second = 0;  ///< share of this process
 };
 
+/// \brief An upstream became cold, or (`cold` is false) the ramp after its cold time is over.
+struct ColdChanged {
+  core::UpstreamId upstream;
+  bool cold = false;
+  core::Duration remaining{};  ///< cold time that is left, without the ramp
+  double per_second = 0;       ///< from all entry processes together
+  double own_per_second = 0;   ///< share of this process after it has settled
+  std::size_t processes = 0;   ///< that share the rate as far as this process knows
+};
+
 using DispatchAction =
-    std::variant<Assigned, Rejected, HealthChanged, ServiceBlocked, RateLimitChanged>;
+    std::variant<Assigned, Rejected, HealthChanged, ServiceBlocked, RateLimitChanged, ColdChanged>;
 
 }  // namespace cornelrelay::dispatch
--- a/packages/dispatch/include/cornelrelay/dispatch/dispatch_event.h
+++ b/packages/dispatch/include/cornelrelay/dispatch/dispatch_event.h
@@ -19,6 +19,10 @@
   core::UpstreamId id;
   std::uint32_t slots = 1;        ///< maximum number of concurrent requests
   std::uint64_t incarnation = 0;  ///< changes with each start of the upstream
+  /// End of the time for which it takes only `cold_per_second`; none if it is not cold.
+  std::optional<core::Instant> cold_until{};
+  /// Requests per second from all entry processes together while it is cold; 0: no limit.
+  double cold_per_second = 0;
 
   friend bool operator==(const UpstreamSpec&, const UpstreamSpec&) = default;
 };
@@ -50,6 +54,9 @@
 struct PeerRateLimitsChanged {
   std::vector<core::HostId> processes;  ///< the live ones, this one included
   std::map<core::UpstreamId, RateLimitObservation> observations;
+  /// Those that share the rates of cold upstreams: the live ones and others that may run although
+  /// they are silent. If empty, the live ones.
+  std::vector<core::HostId> possibly_running{};
 };
 
 /// \brief A new configuration changed how strongly unread prompts count towards the load of an
--- a/packages/dispatch/include/cornelrelay/dispatch/dispatcher.h
+++ b/packages/dispatch/include/cornelrelay/dispatch/dispatcher.h
@@ -61,6 +61,8 @@
   std::map<core::UpstreamId, RateLimitObservation> OwnRateLimits(core::Instant now) const {
     return m_upstreams.OwnRateLimits(now);
   }
+  /// \brief Returns the number of upstreams that are cold or in the ramp after it.
+  std::size_t cold_upstreams() const { return m_upstreams.cold_count(); }
   /// \brief Returns when a request of the service last gave output.
   core::Instant last_output() const { return m_upstreams.last_output(); }
   /// \brief Returns when the upstream last showed a sign of life in any request; the epoch if it
--- a/packages/dispatch/include/cornelrelay/dispatch/rate_limit_share.h
+++ b/packages/dispatch/include/cornelrelay/dispatch/rate_limit_share.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <vector>
 
@@ -27,6 +28,13 @@
 double RateShareOf(double limit_per_second, const core::UpstreamId& upstream,
                    const core::HostId& self, const std::vector<core::HostId>& processes);
 
+/// \brief Returns the position of a process in the order in which the upstream's limit is shared
+/// out: the number of processes before it. Costs one hash for each process.
+std::size_t SharingRankOf(const core::UpstreamId& upstream, const core::HostId& self,
+                          const std::vector<core::HostId>& processes);
+/// \brief Returns the rate of the process at this position, as RateShareOf() does.
+double RateShareAt(double limit_per_second, std::size_t rank, std::size_t processes);
+
 /// \brief The rate limit of one upstream and this process's share of it.
 class RateLimitShare {
  public:
@@ -42,6 +50,9 @@
   /// \brief Requests a second of this process; meaningless without a limit.
   double share() const { return m_share; }
 
+  /// \brief Starts without savings.
+  void Empty(core::Instant now) { m_tokens = limits::TokenBucket(now); }
+
   bool Admits(core::Instant now) const;
   /// \brief Counts a request.
   void Take(core::Instant now);
--- a/packages/dispatch/include/cornelrelay/dispatch/upstream_pool.h
+++ b/packages/dispatch/include/cornelrelay/dispatch/upstream_pool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -27,12 +28,23 @@
   core::Duration block_time = std::chrono::milliseconds(300);
   /// How long peers are told that an upstream names no limit any more.
   core::Duration limit_end_report_time = std::chrono::minutes(1);
+  /// How long a cold upstream gets nothing from this process after it has learnt of it. The other
+  /// processes may use the whole rate until they have heard of this one; statuses are at most 250
+  /// ms old.
+  core::Duration cold_settle_time = std::chrono::milliseconds(500);
+  /// After the cold time the rate doubles at this interval. One second is the window in which the
+  /// platform counts the requests of a cold upstream.
+  core::Duration cold_ramp_doubling = std::chrono::seconds(1);
+  /// How long the ramp lasts. Four doublings are 16 times the cold rate, which is more than an
+  /// upstream gets in normal operation.
+  core::Duration cold_ramp_time = std::chrono::seconds(4);
 };
 
 /// \brief The upstreams of one service with their load and health.
 ///
 /// An upstream gets at most as many concurrent requests as it has slots, counting the requests of
-/// all entry processes.
+/// all entry processes. Rate limits that it names, and the rate that it tolerates while it is cold,
+/// are shared between the processes (see RateShareOf); where both hold, the lower one binds.
 class UpstreamPool {
  public:
   using Actions = std::vector<DispatchAction>;
@@ -55,7 +67,10 @@
   };
 
   UpstreamPool(UpstreamPoolConfig config, std::uint64_t seed)
-      : m_config(std::move(config)), m_random(seed), m_processes({m_config.self}) {}
+      : m_config(std::move(config)),
+        m_random(seed),
+        m_processes({m_config.self}),
+        m_possibly_running({m_config.self}) {}
 
   void SetUpstreams(const std::vector<UpstreamSpec>& upstreams);
   void SetPeerLoad(const std::map<core::UpstreamId, std::uint32_t>& in_flight);
@@ -64,6 +79,13 @@
                         const RateLimitObservation& observation, Actions& out);
   /// \param processes the live entry processes, this one included
   void SetProcesses(core::Instant now, const std::vector<core::HostId>& processes);
+  /// \param processes those that share the rates of cold upstreams, this one included
+  void SetColdSharers(core::Instant now, const std::vector<core::HostId>& processes);
+  /// \brief Begins, ramps and ends the limits of cold upstreams. To be called in each step, before
+  /// upstreams are chosen.
+  void UpdateCold(core::Instant now, Actions& out);
+  /// \brief Returns the number of listed upstreams that are cold or in the ramp after it.
+  std::size_t cold_count() const;
   /// \brief Returns what this process has heard itself of upstreams that have or recently had a
   /// limit.
   std::map<core::UpstreamId, RateLimitObservation> OwnRateLimits(core::Instant now) const;
@@ -135,8 +157,22 @@
     core::Instant last_sign_of_life{};
     RateLimitShare rate;
     std::optional<RateLimitObservation> own_observation;
+    /// Limit while it is cold and in the ramp after it. Holds beside `rate`.
+    RateLimitShare cold;
+    std::optional<core::Instant> cold_end;  ///< set while the limit holds; the ramp begins then
+    core::Instant cold_noticed{};           ///< when this process learnt of it
+    std::size_t cold_rank = 0;              ///< of this process among those that share it
+    bool cold_reported = false;
   };
 
+  double ColdRateAt(core::Instant now, const Upstream& upstream) const;
+  void SetColdShare(core::Instant now, Upstream& upstream) const;
+  void ReportCold(core::Instant now, Upstream& upstream, Actions& out) const;
+  /// \brief Returns when the share of a cold upstream changes next.
+  core::Instant NextColdChange(core::Instant now, const Upstream& upstream) const;
+  static bool RateAdmits(core::Instant now, const Upstream& upstream);
+  static std::optional<double> RateLimitOf(const Upstream& upstream);
+  static double RateShareOfProcess(const Upstream& upstream);
   bool HasFreeSlot(const Upstream& upstream) const;
   bool Admits(core::Instant now, const Upstream& upstream) const;
   double LoadOf(const Upstream& upstream) const;
@@ -147,6 +183,7 @@
   UpstreamPoolConfig m_config;
   core::Random m_random;
   std::vector<core::HostId> m_processes;
+  std::vector<core::HostId> m_possibly_running;
   std::map<core::UpstreamId, Upstream> m_upstreams;
   core::Instant m_last_output{};
   bool m_service_blocked = false;
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -61,6 +61,7 @@
   Actions out;
   m_now = now;
   std::visit([&](const auto& e) { Apply(now, e, out); }, event);
+  m_upstreams.UpdateCold(now, out);
   AssignSought(now, out);
   AssignWaiting(now, out);
   RejectOverdueOrBlocked(now, out);
@@ -88,6 +89,8 @@
 
 void Dispatcher::Apply(core::Instant now, const PeerRateLimitsChanged& event, Actions& out) {
   m_upstreams.SetProcesses(now, event.processes);
+  m_upstreams.SetColdSharers(
+      now, event.possibly_running.empty() ? event.processes : event.possibly_running);
   for (const auto& [upstream, observation] : event.observations) {
     m_upstreams.ObserveRateLimit(now, upstream, observation, out);
   }
--- a/packages/dispatch/src/rate_limit_share.cc
+++ b/packages/dispatch/src/rate_limit_share.cc
@@ -21,18 +21,28 @@
 
 }  // namespace
 
-double RateShareOf(double limit_per_second, const core::UpstreamId& upstream,
-                   const core::HostId& self, const std::vector<core::HostId>& processes) {
+std::size_t SharingRankOf(const core::UpstreamId& upstream, const core::HostId& self,
+                          const std::vector<core::HostId>& processes) {
   assert(std::find(processes.begin(), processes.end(), self) != processes.end());
-  const double limit = std::max(limit_per_second, kMinRatePerSecond);
-  const double sharing = std::clamp(std::round(limit), 1.0, static_cast<double>(processes.size()));
   const auto score = [&](const core::HostId& host) {
     return core::RendezvousScore(upstream.value(), host.value());
   };
   const std::uint64_t own = score(self);
-  const auto before = std::count_if(processes.begin(), processes.end(),
-                                    [&](const core::HostId& host) { return score(host) > own; });
-  return static_cast<double>(before) < sharing ? limit / sharing : 0;
+  return static_cast<std::size_t>(
+      std::count_if(processes.begin(), processes.end(),
+                    [&](const core::HostId& host) { return score(host) > own; }));
+}
+
+double RateShareAt(double limit_per_second, std::size_t rank, std::size_t processes) {
+  assert(processes > 0);
+  const double limit = std::max(limit_per_second, kMinRatePerSecond);
+  const double sharing = std::clamp(std::round(limit), 1.0, static_cast<double>(processes));
+  return static_cast<double>(rank) < sharing ? limit / sharing : 0;
+}
+
+double RateShareOf(double limit_per_second, const core::UpstreamId& upstream,
+                   const core::HostId& self, const std::vector<core::HostId>& processes) {
+  return RateShareAt(limit_per_second, SharingRankOf(upstream, self, processes), processes.size());
 }
 
 bool RateLimitShare::Observe(const RateLimitObservation& observation) {
--- a/packages/dispatch/src/upstream_pool.cc
+++ b/packages/dispatch/src/upstream_pool.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 #include <utility>
 
 namespace cornelrelay::dispatch {
@@ -10,6 +11,9 @@
 /// Upstreams whose loads differ by at most this part of a slot count as equally loaded. Processes
 /// that choose at the same moment then spread over them.
 constexpr double kEqualLoadMargin = 0.75;
+/// The rate of the ramp after a cold time changes at this interval: often enough that no step adds
+/// a fifth, seldom enough that the shares of hundreds of processes cost little.
+constexpr std::chrono::milliseconds kColdRampStep{250};
 
 }  // namespace
 
@@ -25,6 +29,8 @@
       upstream.backed_off_until = {};
       upstream.rate = {};
       upstream.own_observation.reset();
+      upstream.cold = {};
+      upstream.cold_end.reset();
     }
     upstream.spec = spec;
     upstream.listed = true;
@@ -76,6 +82,101 @@
   }
 }
 
+void UpstreamPool::SetColdSharers(core::Instant now, const std::vector<core::HostId>& processes) {
+  if (m_possibly_running == processes) return;
+  m_possibly_running = processes;
+  for (auto& [id, upstream] : m_upstreams) {
+    if (!upstream.cold_end) continue;
+    upstream.cold_rank = SharingRankOf(id, m_config.self, m_possibly_running);
+    SetColdShare(now, upstream);
+  }
+}
+
+void UpstreamPool::UpdateCold(core::Instant now, Actions& out) {
+  for (auto& [id, upstream] : m_upstreams) {
+    const UpstreamSpec& spec = upstream.spec;
+    const bool limited = spec.cold_until && spec.cold_per_second > 0 &&
+                         now < *spec.cold_until + m_config.cold_ramp_time;
+    if (limited && !upstream.cold_end) {
+      upstream.cold_noticed = now;
+      upstream.cold_end = spec.cold_until;
+      upstream.cold.Empty(now);
+      upstream.cold_rank = SharingRankOf(id, m_config.self, m_possibly_running);
+    } else if (limited) {
+      upstream.cold_end = spec.cold_until;
+    } else if (upstream.cold_end && now < *upstream.cold_end) {
+      // It is warm earlier than it said. The ramp is needed all the same.
+      upstream.cold_end = now;
+    }
+    if (upstream.cold_end && now >= *upstream.cold_end + m_config.cold_ramp_time) {
+      upstream.cold_end.reset();
+      upstream.cold = {};
+    }
+    if (upstream.cold_end) SetColdShare(now, upstream);
+    if (upstream.cold_reported != upstream.cold_end.has_value()) ReportCold(now, upstream, out);
+  }
+}
+
+double UpstreamPool::ColdRateAt(core::Instant now, const Upstream& upstream) const {
+  const core::Duration since = now - *upstream.cold_end;
+  if (since < core::Duration{}) return upstream.spec.cold_per_second;
+  const core::Duration step = kColdRampStep;
+  const auto doublings = static_cast<double>((since / step) * step.count()) /
+                         static_cast<double>(m_config.cold_ramp_doubling.count());
+  return upstream.spec.cold_per_second * std::exp2(doublings);
+}
+
+void UpstreamPool::SetColdShare(core::Instant now, Upstream& upstream) const {
+  const double rate = ColdRateAt(now, upstream);
+  const bool settled = now >= upstream.cold_noticed + m_config.cold_settle_time;
+  upstream.cold.Observe({rate, now});
+  upstream.cold.SetShare(
+      now, settled ? RateShareAt(rate, upstream.cold_rank, m_possibly_running.size()) : 0);
+}
+
+void UpstreamPool::ReportCold(core::Instant now, Upstream& upstream, Actions& out) const {
+  const UpstreamSpec& spec = upstream.spec;
+  upstream.cold_reported = upstream.cold_end.has_value();
+  ColdChanged action{spec.id, upstream.cold_reported};
+  action.per_second = spec.cold_per_second;
+  action.processes = m_possibly_running.size();
+  if (upstream.cold_end) {
+    action.remaining = std::max(core::Duration{}, *upstream.cold_end - now);
+    action.own_per_second =
+        RateShareAt(spec.cold_per_second, upstream.cold_rank, m_possibly_running.size());
+  }
+  out.emplace_back(action);
+}
+
+std::size_t UpstreamPool::cold_count() const {
+  return static_cast<std::size_t>(std::count_if(
+      m_upstreams.begin(), m_upstreams.end(),
+      [](const auto& entry) { return entry.second.listed && entry.second.cold_end; }));
+}
+
+core::Instant UpstreamPool::NextColdChange(core::Instant now, const Upstream& upstream) const {
+  const core::Instant settled = upstream.cold_noticed + m_config.cold_settle_time;
+  if (now < settled) return settled;
+  return std::max(*upstream.cold_end, now + kColdRampStep);
+}
+
+bool UpstreamPool::RateAdmits(core::Instant now, const Upstream& upstream) {
+  return upstream.rate.Admits(now) && upstream.cold.Admits(now);
+}
+
+std::optional<double> UpstreamPool::RateLimitOf(const Upstream& upstream) {
+  const auto named = upstream.rate.limit();
+  const auto cold = upstream.cold.limit();
+  if (!named || !cold) return named ? named : cold;
+  return std::min(*named, *cold);
+}
+
+double UpstreamPool::RateShareOfProcess(const Upstream& upstream) {
+  if (!upstream.cold.limit()) return upstream.rate.share();
+  if (!upstream.rate.limit()) return upstream.cold.share();
+  return std::min(upstream.rate.share(), upstream.cold.share());
+}
+
 std::map<core::UpstreamId, RateLimitObservation> UpstreamPool::OwnRateLimits(
     core::Instant now) const {
   std::map<core::UpstreamId, RateLimitObservation> observations;
@@ -118,6 +219,7 @@
                                               double prompt_tokens) {
   Upstream& upstream = m_upstreams.at(id);
   upstream.rate.Take(now);
+  upstream.cold.Take(now);
   ++upstream.own_in_flight;
   upstream.unread_prompt_tokens += prompt_tokens;
   return {upstream.own_in_flight, upstream.peers_in_flight};
@@ -159,7 +261,7 @@
   for (const auto& [id, upstream] : m_upstreams) {
     if (!upstream.listed || now < upstream.backed_off_until) continue;
     double slots = upstream.spec.slots;
-    if (const auto limit = upstream.rate.limit()) slots = std::min(slots, *limit * seconds);
+    if (const auto limit = RateLimitOf(upstream)) slots = std::min(slots, *limit * seconds);
     capacity.slots += slots;
     capacity.used += std::min<double>(upstream.own_in_flight + upstream.peers_in_flight, slots);
   }
@@ -170,10 +272,9 @@
   RateCapacity capacity;
   for (const auto& [id, upstream] : m_upstreams) {
     if (!upstream.listed) continue;
-    const auto limit = upstream.rate.limit();
-    if (!limit) return std::nullopt;
-    capacity.own_per_second += upstream.rate.share();
-    if (now >= upstream.backed_off_until && upstream.rate.Admits(now)) capacity.own_saved += 1;
+    if (!RateLimitOf(upstream)) return std::nullopt;
+    capacity.own_per_second += RateShareOfProcess(upstream);
+    if (now >= upstream.backed_off_until && RateAdmits(now, upstream)) capacity.own_saved += 1;
   }
   return capacity;
 }
@@ -181,9 +282,13 @@
 std::optional<core::Instant> UpstreamPool::NextRateAdmission(core::Instant now) const {
   std::optional<core::Instant> next;
   for (const auto& [id, upstream] : m_upstreams) {
-    if (!upstream.listed || upstream.rate.Admits(now)) continue;
-    const auto admission = upstream.rate.NextAdmission(now);
-    if (admission) next = next ? std::min(*next, *admission) : *admission;
+    if (!upstream.listed || RateAdmits(now, upstream)) continue;
+    const auto consider = [&](core::Instant at) { next = std::min(next.value_or(at), at); };
+    for (const RateLimitShare* share : {&upstream.rate, &upstream.cold}) {
+      if (share->Admits(now)) continue;
+      if (const auto admission = share->NextAdmission(now)) consider(*admission);
+    }
+    if (upstream.cold_end) consider(NextColdChange(now, upstream));
   }
   return next;
 }
@@ -291,7 +396,7 @@
   std::vector<const Upstream*> others;
   for (const auto& [id, upstream] : m_upstreams) {
     if (!upstream.listed || excluded.contains(id) || !HasFreeSlot(upstream)) continue;
-    if (now < upstream.backed_off_until || !upstream.rate.Admits(now)) continue;
+    if (now < upstream.backed_off_until || !RateAdmits(now, upstream)) continue;
     if (Admits(now, upstream)) {
       admitted.push_back(&upstream);
     } else if (!upstream.blocked_until) {
--- a/packages/peers/include/cornelrelay/peers/peer_table.h
+++ b/packages/peers/include/cornelrelay/peers/peer_table.h
@@ -40,6 +40,9 @@
   /// A silent peer is no longer probed when this much time has passed since it fell silent or was
   /// registered.
   core::Duration probe_time = std::chrono::seconds(120);
+  /// A silent peer is counted among those that may still send requests to upstreams until this much
+  /// time has passed since it fell silent or was registered. Longer than most cuts of a link.
+  core::Duration possibly_running_time = std::chrono::minutes(10);
   /// While it is connected to the store, this process waits this long for a newer revision from
   /// there before it fetches it from a peer: a working connection delivers changes within this
   /// time.
@@ -76,6 +79,9 @@
   std::map<core::UpstreamId, HeardRateLimit> RateLimits() const;
   /// \brief Returns this process and the live peers.
   std::vector<core::HostId> LiveProcesses() const;
+  /// \brief Returns this process, the live peers and those that may run although they are silent:
+  /// the link to them may be cut.
+  std::vector<core::HostId> PossiblyRunningProcesses(core::Instant now) const;
   std::size_t live_count() const;
   /// \brief Returns whether a live peer is connected to the store.
   bool AnyConnectedToStore() const;
--- a/packages/peers/src/peer_table.cc
+++ b/packages/peers/src/peer_table.cc
@@ -201,6 +201,15 @@
   return processes;
 }
 
+std::vector<core::HostId> PeerTable::PossiblyRunningProcesses(core::Instant now) const {
+  std::vector<core::HostId> processes = {m_config.self};
+  for (const auto& [host, peer] : m_peers) {
+    const bool recent = now - peer.inactive_since < m_config.possibly_running_time;
+    if (peer.live || recent) processes.push_back(host);
+  }
+  return processes;
+}
+
 std::size_t PeerTable::live_count() const {
   return static_cast<std::size_t>(std::count_if(
       m_peers.begin(), m_peers.end(), [](const auto& entry) { return entry.second.live; }));
--- a/packages/peers/tests/peer_table_test.cc
+++ b/packages/peers/tests/peer_table_test.cc
@@ -221,4 +221,21 @@
   CHECK(FindAction<PeerSilent>(peers.Step(At(2'400), PeerTick{})));
 }
 
+// Guards against a process that takes over the shares of peers that it only does not hear: the
+// rates of cold upstreams would be spent twice.
+TEST_CASE("registered and recently silent peers count as possibly running for a bounded time") {
+  PeerTable peers(Config());
+  peers.Step(At(0), PeerStatusReceived{StatusFrom("a", 1)});
+  peers.Step(At(0), PeerRegistered{core::HostId("b"), {"10.0.0.2", 7000}});
+  CHECK(peers.PossiblyRunningProcesses(At(0)).size() == 3);
+  peers.Step(At(1'600), PeerTick{});
+  CHECK(peers.LiveProcesses().size() == 1);
+  CHECK(peers.PossiblyRunningProcesses(At(500'000)).size() == 3);
+  CHECK(peers.PossiblyRunningProcesses(At(600'000)).size() == 2);
+  CHECK(peers.PossiblyRunningProcesses(At(601'600)).size() == 1);
+  peers.Step(At(700'000), PeerRegistered{core::HostId("b"), {"10.0.0.2", 7000}});
+  peers.Step(At(700'001), PeerUnregistered{core::HostId("b")});
+  CHECK(peers.PossiblyRunningProcesses(At(700'002)).size() == 1);
+}
+
 }  // namespace cornelrelay::peers
--- a/packages/relay/include/cornelrelay/relay/service_dispatchers.h
+++ b/packages/relay/include/cornelrelay/relay/service_dispatchers.h
@@ -76,6 +76,8 @@
         : dispatcher(std::move(config)), timer(context, clock, std::move(on_wake)) {}
     dispatch::Dispatcher dispatcher;
     runtime::WakeTimer timer;
+    double cold_per_second = 0;  ///< of the configuration; 0: no cold state
+    core::Duration cold_time{};
   };
 
   void Step(const core::ServiceId& id, Service& service, const dispatch::DispatchEvent& event);
@@ -84,6 +86,8 @@
   void Perform(const core::ServiceId& service, const dispatch::HealthChanged& action);
   void Perform(const core::ServiceId& service, const dispatch::ServiceBlocked& action);
   void Perform(const core::ServiceId& service, const dispatch::RateLimitChanged& action);
+  void Perform(const core::ServiceId& service, const dispatch::ColdChanged& action);
+  void SetColdMetric(const core::ServiceId& id, const Service& service);
   void DeliverDecision(const core::RequestId& request, const Decision& decision);
   Service* Find(const core::ServiceId& id);
 
--- a/packages/relay/src/service_dispatchers.cc
+++ b/packages/relay/src/service_dispatchers.cc
@@ -54,13 +54,18 @@
   for (const auto& [id, spec] : configuration.services) {
     const dispatch::DispatcherConfig config = DispatcherConfigOf(spec, m_self, m_seed);
     if (Service* found = Find(id)) {
+      found->cold_per_second = spec.cold_per_s;
+      found->cold_time = spec.cold_time;
       Step(id, *found, dispatch::PromptWeightChanged{config.upstreams.prompt_tokens_per_slot});
       continue;
     }
     const auto on_wake = [this, service = id] {
       if (Service* found = Find(service)) Step(service, *found, dispatch::DispatchTick{});
     };
-    m_services.emplace(id, std::make_unique<Service>(m_context, m_clock, config, on_wake));
+    auto service = std::make_unique<Service>(m_context, m_clock, config, on_wake);
+    service->cold_per_second = spec.cold_per_s;
+    service->cold_time = spec.cold_time;
+    m_services.emplace(id, std::move(service));
   }
 }
 
@@ -68,9 +73,11 @@
   for (auto& [id, service] : m_services) {
     dispatch::UpstreamsChanged event;
     for (const directory::UpstreamEntry& entry : directory.Usable(id)) {
-      event.upstreams.push_back({entry.id, entry.slots, entry.incarnation});
+      event.upstreams.push_back(
+          {entry.id, entry.slots, entry.incarnation, entry.cold_until, service->cold_per_second});
     }
     Step(id, *service, event);
+    if (service->cold_per_second > 0) SetColdMetric(id, *service);
   }
 }
 
@@ -78,6 +85,10 @@
   const auto in_flight = peers.InFlight();
   dispatch::PeerRateLimitsChanged limits;
   limits.processes = peers.LiveProcesses();
+  const bool any_cold_rate =
+      std::any_of(m_services.begin(), m_services.end(),
+                  [](const auto& entry) { return entry.second->cold_per_second > 0; });
+  if (any_cold_rate) limits.possibly_running = peers.PossiblyRunningProcesses(m_clock.Now());
   for (const auto& [upstream, heard] : peers.RateLimits()) {
     limits.observations[upstream] = {heard.per_second, heard.at};
   }
@@ -239,4 +250,35 @@
                                                 {"own_per_second", action.own_per_second}});
 }
 
+void ServiceDispatchers::Perform(const core::ServiceId& service,
+                                 const dispatch::ColdChanged& action) {
+  const Service& found = *m_services.at(service);
+  if (action.cold) {
+    m_metrics
+        .GetCounter("cornelrelay_cold_upstreams_total", "Upstreams that became cold.",
+                    {{"service", service.value()}})
+        .Add();
+    m_log.Warning("upstream_cold", {{"service", service},
+                                    {"upstream", action.upstream},
+                                    {"remaining_us", action.remaining},
+                                    {"cold_time_us", found.cold_time},
+                                    {"per_second", action.per_second},
+                                    {"own_per_second", action.own_per_second},
+                                    {"processes", action.processes}});
+  } else {
+    m_log.Warning("upstream_warm", {{"service", service},
+                                    {"upstream", action.upstream},
+                                    {"per_second", action.per_second},
+                                    {"processes", action.processes}});
+  }
+  SetColdMetric(service, found);
+}
+
+void ServiceDispatchers::SetColdMetric(const core::ServiceId& id, const Service& service) {
+  m_metrics
+      .GetGauge("cornelrelay_cold_upstreams", "Upstreams that are cold or in the ramp after it.",
+                {{"service", id.value()}})
+      .Set(static_cast<double>(service.dispatcher.cold_upstreams()));
+}
+
 }  // namespace cornelrelay::relay
