--- a/tests/system/test_evacuation.py
+++ b/tests/system/test_evacuation.py
@@ -34,6 +34,9 @@
     def serve(self, entry=0, path="/look/1"):
         return self.ask("GET", path, entry=entry)[0].status
 
+    def log_of(self, entry):
+        return pathlib.Path(self.entries[entry].log.name).read_text(encoding="utf-8")
+
     def wait_until_used(self, *replicas):
         """All entry processes send to each of these replicas."""
         for entry in range(self.ENTRIES):
@@ -66,7 +69,7 @@
         self.assert_unused(self.replicas[0], 1.5)
         self.store.remove(key("a"))
         self.wait_until_used(*self.replicas)
-        log = pathlib.Path(self.entries[0].log.name).read_text(encoding="utf-8")
+        log = self.log_of(0)
         self.assertEqual(log.count('"data_centre_evacuated"'), 1)
         self.assertEqual(log.count('"data_centre_restored"'), 1)
 
@@ -102,6 +105,23 @@
             self.assertEqual(self.serve(), 503)
         self.assertEqual(self.replicas[0].seen, [])
 
+    # Guards against a stalled attempt whose new place is in the evacuated data centre.
+    def test_stalled_attempts_do_not_move_there(self):
+        for replica in self.replicas:
+            replica.plan = ["slow 2.0"]
+        threads = [threading.Thread(target=self.serve) for _ in range(6)]
+        for thread in threads:
+            thread.start()
+        self.wait_for(lambda: self.runs() >= 6)
+        self.store.put(key("a"), {})
+        self.wait_for(lambda: "data_centre_evacuated" in self.log_of(0), EVAC_S)
+        self.replicas[0].seen.clear()
+        before = self.runs()
+        for thread in threads:
+            thread.join()
+        self.assertEqual(self.replicas[0].seen, [])
+        self.assertGreater(self.runs(), before)  # attempts have moved
+
     # Guards against waiting or 502 when no replica may be used: the request is refused as not run, with a time.
     def test_service_without_a_usable_replica_refuses_at_once(self):
         self.store.put(key("a"), {})
@@ -190,7 +210,7 @@
         self.wait_until_unused(self.replicas[0])
         self.store.remove(key("a"))
         self.wait_until_used(*self.replicas)
-        log = pathlib.Path(self.entries[0].log.name).read_text(encoding="utf-8")
+        log = self.log_of(0)
         self.assertEqual(log.count('"evacuation_of_unknown_data_centre"'), 2)
         # A replica that appears in the data centre meets the order.
         self.register(self.replicas[0], "nowhere", 2)
