--- a/tests/system/relay_case.py
+++ b/tests/system/relay_case.py
@@ -49,7 +49,7 @@
 class Entry:
     """An entry process with its settings file and its log."""
 
-    def __init__(self, name, directory, store):
+    def __init__(self, name, directory, store, more_settings=""):
         self.callers, self.health, peers, metrics = free_ports(4)
         host, port = store.server.server_address
         self.settings = pathlib.Path(directory) / f"{name}.toml"
@@ -68,7 +68,7 @@
 ratio = 1.0
 slack = 200
 window_s = 10
-""")
+{more_settings}""")
         self.log = open(pathlib.Path(directory) / f"{name}.log", "wb")
         self.process = None
 
@@ -95,6 +95,8 @@
 
     ENTRIES = 1
     REPLICAS = 2
+    MORE_SETTINGS = ""  # further sections of the settings files
+    CALLER_LIMITS = {}  # of the configuration, in place of the usual ones
 
     def setUp(self):
         self.store = Store((HOST, free_ports(1)[0]))
@@ -104,10 +106,13 @@
             self.addCleanup(replica.stop)
             self.store.put("servers/" + replica.name, replica.entry("svc"))
         self.store.put("servers/broken", b"\xff not JSON")
-        self.store.put("op/config", configuration(3, ROUTES))
+        first = configuration(3, ROUTES)
+        first["limits"].update(self.CALLER_LIMITS)
+        self.store.put("op/config", first)
         self.directory = tempfile.TemporaryDirectory()
         self.addCleanup(self.directory.cleanup)
-        self.entries = [Entry(f"relay-{n + 1}", self.directory.name, self.store) for n in range(self.ENTRIES)]
+        self.entries = [Entry(f"relay-{n + 1}", self.directory.name, self.store, self.MORE_SETTINGS)
+                        for n in range(self.ENTRIES)]
         for entry in self.entries:
             self.addCleanup(entry.log.close)
             self.addCleanup(entry.end)
