--- a/packages/limits/include/cornelrelay/limits/byte_budget.h
+++ b/packages/limits/include/cornelrelay/limits/byte_budget.h
@@ -21,6 +21,8 @@
 
   std::size_t limit() const { return m_limit; }
   std::size_t used() const { return m_used; }
+  /// \brief Holds for new reservations; bytes above a lower limit are given back by their holders.
+  void SetLimit(std::size_t limit) { m_limit = limit; }
 
  private:
   friend class ByteReservation;
