--- a/packages/settings/tests/settings_test.cc
+++ b/packages/settings/tests/settings_test.cc
@@ -9,6 +9,7 @@
 #include "cornelrelay/settings/agent_settings.h"
 #include "cornelrelay/settings/entry_settings.h"
 #include "cornelrelay/settings/invalid_settings.h"
+#include "cornelrelay/settings/relay_settings.h"
 
 namespace cornelrelay::settings {
 namespace {
@@ -43,6 +44,33 @@
   CHECK(EntryFaults("[.a]").find("e.toml:1:2:") == 0);
 }
 
+// Guards against limits of callers that are read with another unit or without their bounds.
+TEST_CASE("limits of callers are read and checked") {
+  const std::string rest = R"(
+host_id = "relay-1"
+data_centre = "a"
+[listen]
+callers = "127.0.0.1:1"
+health = "127.0.0.1:2"
+peers = "127.0.0.1:3"
+metrics = "127.0.0.1:4"
+[store]
+endpoint = "127.0.0.1:5"
+[limits]
+)";
+  CHECK(ParseRelaySettings(rest, "r.toml").caller_limits == CallerLimitSettings{});
+  const RelaySettings settings = ParseRelaySettings(
+      rest +
+          "connections_per_address = 7\nhead_fields = 50\nmin_body_bytes_per_s = 100\n"
+          "body_grace_s = 2.5\n",
+      "r.toml");
+  CHECK(settings.caller_limits ==
+        CallerLimitSettings{7, 50, 100, std::chrono::milliseconds(2'500)});
+  CHECK_THROWS_AS(ParseRelaySettings(rest + "head_fields = 15\n", "r.toml"), InvalidSettings);
+  CHECK_THROWS_AS(ParseRelaySettings(rest + "min_body_bytes_per_s = -1\n", "r.toml"),
+                  InvalidSettings);
+}
+
 // Guards against example files that the binaries refuse or read in another way than they say.
 TEST_CASE("the example files are valid") {
   const EntrySettings entry = LoadEntrySettings(kExamples + "/entry.toml");
