--- a/packages/net/src/http_session.h
+++ b/packages/net/src/http_session.h
@@ -55,7 +55,8 @@
         m_limits(std::move(limits)),
         m_handler(std::move(handler)),
         m_registry(std::move(registry)),
-        m_buffer(MaxBuffered()) {
+        m_buffer(MaxBuffered()),
+        m_memory_timer(m_stream.get_executor()) {
     error_code ec;
     m_address = Lowest().socket().remote_endpoint(ec).address();
     m_id = m_registry->Add(this);
@@ -153,6 +154,7 @@
   const asio::ip::address& address() const override { return m_address; }
   void EndRequest() override {
     m_ended = true;
+    m_memory_timer.cancel();
     Lowest().cancel();
   }
 
@@ -301,6 +303,7 @@
       co_await asio::async_write(m_stream, asio::buffer("HTTP/1.1 100 Continue\r\n\r\n", 25),
                                  Redirect(ec));
     }
+    if (m_ended) co_return RefuseBody(body);
     parser.eager(true);
     std::size_t received = 0;
     while (!ec && !parser.is_done()) {
@@ -365,9 +368,9 @@
   asio::awaitable<bool> Hold(limits::CallerBytes kind, std::size_t bytes) {
     for (int attempt = 0; attempt < kMemoryAttempts && !m_ended && m_open; ++attempt) {
       if (m_registry->Hold(m_id, kind, bytes)) co_return true;
-      asio::steady_timer timer(m_stream.get_executor(), kMemoryWait);
+      m_memory_timer.expires_after(kMemoryWait);
       error_code ec;
-      co_await timer.async_wait(Redirect(ec));
+      co_await m_memory_timer.async_wait(Redirect(ec));
     }
     co_return false;
   }
@@ -465,6 +468,7 @@
   HttpServer::Handler m_handler;
   std::shared_ptr<SessionRegistry> m_registry;
   beast::flat_buffer m_buffer;
+  asio::steady_timer m_memory_timer;  ///< wait of a body for memory
   std::function<void()> m_on_gone;
   std::uint64_t m_watch = 0;  ///< number of the current wait for the caller's close
   limits::CallerConnectionId m_id = 0;
--- a/packages/net/tests/http_loopback_test.cc
+++ b/packages/net/tests/http_loopback_test.cc
@@ -189,6 +189,29 @@
   }
 }
 
+// Guards against unfinished bodies that hold the memory, and against an answer to them that does
+// not say that they have not run.
+TEST_CASE("an unfinished body is refused as not run when another one needs its memory") {
+  HttpServerLimits limits;
+  limits.memory_bytes = 16'777'216;
+  EchoServer server(limits);
+  const std::string head =
+      "POST /body HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 4194304\r\n\r\n";
+  RawClient first(server.port());
+  first.Send(head + "x");
+  std::this_thread::sleep_for(milliseconds(100));
+  RawClient second(server.port());
+  second.Send(head + "x");
+  std::this_thread::sleep_for(milliseconds(100));
+  RawClient third(server.port());
+  third.Send(head + std::string(limits.body_bytes, 'x'));
+  CHECK(third.ReadToEnd().starts_with("HTTP/1.1 200"));
+  const std::string refusal = first.ReadToEnd();
+  CHECK(refusal.starts_with("HTTP/1.1 503"));
+  CHECK(refusal.find("Retry-After: 1") != std::string::npos);
+  CHECK(refusal.find("not_run") != std::string::npos);
+}
+
 // Guards against thousands of fields that take many times their bytes once they are parsed.
 TEST_CASE("a head with too many fields is refused") {
   EchoServer server({});
