--- a/packages/net/include/cornelrelay/net/http_server.h
+++ b/packages/net/include/cornelrelay/net/http_server.h
@@ -29,7 +29,7 @@
   /// (limits::CallerMemoryLimitsOf); 0 sets no bound.
   std::size_t memory_bytes = 0;
   std::size_t connections_per_address = 0;  ///< 0 sets no bound
-  std::size_t head_fields = 1'000;
+  std::size_t head_fields = 0;  ///< 0: as many as `head_bytes` allows
   std::uint32_t min_body_rate = 0;  ///< bytes/s of a body after `body_grace`; 0 sets no bound
   std::chrono::milliseconds body_grace{10'000};
 
--- a/packages/net/src/http_session.h
+++ b/packages/net/src/http_session.h
@@ -167,9 +167,9 @@
   static constexpr std::size_t kReadSize = 4'096;
   static constexpr std::size_t kBodyReadSize = 32'768;
   /// Bytes of a chunked body beyond its payload that are allowed whatever its size, and for each
-  /// byte of payload. A chunk of three bytes or more stays inside.
+  /// byte of payload. Chunks of one byte stay inside; chunk extensions and padded sizes do not.
   static constexpr std::size_t kChunkOverhead = 65'536;
-  static constexpr std::size_t kChunkOverheadPerByte = 2;
+  static constexpr std::size_t kChunkOverheadPerByte = 5;
   /// How often and how long a body waits in the kernel for memory before it is refused: one second
   /// in all, twice the time after which unfinished bodies are ended in its favour.
   static constexpr int kMemoryAttempts = 5;
@@ -271,7 +271,7 @@
     NoteProgress();
     if (ec == beast::error::timeout) m_registry->Note(CallerLimit::kHeadTimeout);
     if (!ec && !HasKnownTransferCoding(parser.get())) co_return UnknownTransferCoding();
-    if (!ec && FieldCount(parser) > m_limits->head_fields) {
+    if (!ec && m_limits->head_fields > 0 && FieldCount(parser) > m_limits->head_fields) {
       m_registry->Note(CallerLimit::kHeadFields);
       co_return TypedError(431, "too_many_fields", "the request head has too many fields");
     }
@@ -321,7 +321,8 @@
       if (!announced && received > kChunkOverhead + (1 + kChunkOverheadPerByte) * body.size()) {
         m_registry->Note(CallerLimit::kChunkOverhead);
         std::string().swap(body);
-        co_return TypedError(400, "chunks_too_small", "the chunks of the body are too small");
+        co_return TypedError(400, "chunk_framing_too_large",
+                             "the framing of the chunks is too large for their payload");
       }
     }
     co_return std::nullopt;
--- a/packages/settings/include/cornelrelay/settings/relay_settings.h
+++ b/packages/settings/include/cornelrelay/settings/relay_settings.h
@@ -27,9 +27,9 @@
 /// configuration's limits meets.
 struct CallerLimitSettings {
   std::uint32_t connections_per_address = 0;  ///< 0: as many as in all
-  std::uint32_t head_fields = 1'000;
-  std::uint32_t min_body_rate =
-      0;  ///< bytes/s after `body_grace`; 0: the idle timeout alone counts
+  std::uint32_t head_fields = 0;              ///< 0: as many as the bytes of a head allow
+  /// Bytes/s after `body_grace`; 0: the idle timeout alone counts.
+  std::uint32_t min_body_rate = 0;
   core::Duration body_grace = std::chrono::seconds(10);
 
   friend bool operator==(const CallerLimitSettings&, const CallerLimitSettings&) = default;
--- a/packages/settings/src/relay_settings.cc
+++ b/packages/settings/src/relay_settings.cc
@@ -37,7 +37,7 @@
   callers.connections_per_address = static_cast<std::uint32_t>(table.Integer(
       "connections_per_address", {.min = 0, .max = 1 << 20}, callers.connections_per_address));
   callers.head_fields = static_cast<std::uint32_t>(
-      table.Integer("head_fields", {.min = 16, .max = 1 << 20}, callers.head_fields));
+      table.Integer("head_fields", {.min = 0, .max = 1 << 20}, callers.head_fields));
   callers.min_body_rate = static_cast<std::uint32_t>(
       table.Integer("min_body_bytes_per_s", {.min = 0, .max = 1 << 30}, callers.min_body_rate));
   callers.body_grace = table.Seconds("body_grace_s", kTimeRange, callers.body_grace);
