Count only requests of the same or a higher priority as ahead, and displace less urgent ones

Statuses report queues by service and priority. A dispatcher whose requests have different priorities leaves free slots to more urgent requests of its peers, rejects queued requests that can no longer start in time at that moment, and treats a priority as urgent while too few of its requests are served. With one priority, nothing changes. Rejections are counted by priority, and a gauge shows the queue by priority.

--- a/packages/dispatch/include/cornelrelay/dispatch/dispatch_action.h
+++ b/packages/dispatch/include/cornelrelay/dispatch/dispatch_action.h
@@ -27,6 +27,7 @@
   kNoUpstream,    ///< the service has no upstream that may be used
   kBlocked,       ///< all upstreams refuse, because one that they depend on is unavailable
   kOverloaded,    ///< the expected wait exceeds the time within which the request has to start
+  kDisplaced,     ///< more urgent requests use up the time within which it has to start
   kQueueTimeout,  ///< no slot became free within the time that the request could wait
 };
 std::string_view ToString(RejectReason reason);
@@ -34,6 +35,7 @@
 /// \brief The request gets no upstream. It was not sent.
 struct Rejected {
   core::RequestId request;
+  std::uint8_t priority = 0;  ///< of the request; 0 is the highest
   RejectReason reason = RejectReason::kOverloaded;
   core::Duration retry_after{};  ///< jittered time after which the caller may retry
   /// Estimated wait for a slot; with kQueueTimeout, the time that the request has waited. 0 with
--- a/packages/dispatch/include/cornelrelay/dispatch/dispatch_event.h
+++ b/packages/dispatch/include/cornelrelay/dispatch/dispatch_event.h
@@ -31,7 +31,7 @@
 /// \brief The load of the other entry processes changed.
 struct PeerLoadChanged {
   std::map<core::UpstreamId, std::uint32_t> in_flight;  ///< requests in flight on each upstream
-  std::uint32_t waiting = 0;                            ///< queued requests of this service
+  std::map<std::uint8_t, std::uint32_t> waiting;  ///< queued requests of this service by priority
 };
 
 /// \brief An answer of the upstream named a rate limit, or none.
--- a/packages/dispatch/include/cornelrelay/dispatch/dispatcher.h
+++ b/packages/dispatch/include/cornelrelay/dispatch/dispatcher.h
@@ -10,6 +10,7 @@
 #include "cornelrelay/core/random.h"
 #include "cornelrelay/dispatch/dispatch_action.h"
 #include "cornelrelay/dispatch/dispatch_event.h"
+#include "cornelrelay/dispatch/served_shares.h"
 #include "cornelrelay/dispatch/upstream_pool.h"
 #include "cornelrelay/limits/fair_queue.h"
 
@@ -36,6 +37,11 @@
 /// between accounts and ordered by priority. Other requests are rejected at once with an estimate
 /// of the time until a slot is free.
 ///
+/// Where requests have different priorities, only requests of the same or a higher priority delay
+/// others. A queued request that more urgent ones leave no time to start is rejected at once. A
+/// priority of which too few requests are served is treated as the most urgent one for a time. See
+/// docs/design/admission-under-overload.md.
+///
 /// \code
 /// Dispatcher dispatcher(config);
 /// for (const DispatchAction& action : dispatcher.Step(now, RequestArrived{...})) ...
@@ -52,6 +58,10 @@
   /// \brief Returns the number of requests of this process on each upstream that has any.
   std::map<core::UpstreamId, std::uint32_t> InFlight() const { return m_upstreams.InFlight(); }
   std::size_t waiting() const { return m_queue.size(); }
+  /// \brief Returns the number of queued requests of each priority that has any.
+  std::map<std::uint8_t, std::uint32_t> WaitingByPriority() const {
+    return m_queue.SizeByPriority();
+  }
   /// \brief Returns the moving average of the time of a request on its upstream.
   core::Duration mean_service_time() const { return m_mean_service_time; }
   /// \brief Returns the moving average of the time from assignment to the first output.
@@ -74,6 +84,7 @@
     RequestArrived arrival;
     core::Instant arrived;
     core::Instant start_by;
+    std::uint8_t priority = 0;  ///< with which it waits; its own or a higher one
   };
   struct SoughtPlace {
     PlaceSought request;
@@ -85,6 +96,11 @@
     double prompt_tokens = 0;
     bool has_output = false;
   };
+  /// \brief Queued requests that are likely to start before another one.
+  struct Ahead {
+    double own = 0;    ///< in this process
+    double peers = 0;  ///< in the other entry processes
+  };
   using Actions = std::vector<DispatchAction>;
 
   void Apply(core::Instant now, const UpstreamsChanged& event, Actions& out);
@@ -100,14 +116,28 @@
   void Apply(core::Instant now, const AttemptEnded& event, Actions& out);
   void Apply(core::Instant now, const DispatchTick& event, Actions& out);
 
-  core::Duration ExpectedWait(core::Instant now, const RequestArrived& event) const;
+  /// \brief Returns whether requests of different priorities compete. Without, the rules for
+  /// priorities have no effect.
+  bool HasPriorities() const;
+  /// \brief Returns the priority with which a new request waits.
+  std::uint8_t QueuePriority(core::Instant now, const RequestArrived& event) const;
+  /// \param place_in_class part of the queued requests of this priority that start earlier
+  double PeersAhead(std::uint8_t priority, double place_in_class) const;
+  Ahead AheadOfNew(const core::ClientAccountId& account, std::uint8_t priority) const;
+  core::Duration ExpectedWait(core::Instant now, const Ahead& ahead) const;
+  /// \brief Returns the lowest priority that may take a free slot now.
+  std::uint8_t LeastUrgentToStart(core::Instant now) const;
+  std::size_t TotalWaiting() const;
   core::Duration JitteredRetryAfter(core::Duration min_delay);
   void Assign(core::Instant now, const core::UpstreamId& upstream, const core::RequestId& request,
               double prompt_tokens, core::Duration waited, Actions& out);
-  void Reject(const core::RequestId& request, RejectReason reason, core::Duration wait,
+  void Reject(const RequestArrived& request, RejectReason reason, core::Duration wait,
               core::Duration retry_after, Actions& out);
   void AssignSought(core::Instant now, Actions& out);
   void AssignWaiting(core::Instant now, Actions& out);
+  /// \brief Returns the retry time of a request that has waited as long as it could.
+  core::Duration RetryAfterTimeout(core::Instant now, const limits::QueuedRequest& item) const;
+  void RejectUnstartable(core::Instant now, Actions& out);
   void RejectOverdueOrBlocked(core::Instant now, Actions& out);
 
   DispatcherConfig m_config;
@@ -117,8 +147,9 @@
   std::map<core::RequestId, WaitingRequest> m_waiting;
   std::map<core::RequestId, RunningRequest> m_running;
   limits::FairQueue m_queue;
-  std::vector<SoughtPlace> m_sought;  ///< in the order of their arrival
-  std::uint32_t m_peers_waiting = 0;
+  std::vector<SoughtPlace> m_sought;                      ///< in the order of their arrival
+  std::map<std::uint8_t, std::uint32_t> m_peers_waiting;  ///< by priority
+  ServedShares m_shares;
   core::Duration m_mean_service_time;
   core::Duration m_mean_time_to_first_output;
 };
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <limits>
 #include <utility>
 
 namespace cornelrelay::dispatch {
@@ -42,6 +43,8 @@
       return "blocked";
     case RejectReason::kOverloaded:
       return "overloaded";
+    case RejectReason::kDisplaced:
+      return "displaced";
     case RejectReason::kQueueTimeout:
       return "waited";
   }
@@ -63,6 +66,8 @@
   std::visit([&](const auto& e) { Apply(now, e, out); }, event);
   AssignSought(now, out);
   AssignWaiting(now, out);
+  // An output changes no wait that is estimated here, and there are hundreds of them a second.
+  if (!std::holds_alternative<FirstOutputReceived>(event)) RejectUnstartable(now, out);
   RejectOverdueOrBlocked(now, out);
   return out;
 }
@@ -100,25 +105,28 @@
 void Dispatcher::Apply(core::Instant now, const RequestArrived& event, Actions& out) {
   assert(!m_waiting.contains(event.request) && !m_running.contains(event.request));
   if (!m_upstreams.AnyListed()) {
-    return Reject(event.request, RejectReason::kNoUpstream, {},
+    return Reject(event, RejectReason::kNoUpstream, {},
                   JitteredRetryAfter(m_config.blocked_retry_after), out);
   }
   if (m_upstreams.AllBlocked(now)) {
-    return Reject(event.request, RejectReason::kBlocked, {},
+    return Reject(event, RejectReason::kBlocked, {},
                   JitteredRetryAfter(m_config.blocked_retry_after), out);
   }
   const core::Duration slack = event.target_latency - m_mean_time_to_first_output;
   const core::Duration max_wait =
       std::max(Scale(slack, m_config.max_wait_share), Scale(event.target_latency, kMinWaitShare));
-  WaitingRequest waiting{event, now, std::min(now + max_wait, event.deadline)};
-  const core::Duration wait = ExpectedWait(now, event);
+  WaitingRequest waiting{event, now, std::min(now + max_wait, event.deadline), event.priority};
+  m_shares.RecordArrival(now, event.priority);
+  const std::uint8_t priority = QueuePriority(now, event);
+  const core::Duration wait = ExpectedWait(now, AheadOfNew(event.account, priority));
   if (now + wait > waiting.start_by) {
-    return Reject(event.request, RejectReason::kOverloaded, wait, JitteredRetryAfter(wait), out);
+    return Reject(event, RejectReason::kOverloaded, wait, JitteredRetryAfter(wait), out);
   }
+  waiting.priority = priority;
   limits::QueuedRequest item;
   item.request = event.request;
   item.account = event.account;
-  item.priority = event.priority;
+  item.priority = priority;
   item.deadline = waiting.start_by;
   item.enqueued = now;
   m_queue.Push(item);
@@ -167,12 +175,51 @@
 
 void Dispatcher::Apply(core::Instant, const DispatchTick&, Actions&) {}
 
-core::Duration Dispatcher::ExpectedWait(core::Instant now, const RequestArrived& event) const {
+bool Dispatcher::HasPriorities() const {
+  if (m_shares.size() > 1 || m_peers_waiting.size() > 1) return true;
+  return m_shares.size() == 1 && m_peers_waiting.size() == 1 &&
+         m_shares.MostUrgent(0) != m_peers_waiting.begin()->first;
+}
+
+std::uint8_t Dispatcher::QueuePriority(core::Instant now, const RequestArrived& event) const {
+  const auto promoted = std::count_if(m_waiting.begin(), m_waiting.end(), [&](const auto& entry) {
+    const WaitingRequest& waiting = entry.second;
+    return waiting.arrival.priority == event.priority && waiting.priority < event.priority;
+  });
+  const bool underserved =
+      m_shares.IsUnderserved(now, event.priority, static_cast<std::size_t>(promoted));
+  return underserved ? m_shares.MostUrgent(event.priority) : event.priority;
+}
+
+double Dispatcher::PeersAhead(std::uint8_t priority, double place_in_class) const {
+  double ahead = 0;
+  for (const auto& [other, waiting] : m_peers_waiting) {
+    if (other < priority) ahead += waiting;
+    if (other == priority) ahead += waiting * place_in_class;
+  }
+  return ahead;
+}
+
+Dispatcher::Ahead Dispatcher::AheadOfNew(const core::ClientAccountId& account,
+                                         std::uint8_t priority) const {
+  const auto own = static_cast<double>(m_queue.AheadOf(account, priority));
+  if (!HasPriorities()) return {own, PeersAhead(priority, 1)};
+  double more_urgent = 0, same = 0;
+  for (const auto& [other, waiting] : m_queue.SizeByPriority()) {
+    if (other < priority) more_urgent += waiting;
+    if (other == priority) same = waiting;
+  }
+  // The queues of the peers hold about the same mixture of accounts, so that an account that floods
+  // all processes delays only itself.
+  const double place = same > 0 ? (own - more_urgent) / same : 1;
+  return {own, PeersAhead(priority, place)};
+}
+
+core::Duration Dispatcher::ExpectedWait(core::Instant now, const Ahead& queued) const {
   if (const auto until = m_upstreams.AllBackedOffUntil(now)) return *until - now;
-  const std::size_t own_ahead = m_queue.AheadOf(event.account, event.priority);
-  const auto ahead = static_cast<double>(own_ahead + m_peers_waiting);
+  const double ahead = queued.own + queued.peers;
   if (const auto limited = m_upstreams.LimitedCapacity(now)) {
-    const double over = static_cast<double>(own_ahead) + 1 - limited->own_saved;
+    const double over = queued.own + 1 - limited->own_saved;
     if (over <= 0) return {};
     if (limited->own_per_second <= 0) return kNoShareWait;
     return SecondsToDuration(over / limited->own_per_second);
@@ -202,7 +249,8 @@
 void Dispatcher::AssignWaiting(core::Instant now, Actions& out) {
   while (m_queue.size() > 0) {
     if (!m_upstreams.Choose(now, {})) return;
-    const auto item = m_queue.Pop(now, [](const auto&) { return true; });
+    const auto item = m_queue.Pop(
+        now, [](const auto&) { return true; }, LeastUrgentToStart(now));
     if (!item) return;
     const auto found = m_waiting.find(item->request);
     assert(found != m_waiting.end());
@@ -213,6 +261,7 @@
     if (!upstream) upstream = m_upstreams.Choose(now, {});
     assert(upstream);
     const RequestArrived& arrival = waiting.arrival;
+    m_shares.RecordServed(now, arrival.priority);
     Assign(now, *upstream, arrival.request, arrival.prompt_tokens, now - waiting.arrived, out);
   }
 }
@@ -225,25 +274,93 @@
   out.emplace_back(Assigned{request, upstream, load.own_in_flight, load.peers_in_flight, waited});
 }
 
+std::uint8_t Dispatcher::LeastUrgentToStart(core::Instant now) const {
+  constexpr auto kAll = std::numeric_limits<std::uint8_t>::max();
+  // With rate limits, each process has requests of its own to send, which no peer can use.
+  if (!HasPriorities() || m_peers_waiting.empty() || m_upstreams.LimitedCapacity(now)) return kAll;
+  const auto [slots, used] = m_upstreams.TotalCapacity(now, m_mean_service_time);
+  double waiting = 0;
+  for (const auto& [priority, count] : m_peers_waiting) {
+    waiting += count;
+    if (waiting > slots - used) return priority;
+  }
+  return kAll;
+}
+
+// Goes through the queue in the order of service, so that a request that is rejected no longer
+// delays those behind it, and reports the least urgent ones first.
+void Dispatcher::RejectUnstartable(core::Instant now, Actions& out) {
+  if (!HasPriorities()) return;
+  struct Unstartable {
+    core::RequestId request;
+    RejectReason reason;
+    core::Duration wait;
+  };
+  std::vector<Unstartable> unstartable;
+  const std::map<std::uint8_t, std::uint32_t> sizes = m_queue.SizeByPriority();
+  std::optional<std::uint8_t> priority;
+  double ahead = 0, ahead_in_class = 0;
+  for (const limits::QueuedRequest& item : m_queue.InServiceOrder()) {
+    if (priority != item.priority) ahead_in_class = 0;
+    priority = item.priority;
+    const double place = ahead_in_class / sizes.at(item.priority);
+    const core::Duration wait = ExpectedWait(now, {ahead, PeersAhead(item.priority, place)});
+    const core::Instant start_by = m_waiting.at(item.request).start_by;
+    if (now + wait <= start_by) {
+      ++ahead;
+      ++ahead_in_class;
+      continue;
+    }
+    const double peers_more_urgent = PeersAhead(item.priority, 0);
+    const core::Duration wait_in_class =
+        ExpectedWait(now, {ahead_in_class, PeersAhead(item.priority, place) - peers_more_urgent});
+    const bool displaced = now + wait_in_class <= start_by;
+    unstartable.push_back(
+        {item.request, displaced ? RejectReason::kDisplaced : RejectReason::kOverloaded, wait});
+  }
+  for (auto item = unstartable.rbegin(); item != unstartable.rend(); ++item) {
+    const auto found = m_waiting.find(item->request);
+    const WaitingRequest waiting = std::move(found->second);
+    m_waiting.erase(found);
+    m_queue.Remove(item->request);
+    Reject(waiting.arrival, item->reason, item->wait, JitteredRetryAfter(item->wait), out);
+  }
+}
+
 void Dispatcher::RejectOverdueOrBlocked(core::Instant now, Actions& out) {
   const bool blocked = m_upstreams.AllBlocked(now);
   const auto removed = m_queue.RemoveIf(
       [&](const limits::QueuedRequest& item) { return blocked || now >= item.deadline; });
   for (const limits::QueuedRequest& item : removed) {
-    m_waiting.erase(item.request);
+    const auto found = m_waiting.find(item.request);
+    const RequestArrived arrival = std::move(found->second.arrival);
+    m_waiting.erase(found);
     if (blocked) {
-      Reject(item.request, RejectReason::kBlocked, {},
-             JitteredRetryAfter(m_config.blocked_retry_after), out);
+      Reject(arrival, RejectReason::kBlocked, {}, JitteredRetryAfter(m_config.blocked_retry_after),
+             out);
     } else {
-      Reject(item.request, RejectReason::kQueueTimeout, now - item.enqueued,
-             JitteredRetryAfter(m_mean_service_time), out);
+      Reject(arrival, RejectReason::kQueueTimeout, now - item.enqueued,
+             JitteredRetryAfter(RetryAfterTimeout(now, item)), out);
     }
   }
 }
 
-void Dispatcher::Reject(const core::RequestId& request, RejectReason reason, core::Duration wait,
+core::Duration Dispatcher::RetryAfterTimeout(core::Instant now,
+                                             const limits::QueuedRequest& item) const {
+  if (!HasPriorities()) return m_mean_service_time;
+  return std::max(m_mean_service_time, ExpectedWait(now, AheadOfNew(item.account, item.priority)));
+}
+
+std::size_t Dispatcher::TotalWaiting() const {
+  std::size_t total = m_queue.size();
+  for (const auto& [priority, waiting] : m_peers_waiting) total += waiting;
+  return total;
+}
+
+void Dispatcher::Reject(const RequestArrived& request, RejectReason reason, core::Duration wait,
                         core::Duration retry_after, Actions& out) {
-  out.emplace_back(Rejected{request, reason, retry_after, wait, m_queue.size() + m_peers_waiting});
+  out.emplace_back(
+      Rejected{request.request, request.priority, reason, retry_after, wait, TotalWaiting()});
 }
 
 std::optional<core::Instant> Dispatcher::NextWake() const {
--- a/packages/dispatch/tests/dispatcher_test.cc
+++ b/packages/dispatch/tests/dispatcher_test.cc
@@ -57,7 +57,7 @@
 // Load pattern: several entry processes. Guards against ignoring the load that peers report.
 TEST_CASE("the requests of other entry processes count as load of an upstream") {
   Dispatcher dispatcher = MakeDispatcher(2, 12);
-  dispatcher.Step(At(0), PeerLoadChanged{{{UpstreamNo(0), 8}}, 0});
+  dispatcher.Step(At(0), PeerLoadChanged{{{UpstreamNo(0), 8}}, {}});
   for (int n = 0; n < 8; ++n) dispatcher.Step(At(1), Arrival(n));
   CHECK(dispatcher.InFlight()[UpstreamNo(1)] >= 7);
 }
--- a/packages/limits/include/cornelrelay/limits/fair_queue.h
+++ b/packages/limits/include/cornelrelay/limits/fair_queue.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <vector>
@@ -32,7 +34,10 @@
   void Push(const QueuedRequest& item);
 
   /// \brief Removes and returns the next request of an eligible account, if there is one.
-  std::optional<QueuedRequest> Pop(core::Instant now, const AccountPredicate& eligible);
+  /// \param least_urgent requests of a lower priority than this, so with a greater number, stay
+  std::optional<QueuedRequest> Pop(
+      core::Instant now, const AccountPredicate& eligible,
+      std::uint8_t least_urgent = std::numeric_limits<std::uint8_t>::max());
 
   /// \brief Removes a request; returns it if it was queued.
   std::optional<QueuedRequest> Remove(const core::RequestId& request);
@@ -44,6 +49,13 @@
   /// Ignores aging.
   std::size_t AheadOf(const core::ClientAccountId& account, std::uint8_t priority) const;
 
+  /// \brief Queued requests in the order in which they are likely to be served: by priority, then
+  /// in turns of the accounts, then by deadline. Ignores aging and differences in work.
+  std::vector<QueuedRequest> InServiceOrder() const;
+
+  /// \brief Number of queued requests of each priority that has any.
+  std::map<std::uint8_t, std::uint32_t> SizeByPriority() const;
+
   /// \brief Number of queued requests of one account.
   std::size_t SizeOf(const core::ClientAccountId& account) const;
   std::size_t size() const { return m_items.size(); }
--- a/packages/limits/src/fair_queue.cc
+++ b/packages/limits/src/fair_queue.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cassert>
+#include <tuple>
+#include <utility>
 
 namespace cornelrelay::limits {
 
@@ -15,12 +17,14 @@
   m_items.emplace(item.request, item);
 }
 
-std::optional<QueuedRequest> FairQueue::Pop(core::Instant now, const AccountPredicate& eligible) {
+std::optional<QueuedRequest> FairQueue::Pop(core::Instant now, const AccountPredicate& eligible,
+                                            std::uint8_t least_urgent) {
   DeficitRoundRobin* best = nullptr;
   const QueuedRequest* oldest = nullptr;
   std::int64_t best_level = 0;
   bool promoted = false;
   for (auto& [priority, scheduler] : m_classes) {
+    if (priority > least_urgent) break;
     const QueuedRequest* first = scheduler.Oldest(eligible);
     if (first == nullptr) continue;
     const std::int64_t classes_risen =
@@ -78,6 +82,34 @@
   return ahead;
 }
 
+std::vector<QueuedRequest> FairQueue::InServiceOrder() const {
+  std::vector<QueuedRequest> items;
+  items.reserve(m_items.size());
+  for (const auto& [request, item] : m_items) items.push_back(item);
+  const auto by_deadline = [](const QueuedRequest& a, const QueuedRequest& b) {
+    return std::tie(a.priority, a.deadline, a.enqueued, a.request) <
+           std::tie(b.priority, b.deadline, b.enqueued, b.request);
+  };
+  std::sort(items.begin(), items.end(), by_deadline);
+  std::map<std::pair<std::uint8_t, core::ClientAccountId>, std::size_t> turns;
+  std::map<core::RequestId, std::size_t> turn_of;
+  for (const QueuedRequest& item : items) {
+    turn_of[item.request] = turns[{item.priority, item.account}]++;
+  }
+  std::stable_sort(items.begin(), items.end(), [&](const auto& a, const auto& b) {
+    return std::pair(a.priority, turn_of[a.request]) < std::pair(b.priority, turn_of[b.request]);
+  });
+  return items;
+}
+
+std::map<std::uint8_t, std::uint32_t> FairQueue::SizeByPriority() const {
+  std::map<std::uint8_t, std::uint32_t> sizes;
+  for (const auto& [priority, scheduler] : m_classes) {
+    if (scheduler.size() > 0) sizes[priority] = static_cast<std::uint32_t>(scheduler.size());
+  }
+  return sizes;
+}
+
 std::size_t FairQueue::SizeOf(const core::ClientAccountId& account) const {
   std::size_t size = 0;
   for (const auto& [priority, scheduler] : m_classes) size += scheduler.SizeOf(account);
--- a/packages/peers/include/cornelrelay/peers/peer_status.h
+++ b/packages/peers/include/cornelrelay/peers/peer_status.h
@@ -20,9 +20,10 @@
   friend bool operator==(const UpstreamLoad&, const UpstreamLoad&) = default;
 };
 
-/// \brief Number of requests of a service that are queued in a process.
+/// \brief Number of requests of a service and a priority that are queued in a process.
 struct ServiceQueue {
   core::ServiceId service;
+  std::uint8_t priority = 0;  ///< 0 is the highest
   std::uint32_t waiting = 0;
 
   friend bool operator==(const ServiceQueue&, const ServiceQueue&) = default;
--- a/packages/peers/include/cornelrelay/peers/peer_table.h
+++ b/packages/peers/include/cornelrelay/peers/peer_table.h
@@ -66,8 +66,9 @@
 
   /// \brief Returns the number of requests that all live peers have in flight on each upstream.
   std::map<core::UpstreamId, std::uint32_t> InFlight() const;
-  /// \brief Returns the number of requests of the service that are queued in all live peers.
-  std::uint32_t Waiting(const core::ServiceId& service) const;
+  /// \brief Returns the number of requests of the service that are queued in all live peers, for
+  /// each priority that has any.
+  std::map<std::uint8_t, std::uint32_t> Waiting(const core::ServiceId& service) const;
   /// \brief The latest that live peers have heard of the rate limit of an upstream.
   struct HeardRateLimit {
     std::optional<double> per_second;
--- a/packages/peers/src/peer_table.cc
+++ b/packages/peers/src/peer_table.cc
@@ -169,15 +169,15 @@
   return sum;
 }
 
-std::uint32_t PeerTable::Waiting(const core::ServiceId& service) const {
-  std::uint32_t sum = 0;
+std::map<std::uint8_t, std::uint32_t> PeerTable::Waiting(const core::ServiceId& service) const {
+  std::map<std::uint8_t, std::uint32_t> sums;
   for (const auto& [host, peer] : m_peers) {
     if (!peer.live) continue;
     for (const ServiceQueue& queue : peer.status.queues) {
-      if (queue.service == service) sum += queue.waiting;
+      if (queue.service == service && queue.waiting > 0) sums[queue.priority] += queue.waiting;
     }
   }
-  return sum;
+  return sums;
 }
 
 std::map<core::UpstreamId, PeerTable::HeardRateLimit> PeerTable::RateLimits() const {
--- a/packages/peers/tests/peer_table_test.cc
+++ b/packages/peers/tests/peer_table_test.cc
@@ -221,4 +221,20 @@
   CHECK(FindAction<PeerSilent>(peers.Step(At(2'400), PeerTick{})));
 }
 
+// Guards against urgent requests that are delayed by less urgent ones of peers.
+TEST_CASE("the queues of live peers are added up by priority") {
+  PeerTable peers(Config());
+  const core::ServiceId llm("llm");
+  PeerStatus first = StatusFrom("a", 1);
+  first.queues = {{llm, 0, 2}, {llm, 2, 5}, {core::ServiceId("other"), 0, 9}};
+  PeerStatus second = StatusFrom("b", 1);
+  second.queues = {{llm, 2, 1}};
+  peers.Step(At(0), PeerStatusReceived{first});
+  peers.Step(At(1'000), PeerStatusReceived{second});
+  CHECK(peers.Waiting(llm) == std::map<std::uint8_t, std::uint32_t>{{0, 2}, {2, 6}});
+  // The first peer is silent, so that its requests no longer count.
+  peers.Step(At(1'600), PeerTick{});
+  CHECK(peers.Waiting(llm) == std::map<std::uint8_t, std::uint32_t>{{2, 1}});
+}
+
 }  // namespace cornelrelay::peers
--- a/packages/relay/include/cornelrelay/relay/service_dispatchers.h
+++ b/packages/relay/include/cornelrelay/relay/service_dispatchers.h
@@ -64,7 +64,7 @@
 
   /// \brief Number of this process's requests in flight on each upstream.
   std::vector<peers::UpstreamLoad> Loads() const;
-  /// \brief Number of this process's waiting requests, for each service that has any.
+  /// \brief Number of this process's waiting requests, for each service and priority that has any.
   std::vector<peers::ServiceQueue> Queues() const;
   /// \brief What answers to this process said of rate limits.
   std::vector<peers::RateLimitReport> RateLimits() const;
@@ -76,6 +76,7 @@
         : dispatcher(std::move(config)), timer(context, clock, std::move(on_wake)) {}
     dispatch::Dispatcher dispatcher;
     runtime::WakeTimer timer;
+    std::map<std::uint8_t, std::uint32_t> reported_queue;  ///< last values of the gauges
   };
 
   void Step(const core::ServiceId& id, Service& service, const dispatch::DispatchEvent& event);
@@ -84,6 +85,7 @@
   void Perform(const core::ServiceId& service, const dispatch::HealthChanged& action);
   void Perform(const core::ServiceId& service, const dispatch::ServiceBlocked& action);
   void Perform(const core::ServiceId& service, const dispatch::RateLimitChanged& action);
+  void SetQueueGauges(const core::ServiceId& id, Service& service);
   void DeliverDecision(const core::RequestId& request, const Decision& decision);
   Service* Find(const core::ServiceId& id);
 
--- a/packages/relay/src/relay_task.cc
+++ b/packages/relay/src/relay_task.cc
@@ -192,6 +192,7 @@
                                                 {{"request", m_routed.request.id},
                                                  {"service", m_routed.service},
                                                  {"reason", ToString(rejected.reason)},
+                                                 {"priority", rejected.priority},
                                                  {"expected_wait_us", rejected.expected_wait},
                                                  {"waiting", rejected.waiting},
                                                  {"retry_after_us", rejected.retry_after},
--- a/packages/relay/src/service_dispatchers.cc
+++ b/packages/relay/src/service_dispatchers.cc
@@ -91,8 +91,8 @@
                                 const dispatch::RequestArrived& arrival, OnDecision on_decision) {
   Service* found = Find(service);
   if (found == nullptr) {
-    on_decision(
-        dispatch::Rejected{arrival.request, dispatch::RejectReason::kNoUpstream, {}, {}, 0});
+    on_decision(dispatch::Rejected{
+        arrival.request, arrival.priority, dispatch::RejectReason::kNoUpstream, {}, {}, 0});
     return;
   }
   m_pending_decisions.emplace(arrival.request, std::move(on_decision));
@@ -177,8 +177,9 @@
 std::vector<peers::ServiceQueue> ServiceDispatchers::Queues() const {
   std::vector<peers::ServiceQueue> queues;
   for (const auto& [id, service] : m_services) {
-    const auto waiting = static_cast<std::uint32_t>(service->dispatcher.waiting());
-    if (waiting > 0) queues.push_back({id, waiting});
+    for (const auto& [priority, waiting] : service->dispatcher.WaitingByPriority()) {
+      queues.push_back({id, priority, waiting});
+    }
   }
   return queues;
 }
@@ -188,11 +189,28 @@
   for (const dispatch::DispatchAction& action : service.dispatcher.Step(m_clock.Now(), event)) {
     std::visit([&](const auto& a) { Perform(id, a); }, action);
   }
+  SetQueueGauges(id, service);
   if (const auto wake = service.dispatcher.NextWake()) {
     service.timer.SetAt(std::max(*wake, m_clock.Now() + kMinWakeInterval));
   }
 }
 
+void ServiceDispatchers::SetQueueGauges(const core::ServiceId& id, Service& service) {
+  std::map<std::uint8_t, std::uint32_t> sizes = service.dispatcher.WaitingByPriority();
+  if (sizes == service.reported_queue) return;
+  const auto set = [&](std::uint8_t priority, std::uint32_t size) {
+    m_metrics
+        .GetGauge("cornelrelay_queued_requests", "Requests that wait for an upstream.",
+                  {{"service", id.value()}, {"priority", std::to_string(priority)}})
+        .Set(size);
+  };
+  for (const auto& [priority, size] : service.reported_queue) {
+    if (!sizes.contains(priority)) set(priority, 0);
+  }
+  for (const auto& [priority, size] : sizes) set(priority, size);
+  service.reported_queue = std::move(sizes);
+}
+
 void ServiceDispatchers::DeliverDecision(const core::RequestId& request, const Decision& decision) {
   const auto found = m_pending_decisions.find(request);
   if (found == m_pending_decisions.end()) return;
@@ -212,7 +230,9 @@
 void ServiceDispatchers::Perform(const core::ServiceId& service, const dispatch::Rejected& action) {
   m_metrics
       .GetCounter("cornelrelay_rejected_total", "Requests that got no upstream.",
-                  {{"service", service.value()}, {"reason", std::string(ToString(action.reason))}})
+                  {{"service", service.value()},
+                   {"reason", std::string(ToString(action.reason))},
+                   {"priority", std::to_string(action.priority)}})
       .Add();
   DeliverDecision(action.request, action);
 }
--- a/packages/wire/src/fleet_messages.cc
+++ b/packages/wire/src/fleet_messages.cc
@@ -23,6 +23,7 @@
 constexpr std::size_t kMaxUpstreamIdBytes = kMaxKeyBytes;
 /// The least that one element of a list takes, for the check before allocation.
 constexpr std::size_t kLoadBytes = 3;
+constexpr std::size_t kQueueBytes = 4;
 constexpr std::size_t kItemBytes = 10;
 constexpr std::size_t kSuspectBytes = 10;
 constexpr std::size_t kCrashBytes = 13;
@@ -54,8 +55,9 @@
     internal::Identifier(ar, load.upstream, kMaxUpstreamIdBytes);
     internal::Number<std::uint16_t>(ar, load.in_flight);
   });
-  internal::List<std::uint8_t>(ar, b.queues, kMaxQueues, kLoadBytes, [&](auto& queue) {
+  internal::List<std::uint8_t>(ar, b.queues, kMaxQueues, kQueueBytes, [&](auto& queue) {
     internal::Identifier(ar, queue.service);
+    ar.archive(queue.priority);
     internal::Number<std::uint16_t>(ar, queue.waiting);
   });
   internal::List<std::uint8_t>(ar, b.suspects, kMaxSuspects, kSuspectBytes,
--- a/packages/wire/tests/fleet_messages_test.cc
+++ b/packages/wire/tests/fleet_messages_test.cc
@@ -22,7 +22,7 @@
   b.configuration_version = 1'000;
   b.store_connected = true;
   b.loads = {{core::UpstreamId("i-1"), 3}, {core::UpstreamId("i-2"), 12}};
-  b.queues = {{core::ServiceId("llm"), 5}};
+  b.queues = {{core::ServiceId("llm"), 0, 5}, {core::ServiceId("llm"), 255, 7}};
   b.rate_limits = {{core::UpstreamId("i-1"), 2.5, std::chrono::milliseconds(30)},
                    {core::UpstreamId("i-2"), {}, std::chrono::seconds(4)}};
   b.suspects = {{quarantine::Fingerprint(7), {{1, std::chrono::milliseconds(12), true}}, {}},
@@ -43,6 +43,17 @@
   CHECK(DecodeItemsTransfer(Encode(transfer)) == transfer);
 }
 
+// Guards against reads past the end of a status whose list of queues is cut short.
+TEST_CASE("a status that ends within its queues is malformed") {
+  peers::PeerStatus status;
+  status.queues = {{core::ServiceId("llm"), 2, 5}, {core::ServiceId("llm"), 0, 1}};
+  const std::string bytes = Encode(status);
+  CHECK(DecodePeerStatus(bytes) == status);
+  for (std::size_t size = 0; size < bytes.size(); ++size) {
+    CHECK_THROWS_AS(DecodePeerStatus(bytes.substr(0, size)), core::Error);
+  }
+}
+
 // Guards against processes that ended by themselves because an upstream had a long id (review/2).
 TEST_CASE("an upstream with the longest id of the store is part of a status") {
   peers::PeerStatus status = Sample();
@@ -59,7 +70,7 @@
   peers::PeerStatus status = Sample();
   status.loads.push_back({core::UpstreamId(std::string(201, 'i')), 2});
   status.loads.push_back({core::UpstreamId("i-3"), 4});
-  status.queues.push_back({core::ServiceId(std::string(300, 's')), 1});
+  status.queues.push_back({core::ServiceId(std::string(300, 's')), 1, 1});
   status.rate_limits.push_back({core::UpstreamId(std::string(70'000, 'i')), 1.0, {}});
   status.suspects.push_back({quarantine::Fingerprint(9), {}, {}});
   status.suspects.back().crashes.resize(1'000);
