--- a/packages/relay/include/cornelrelay/relay/upstream_request.h
+++ b/packages/relay/include/cornelrelay/relay/upstream_request.h
@@ -17,6 +17,7 @@
   core::Endpoint endpoint;
   RelayRequest request;
   std::optional<core::ClientAccountId> account;
+  std::uint8_t priority = 5;                  ///< 0 is the highest
   std::optional<std::uint64_t> resume_after;  ///< id of the last event that was forwarded
   /// Time without an event of a stream after which its caller disconnects.
   core::Duration caller_patience = std::chrono::seconds(2);
--- a/packages/relay/src/relay_task.cc
+++ b/packages/relay/src/relay_task.cc
@@ -257,6 +257,7 @@
   message.endpoint = entry->endpoint;
   message.request = m_routed.request;
   if (m_routed.account) message.account = m_routed.account->id;
+  message.priority = m_routed.Priority();
   message.resume_after = m_routed.request.resume_after;
   if (action.resume_after.sequence > 0) message.resume_after = action.resume_after.sequence;
   message.caller_patience = m_routed.route.CallerPatience();
