--- a/packages/dispatch/include/cornelrelay/dispatch/dispatch_action.h
+++ b/packages/dispatch/include/cornelrelay/dispatch/dispatch_action.h
@@ -28,6 +28,7 @@
   kBlocked,       ///< all upstreams refuse, because one that they depend on is unavailable
   kOverloaded,    ///< the expected wait exceeds the time within which the request has to start
   kDisplaced,     ///< more urgent requests use up the time within which it has to start
+  kTooLate,       ///< its caller leaves before it could give its first output
   kQueueTimeout,  ///< no slot became free within the time that the request could wait
 };
 std::string_view ToString(RejectReason reason);
--- a/packages/dispatch/include/cornelrelay/dispatch/dispatch_event.h
+++ b/packages/dispatch/include/cornelrelay/dispatch/dispatch_event.h
@@ -53,10 +53,11 @@
 };
 
 /// \brief A new configuration changed how strongly unread prompts count towards the load of an
-/// upstream.
+/// upstream, or how fast they are read.
 struct PromptWeightChanged {
   /// Number of unread prompt tokens that load an upstream as much as one generating request.
   double prompt_tokens_per_slot = 1;
+  core::Duration prompt_token_time{};  ///< to read one token; 0 if it is not known
 };
 
 /// \brief A request needs an upstream.
--- a/packages/dispatch/include/cornelrelay/dispatch/dispatcher.h
+++ b/packages/dispatch/include/cornelrelay/dispatch/dispatcher.h
@@ -23,6 +23,9 @@
   core::Duration initial_service_time = std::chrono::milliseconds(100);
   /// Assumed time to the first output until the first output has been seen.
   core::Duration initial_time_to_first_output = std::chrono::milliseconds(50);
+  /// Time in which an upstream reads one token of a prompt. 0 if it is not known: then prompts do
+  /// not change the order of the queue, and requests that end too late are started nevertheless.
+  core::Duration prompt_token_time{};
   /// Share of the slack that a request may wait for a slot. The slack is the target latency minus
   /// the mean time to the first output.
   double max_wait_share = 0.9;
@@ -124,6 +127,10 @@
   /// \param place_in_class part of the queued requests of this priority that start earlier
   double PeersAhead(std::uint8_t priority, double place_in_class) const;
   Ahead AheadOfNew(const core::ClientAccountId& account, std::uint8_t priority) const;
+  core::Duration PromptTime(const RequestArrived& request) const;
+  /// \brief Returns when the request has to start at the latest to give its first output before
+  /// its deadline. The deadline itself if no running request could correct the estimate.
+  core::Instant LastStart(const RequestArrived& request) const;
   core::Duration ExpectedWait(core::Instant now, const Ahead& ahead) const;
   /// \brief Returns the lowest priority that may take a free slot now.
   std::uint8_t LeastUrgentToStart(core::Instant now) const;
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -19,6 +19,10 @@
 /// With a shorter retry-after, a caller would retry within the round trip of its rejection.
 constexpr std::chrono::milliseconds kMinRetryAfter{100};
 
+/// Bound of the prompt tokens that a caller announces, so that times computed from them are in
+/// range. Far above the prompts of any engine.
+constexpr double kMaxPromptTokens = 1e7;
+
 void UpdateMean(core::Duration& mean, core::Duration sample) {
   mean += core::Duration(
       static_cast<core::Duration::rep>(kTimeGain * static_cast<double>((sample - mean).count())));
@@ -45,6 +49,8 @@
       return "overloaded";
     case RejectReason::kDisplaced:
       return "displaced";
+    case RejectReason::kTooLate:
+      return "too_late";
     case RejectReason::kQueueTimeout:
       return "waited";
   }
@@ -100,6 +106,7 @@
 
 void Dispatcher::Apply(core::Instant, const PromptWeightChanged& event, Actions&) {
   m_upstreams.SetPromptWeight(event.prompt_tokens_per_slot);
+  m_config.prompt_token_time = event.prompt_token_time;
 }
 
 void Dispatcher::Apply(core::Instant now, const RequestArrived& event, Actions& out) {
@@ -115,10 +122,13 @@
   const core::Duration slack = event.target_latency - m_mean_time_to_first_output;
   const core::Duration max_wait =
       std::max(Scale(slack, m_config.max_wait_share), Scale(event.target_latency, kMinWaitShare));
-  WaitingRequest waiting{event, now, std::min(now + max_wait, event.deadline), event.priority};
+  WaitingRequest waiting{event, now, std::min(now + max_wait, LastStart(event)), event.priority};
   m_shares.RecordArrival(now, event.priority);
   const std::uint8_t priority = QueuePriority(now, event);
   const core::Duration wait = ExpectedWait(now, AheadOfNew(event.account, priority));
+  if (waiting.start_by < now) {
+    return Reject(event, RejectReason::kTooLate, wait, JitteredRetryAfter(wait), out);
+  }
   if (now + wait > waiting.start_by) {
     return Reject(event, RejectReason::kOverloaded, wait, JitteredRetryAfter(wait), out);
   }
@@ -127,7 +137,8 @@
   item.request = event.request;
   item.account = event.account;
   item.priority = priority;
-  item.deadline = waiting.start_by;
+  // Of two requests that have to answer at the same time, the longer prompt starts first.
+  item.deadline = waiting.start_by - PromptTime(event);
   item.enqueued = now;
   m_queue.Push(item);
   m_waiting.emplace(event.request, std::move(waiting));
@@ -215,6 +226,15 @@
   return {own, PeersAhead(priority, place)};
 }
 
+core::Duration Dispatcher::PromptTime(const RequestArrived& request) const {
+  return Scale(m_config.prompt_token_time, std::min(request.prompt_tokens, kMaxPromptTokens));
+}
+
+core::Instant Dispatcher::LastStart(const RequestArrived& request) const {
+  if (m_config.prompt_token_time == core::Duration{} || m_running.empty()) return request.deadline;
+  return request.deadline - std::max(m_mean_time_to_first_output, PromptTime(request));
+}
+
 core::Duration Dispatcher::ExpectedWait(core::Instant now, const Ahead& queued) const {
   if (const auto until = m_upstreams.AllBackedOffUntil(now)) return *until - now;
   const double ahead = queued.own + queued.peers;
@@ -256,6 +276,12 @@
     assert(found != m_waiting.end());
     const WaitingRequest waiting = std::move(found->second);
     m_waiting.erase(found);
+    if (now > LastStart(waiting.arrival)) {
+      const core::Duration wait = now - waiting.arrived;
+      Reject(waiting.arrival, RejectReason::kTooLate, wait, JitteredRetryAfter(m_mean_service_time),
+             out);
+      continue;
+    }
     auto upstream = m_upstreams.Choose(now, waiting.arrival.excluded);
     // If only excluded upstreams have a free slot, the request is sent to one of them again.
     if (!upstream) upstream = m_upstreams.Choose(now, {});
@@ -329,8 +355,9 @@
 
 void Dispatcher::RejectOverdueOrBlocked(core::Instant now, Actions& out) {
   const bool blocked = m_upstreams.AllBlocked(now);
-  const auto removed = m_queue.RemoveIf(
-      [&](const limits::QueuedRequest& item) { return blocked || now >= item.deadline; });
+  const auto removed = m_queue.RemoveIf([&](const limits::QueuedRequest& item) {
+    return blocked || now >= m_waiting.at(item.request).start_by;
+  });
   for (const limits::QueuedRequest& item : removed) {
     const auto found = m_waiting.find(item.request);
     const RequestArrived arrival = std::move(found->second.arrival);
--- a/packages/dispatch/tests/priority_test.cc
+++ b/packages/dispatch/tests/priority_test.cc
@@ -97,6 +97,39 @@
   CHECK(ActionsOf<Assigned>(next).size() == 1);
 }
 
+// Guards against long prompts that start last and are then late for sure.
+TEST_CASE("of the requests of an account, the one with the earliest latest start is next") {
+  Dispatcher dispatcher({.seed = 1, .prompt_token_time = milliseconds(1)});
+  dispatcher.Step(At(0), UpstreamsChanged{{{kUpstream, 1, 1}}});
+  dispatcher.Step(At(0), Arrival("running", 1));
+  REQUIRE(ActionsOf<Rejected>(dispatcher.Step(At(0), Arrival("short", 1))).empty());
+  RequestArrived large = Arrival("long", 1);
+  large.prompt_tokens = 200;
+  REQUIRE(ActionsOf<Rejected>(dispatcher.Step(At(10), large)).empty());
+  const auto next = ActionsOf<Assigned>(
+      dispatcher.Step(At(20), AttemptEnded{core::RequestId("running"), AttemptEnd::kCompleted}));
+  REQUIRE(next.size() == 1);
+  CHECK(next.front().request == core::RequestId("long"));
+}
+
+// Guards against work whose result no caller waits for.
+TEST_CASE("a request whose caller leaves before its first output is not started") {
+  Dispatcher dispatcher({.seed = 1, .prompt_token_time = milliseconds(1)});
+  dispatcher.Step(At(0), UpstreamsChanged{{{kUpstream, 1, 1}}});
+  RequestArrived late = Arrival("1", 1);
+  late.deadline = At(500);
+  late.prompt_tokens = 800;
+  // Nothing runs that could show that the estimate is too long.
+  REQUIRE(ActionsOf<Assigned>(dispatcher.Step(At(0), late)).size() == 1);
+  late.request = core::RequestId("2");
+  const auto rejected = ActionsOf<Rejected>(dispatcher.Step(At(0), late));
+  REQUIRE(rejected.size() == 1);
+  CHECK(rejected.front().reason == RejectReason::kTooLate);
+  late.request = core::RequestId("3");
+  late.prompt_tokens = 100;
+  CHECK(ActionsOf<Rejected>(dispatcher.Step(At(0), late)).empty());
+}
+
 // Guards against a route that gets nothing while more urgent ones use up the capacity.
 TEST_CASE("a priority that is served too little gets the next places") {
   ServedShares shares;
--- a/packages/relay/src/service_dispatchers.cc
+++ b/packages/relay/src/service_dispatchers.cc
@@ -33,6 +33,11 @@
   config.initial_time_to_first_output = pass * 2;
   config.upstreams.prompt_tokens_per_slot =
       std::max(1.0, engine.mean_prompt_tokens * kPromptsPerGeneratingRequest);
+  // A lower bound of the time: an engine reads the prompts of several requests.
+  if (engine.prompt_tokens_per_second > 0) {
+    config.prompt_token_time =
+        Scale(std::chrono::seconds(1), 1 / std::max(1.0, engine.prompt_tokens_per_second));
+  }
   return config;
 }
 
@@ -54,7 +59,9 @@
   for (const auto& [id, spec] : configuration.services) {
     const dispatch::DispatcherConfig config = DispatcherConfigOf(spec, m_self, m_seed);
     if (Service* found = Find(id)) {
-      Step(id, *found, dispatch::PromptWeightChanged{config.upstreams.prompt_tokens_per_slot});
+      Step(id, *found,
+           dispatch::PromptWeightChanged{config.upstreams.prompt_tokens_per_slot,
+                                         config.prompt_token_time});
       continue;
     }
     const auto on_wake = [this, service = id] {
