--- a/packages/dispatch/include/cornelrelay/dispatch/dispatch_event.h
+++ b/packages/dispatch/include/cornelrelay/dispatch/dispatch_event.h
@@ -35,7 +35,8 @@
 /// \brief The load of the other entry processes changed.
 struct PeerLoadChanged {
   std::map<core::UpstreamId, std::uint32_t> in_flight;  ///< requests in flight on each upstream
-  std::uint32_t waiting = 0;                            ///< queued requests of this service
+  std::map<std::uint8_t, std::uint32_t> waiting;  ///< queued requests of this service by priority
+  std::vector<core::HostId> queueing{};  ///< peers that have queued requests of this service
 };
 
 /// \brief An answer of the upstream named a rate limit, or none.
@@ -60,10 +61,11 @@
 };
 
 /// \brief A new configuration changed how strongly unread prompts count towards the load of an
-/// upstream.
+/// upstream, or how fast they are read.
 struct PromptWeightChanged {
   /// Number of unread prompt tokens that load an upstream as much as one generating request.
   double prompt_tokens_per_slot = 1;
+  core::Duration prompt_token_time{};  ///< to read one token; 0 if it is not known
 };
 
 /// \brief A request needs an upstream.
--- a/packages/peers/tests/peer_table_test.cc
+++ b/packages/peers/tests/peer_table_test.cc
@@ -238,4 +238,22 @@
   CHECK(peers.PossiblyRunningProcesses(At(700'002)).size() == 1);
 }
 
+// Guards against urgent requests that are delayed by less urgent ones of peers.
+TEST_CASE("the queues of live peers are added up by priority") {
+  PeerTable peers(Config());
+  const core::ServiceId llm("llm");
+  PeerStatus first = StatusFrom("a", 1);
+  first.queues = {{llm, 0, 2}, {llm, 2, 5}, {core::ServiceId("other"), 0, 9}};
+  PeerStatus second = StatusFrom("b", 1);
+  second.queues = {{llm, 2, 1}};
+  peers.Step(At(0), PeerStatusReceived{first});
+  peers.Step(At(1'000), PeerStatusReceived{second});
+  CHECK(peers.Waiting(llm) == std::map<std::uint8_t, std::uint32_t>{{0, 2}, {2, 6}});
+  CHECK(peers.Queueing(llm) == std::vector{core::HostId("a"), core::HostId("b")});
+  // The first peer is silent, so that its requests no longer count.
+  peers.Step(At(1'600), PeerTick{});
+  CHECK(peers.Waiting(llm) == std::map<std::uint8_t, std::uint32_t>{{2, 1}});
+  CHECK(peers.Queueing(llm) == std::vector{core::HostId("b")});
+}
+
 }  // namespace cornelrelay::peers
--- a/packages/relay/src/relay_task.cc
+++ b/packages/relay/src/relay_task.cc
@@ -197,6 +197,7 @@
                                                 {{"request", m_routed.request.id},
                                                  {"service", m_routed.service},
                                                  {"reason", ToString(rejected.reason)},
+                                                 {"priority", rejected.priority},
                                                  {"expected_wait_us", rejected.expected_wait},
                                                  {"waiting", rejected.waiting},
                                                  {"retry_after_us", rejected.retry_after},
@@ -265,6 +266,7 @@
   message.endpoint = entry->endpoint;
   message.request = m_routed.request;
   if (m_routed.account) message.account = m_routed.account->id;
+  message.priority = m_routed.Priority();
   message.resume_after = m_routed.request.resume_after;
   if (action.resume_after.sequence > 0) message.resume_after = action.resume_after.sequence;
   message.caller_patience = m_routed.route.CallerPatience();
--- a/packages/relay/src/service_dispatchers.cc
+++ b/packages/relay/src/service_dispatchers.cc
@@ -33,6 +33,11 @@
   config.initial_time_to_first_output = pass * 2;
   config.upstreams.prompt_tokens_per_slot =
       std::max(1.0, engine.mean_prompt_tokens * kPromptsPerGeneratingRequest);
+  // A lower bound of the time: an engine reads the prompts of several requests.
+  if (engine.prompt_tokens_per_second > 0) {
+    config.prompt_token_time =
+        Scale(std::chrono::seconds(1), 1 / std::max(1.0, engine.prompt_tokens_per_second));
+  }
   return config;
 }
 
@@ -56,7 +61,9 @@
     if (Service* found = Find(id)) {
       found->cold_per_second = spec.cold_per_s;
       found->cold_time = spec.cold_time;
-      Step(id, *found, dispatch::PromptWeightChanged{config.upstreams.prompt_tokens_per_slot});
+      Step(id, *found,
+           dispatch::PromptWeightChanged{config.upstreams.prompt_tokens_per_slot,
+                                         config.prompt_token_time});
       continue;
     }
     const auto on_wake = [this, service = id] {
@@ -94,7 +101,7 @@
   }
   for (auto& [id, service] : m_services) {
     Step(id, *service, limits);
-    Step(id, *service, dispatch::PeerLoadChanged{in_flight, peers.Waiting(id)});
+    Step(id, *service, dispatch::PeerLoadChanged{in_flight, peers.Waiting(id), peers.Queueing(id)});
   }
 }
 
@@ -102,8 +109,8 @@
                                 const dispatch::RequestArrived& arrival, OnDecision on_decision) {
   Service* found = Find(service);
   if (found == nullptr) {
-    on_decision(
-        dispatch::Rejected{arrival.request, dispatch::RejectReason::kNoUpstream, {}, {}, 0});
+    on_decision(dispatch::Rejected{
+        arrival.request, arrival.priority, dispatch::RejectReason::kNoUpstream, {}, {}, 0});
     return;
   }
   m_pending_decisions.emplace(arrival.request, std::move(on_decision));
@@ -166,8 +173,9 @@
 
 std::vector<peers::UpstreamLoad> ServiceDispatchers::Loads() const {
   std::vector<peers::UpstreamLoad> loads;
+  const core::Instant now = m_clock.Now();
   for (const auto& [id, service] : m_services) {
-    for (const auto& [upstream, count] : service->dispatcher.InFlight()) {
+    for (const auto& [upstream, count] : service->dispatcher.ReportedLoad(now)) {
       loads.push_back({upstream, count});
     }
   }
@@ -188,8 +196,9 @@
 std::vector<peers::ServiceQueue> ServiceDispatchers::Queues() const {
   std::vector<peers::ServiceQueue> queues;
   for (const auto& [id, service] : m_services) {
-    const auto waiting = static_cast<std::uint32_t>(service->dispatcher.waiting());
-    if (waiting > 0) queues.push_back({id, waiting});
+    for (const auto& [priority, waiting] : service->dispatcher.WaitingByPriority()) {
+      queues.push_back({id, priority, waiting});
+    }
   }
   return queues;
 }
@@ -199,11 +208,28 @@
   for (const dispatch::DispatchAction& action : service.dispatcher.Step(m_clock.Now(), event)) {
     std::visit([&](const auto& a) { Perform(id, a); }, action);
   }
+  SetQueueGauges(id, service);
   if (const auto wake = service.dispatcher.NextWake()) {
     service.timer.SetAt(std::max(*wake, m_clock.Now() + kMinWakeInterval));
   }
 }
 
+void ServiceDispatchers::SetQueueGauges(const core::ServiceId& id, Service& service) {
+  std::map<std::uint8_t, std::uint32_t> sizes = service.dispatcher.WaitingByPriority();
+  if (sizes == service.reported_queue) return;
+  const auto set = [&](std::uint8_t priority, std::uint32_t size) {
+    m_metrics
+        .GetGauge("cornelrelay_queued_requests", "Requests that wait for an upstream.",
+                  {{"service", id.value()}, {"priority", std::to_string(priority)}})
+        .Set(size);
+  };
+  for (const auto& [priority, size] : service.reported_queue) {
+    if (!sizes.contains(priority)) set(priority, 0);
+  }
+  for (const auto& [priority, size] : sizes) set(priority, size);
+  service.reported_queue = std::move(sizes);
+}
+
 void ServiceDispatchers::DeliverDecision(const core::RequestId& request, const Decision& decision) {
   const auto found = m_pending_decisions.find(request);
   if (found == m_pending_decisions.end()) return;
@@ -223,7 +249,9 @@
 void ServiceDispatchers::Perform(const core::ServiceId& service, const dispatch::Rejected& action) {
   m_metrics
       .GetCounter("cornelrelay_rejected_total", "Requests that got no upstream.",
-                  {{"service", service.value()}, {"reason", std::string(ToString(action.reason))}})
+                  {{"service", service.value()},
+                   {"reason", std::string(ToString(action.reason))},
+                   {"priority", std::to_string(action.priority)}})
       .Add();
   DeliverDecision(action.request, action);
 }
