--- a/packages/dispatch/include/cornelrelay/dispatch/dispatch_event.h
+++ b/packages/dispatch/include/cornelrelay/dispatch/dispatch_event.h
@@ -36,7 +36,6 @@
 struct PeerLoadChanged {
   std::map<core::UpstreamId, std::uint32_t> in_flight;  ///< requests in flight on each upstream
   std::map<std::uint8_t, std::uint32_t> waiting;  ///< queued requests of this service by priority
-  std::vector<core::HostId> queueing{};  ///< peers that have queued requests of this service
 };
 
 /// \brief An answer of the upstream named a rate limit, or none.
--- a/packages/dispatch/include/cornelrelay/dispatch/dispatcher.h
+++ b/packages/dispatch/include/cornelrelay/dispatch/dispatcher.h
@@ -60,11 +60,6 @@
 
   /// \brief Returns the number of requests of this process on each upstream that has any.
   std::map<core::UpstreamId, std::uint32_t> InFlight() const { return m_upstreams.InFlight(); }
-  /// \brief Returns what to tell peers of this process's load: InFlight() and the slots that it
-  /// holds for its next requests.
-  std::map<core::UpstreamId, std::uint32_t> ReportedLoad(core::Instant now) const {
-    return m_upstreams.ReportedLoad(now);
-  }
   std::size_t waiting() const { return m_queue.size(); }
   /// \brief Returns the number of queued requests of each priority that has any.
   std::map<std::uint8_t, std::uint32_t> WaitingByPriority() const {
--- a/packages/dispatch/include/cornelrelay/dispatch/upstream_pool.h
+++ b/packages/dispatch/include/cornelrelay/dispatch/upstream_pool.h
@@ -75,12 +75,6 @@
   void SetUpstreams(const std::vector<UpstreamSpec>& upstreams);
   void SetPeerLoad(const std::map<core::UpstreamId, std::uint32_t>& in_flight);
 
-  /// \param peers entry processes that compete for free slots, as they have queued requests
-  void SetQueueingPeers(std::vector<core::HostId> peers) { m_queueing = std::move(peers); }
-
-  /// \brief Sets whether processes divide scarce slots, and whether this one has queued requests.
-  void SetCompetition(core::Instant now, bool divide_slots, bool queueing);
-
   void ObserveRateLimit(core::Instant now, const core::UpstreamId& id,
                         const RateLimitObservation& observation, Actions& out);
   /// \param processes the live entry processes, this one included
@@ -139,18 +133,12 @@
   std::optional<core::Instant> NextBackoffEnd(core::Instant now) const;
   /// \brief Returns none unless all listed upstreams have rate limits.
   std::optional<RateCapacity> LimitedCapacity(core::Instant now) const;
-  /// \brief Returns when a slot may be taken that may not be taken now, because an upstream was
-  /// full or because peers do not know yet that this process has queued requests.
-  std::optional<core::Instant> NextSlotCheck(core::Instant now) const;
   /// \brief Returns when the next upstream with a rate limit may be used; none if none will.
   std::optional<core::Instant> NextRateAdmission(core::Instant now) const;
   /// \brief Returns when the first blocked upstream may be tried again; none if none is blocked.
   std::optional<core::Instant> NextUnblock() const;
   /// \brief Returns the number of requests of this process on each upstream that has any.
   std::map<core::UpstreamId, std::uint32_t> InFlight() const;
-  /// \brief Returns what to tell peers: InFlight() and the slots that this process holds for its
-  /// next requests.
-  std::map<core::UpstreamId, std::uint32_t> ReportedLoad(core::Instant now) const;
   core::Instant last_output() const { return m_last_output; }
 
  private:
@@ -166,13 +154,6 @@
     /// Set when the upstream is blocked by an unavailable one; cleared by an output.
     std::optional<core::Instant> blocked_until;
     core::Instant backed_off_until{};  ///< it asked for no requests before this time
-    /// It refused a request as full, so that no slot is free before this time unless a request of
-    /// this process ends.
-    core::Instant full_until{};
-    /// Slots of ended requests of this process, which are its own and reported as in use until
-    /// then.
-    std::uint32_t held = 0;
-    core::Instant held_until{};
     core::Instant last_sign_of_life{};
     RateLimitShare rate;
     std::optional<RateLimitObservation> own_observation;
@@ -193,8 +174,6 @@
   static std::optional<double> RateLimitOf(const Upstream& upstream);
   static double RateShareOfProcess(const Upstream& upstream);
   bool HasFreeSlot(const Upstream& upstream) const;
-  /// \brief Returns whether this process, and no peer with queued requests, may take a free slot.
-  bool MayTakeSlot(core::Instant now, const Upstream& upstream) const;
   bool Admits(core::Instant now, const Upstream& upstream) const;
   double LoadOf(const Upstream& upstream) const;
   void RecordResult(core::Instant now, Upstream& upstream, AttemptEnd end, Actions& out);
@@ -205,9 +184,6 @@
   core::Random m_random;
   std::vector<core::HostId> m_processes;
   std::vector<core::HostId> m_possibly_running;
-  std::vector<core::HostId> m_queueing;  ///< peers
-  bool m_divide_slots = false;
-  std::optional<core::Instant> m_queueing_since;  ///< none if this process has no queued requests
   std::map<core::UpstreamId, Upstream> m_upstreams;
   core::Instant m_last_output{};
   bool m_service_blocked = false;
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -71,7 +71,6 @@
   m_now = now;
   std::visit([&](const auto& e) { Apply(now, e, out); }, event);
   m_upstreams.UpdateCold(now, out);
-  m_upstreams.SetCompetition(now, HasPriorities(), m_queue.size() > 0 || !m_sought.empty());
   AssignSought(now, out);
   AssignWaiting(now, out);
   // An output changes no wait that is estimated here, and there are hundreds of them a second.
@@ -87,7 +86,6 @@
 void Dispatcher::Apply(core::Instant, const PeerLoadChanged& event, Actions&) {
   m_peers_waiting = event.waiting;
   m_upstreams.SetPeerLoad(event.in_flight);
-  m_upstreams.SetQueueingPeers(event.queueing);
 }
 
 void Dispatcher::Apply(core::Instant now, const RateLimitObserved& event, Actions& out) {
@@ -400,7 +398,6 @@
   const auto consider = [&](core::Instant at) { wake = wake ? std::min(*wake, at) : at; };
   for (const auto& [request, waiting] : m_waiting) consider(waiting.start_by);
   if (m_waiting.empty() && m_sought.empty()) return wake;
-  if (const auto end = m_upstreams.NextSlotCheck(m_now)) consider(*end);
   if (const auto unblock = m_upstreams.NextUnblock()) consider(*unblock);
   if (const auto admission = m_upstreams.NextRateAdmission(m_now)) consider(*admission);
   if (const auto end = m_upstreams.NextBackoffEnd(m_now)) consider(*end);
--- a/packages/dispatch/src/upstream_pool.cc
+++ b/packages/dispatch/src/upstream_pool.cc
@@ -3,11 +3,8 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
-#include <string>
 #include <utility>
 
-#include "cornelrelay/core/hash.h"
-
 namespace cornelrelay::dispatch {
 namespace {
 
@@ -17,17 +14,6 @@
 /// The rate of the ramp after a cold time changes at this interval: often enough that no step adds
 /// a fifth, seldom enough that the shares of hundreds of processes cost little.
 constexpr std::chrono::milliseconds kColdRampStep{250};
-/// Time for which an upstream that refused a request as full gets none, and after which peers know
-/// that this process has queued requests. The interval between the statuses of a process whose load
-/// changes (40 ms), one lost status and the way to the peers.
-constexpr std::chrono::milliseconds kSlotNewsTime{100};
-/// Time for which the slot of an ended request belongs to this process. Long enough for a queued or
-/// a new request; a twentieth of a request of 0.8 s, so that little capacity is idle.
-constexpr std::chrono::milliseconds kHoldTime{40};
-/// Up to this number of free slots of an upstream, the processes divide them. In the loads of
-/// overload_test.cc with 44 processes and statuses 220 ms apart, one request in 9 met a full
-/// upstream with 8, and one in 700 with 10.
-constexpr std::uint32_t kScarceSlots = 10;
 
 }  // namespace
 
@@ -234,7 +220,6 @@
   Upstream& upstream = m_upstreams.at(id);
   upstream.rate.Take(now);
   upstream.cold.Take(now);
-  if (upstream.held > 0) --upstream.held;
   ++upstream.own_in_flight;
   upstream.unread_prompt_tokens += prompt_tokens;
   return {upstream.own_in_flight, upstream.peers_in_flight};
@@ -259,12 +244,6 @@
   Upstream& upstream = found->second;
   assert(upstream.own_in_flight > 0);
   --upstream.own_in_flight;
-  upstream.full_until = end == AttemptEnd::kRefused ? now + kSlotNewsTime : core::Instant{};
-  if (m_divide_slots && end != AttemptEnd::kRefused) {
-    if (now >= upstream.held_until) upstream.held = 0;
-    ++upstream.held;
-    upstream.held_until = now + kHoldTime;
-  }
   upstream.unread_prompt_tokens -= prompt_tokens;
   RecordResult(now, upstream, end, out);
   if (!upstream.listed && upstream.own_in_flight == 0) m_upstreams.erase(found);
@@ -406,48 +385,6 @@
   return upstream.own_in_flight + upstream.peers_in_flight < upstream.spec.slots;
 }
 
-// The next slot of an upstream belongs to the process that comes first in a rendezvous hash of the
-// upstream, the slot and the processes. On average a few scores are computed, as most processes
-// find one that is higher than their own at once.
-bool UpstreamPool::MayTakeSlot(core::Instant now, const Upstream& upstream) const {
-  if (!m_divide_slots) return true;
-  if (now < upstream.full_until) return false;
-  const std::uint32_t used = upstream.own_in_flight + upstream.peers_in_flight;
-  if (upstream.held > 0 && now < upstream.held_until) return true;
-  if (upstream.spec.slots - used > kScarceSlots) return true;
-  // Peers that compete leave a process its part only when a status has told them of its queue.
-  const bool announced = m_queueing_since && now - *m_queueing_since >= kSlotNewsTime;
-  if (!m_queueing.empty() && !announced) return false;
-  const std::vector<core::HostId>& competitors = m_queueing.empty() ? m_processes : m_queueing;
-  const std::string key = upstream.spec.id.value() + '/' + std::to_string(used);
-  const std::uint64_t own = core::RendezvousScore(key, m_config.self.value());
-  return std::none_of(competitors.begin(), competitors.end(), [&](const core::HostId& peer) {
-    return core::RendezvousScore(key, peer.value()) > own;
-  });
-}
-
-void UpstreamPool::SetCompetition(core::Instant now, bool divide_slots, bool queueing) {
-  m_divide_slots = divide_slots;
-  if (!queueing) {
-    m_queueing_since.reset();
-  } else if (!m_queueing_since) {
-    m_queueing_since = now;
-  }
-}
-
-std::optional<core::Instant> UpstreamPool::NextSlotCheck(core::Instant now) const {
-  std::optional<core::Instant> next;
-  if (!m_divide_slots) return next;
-  if (m_queueing_since && *m_queueing_since + kSlotNewsTime > now) {
-    next = *m_queueing_since + kSlotNewsTime;
-  }
-  for (const auto& [id, upstream] : m_upstreams) {
-    if (!upstream.listed || upstream.full_until <= now) continue;
-    next = std::min(next.value_or(upstream.full_until), upstream.full_until);
-  }
-  return next;
-}
-
 double UpstreamPool::LoadOf(const Upstream& upstream) const {
   return static_cast<double>(upstream.own_in_flight + upstream.peers_in_flight) +
          upstream.unread_prompt_tokens / m_config.prompt_tokens_per_slot;
@@ -460,7 +397,6 @@
   for (const auto& [id, upstream] : m_upstreams) {
     if (!upstream.listed || excluded.contains(id) || !HasFreeSlot(upstream)) continue;
     if (now < upstream.backed_off_until || !RateAdmits(now, upstream)) continue;
-    if (!MayTakeSlot(now, upstream)) continue;
     if (Admits(now, upstream)) {
       admitted.push_back(&upstream);
     } else if (!upstream.blocked_until) {
@@ -479,14 +415,6 @@
   return admitted[m_random.Below(admitted.size())]->spec.id;
 }
 
-std::map<core::UpstreamId, std::uint32_t> UpstreamPool::ReportedLoad(core::Instant now) const {
-  std::map<core::UpstreamId, std::uint32_t> load = InFlight();
-  for (const auto& [id, upstream] : m_upstreams) {
-    if (upstream.held > 0 && now < upstream.held_until) load[id] += upstream.held;
-  }
-  return load;
-}
-
 std::map<core::UpstreamId, std::uint32_t> UpstreamPool::InFlight() const {
   std::map<core::UpstreamId, std::uint32_t> in_flight;
   for (const auto& [id, upstream] : m_upstreams) {
--- a/packages/peers/include/cornelrelay/peers/peer_table.h
+++ b/packages/peers/include/cornelrelay/peers/peer_table.h
@@ -72,8 +72,6 @@
   /// \brief Returns the number of requests of the service that are queued in all live peers, for
   /// each priority that has any.
   std::map<std::uint8_t, std::uint32_t> Waiting(const core::ServiceId& service) const;
-  /// \brief Returns the live peers that have queued requests of the service.
-  std::vector<core::HostId> Queueing(const core::ServiceId& service) const;
   /// \brief The latest that live peers have heard of the rate limit of an upstream.
   struct HeardRateLimit {
     std::optional<double> per_second;
--- a/packages/peers/src/peer_table.cc
+++ b/packages/peers/src/peer_table.cc
@@ -180,20 +180,6 @@
   return sums;
 }
 
-std::vector<core::HostId> PeerTable::Queueing(const core::ServiceId& service) const {
-  std::vector<core::HostId> hosts;
-  for (const auto& [host, peer] : m_peers) {
-    if (!peer.live) continue;
-    const auto& queues = peer.status.queues;
-    if (std::any_of(queues.begin(), queues.end(), [&](const ServiceQueue& queue) {
-          return queue.service == service && queue.waiting > 0;
-        })) {
-      hosts.push_back(host);
-    }
-  }
-  return hosts;
-}
-
 std::map<core::UpstreamId, PeerTable::HeardRateLimit> PeerTable::RateLimits() const {
   std::map<core::UpstreamId, HeardRateLimit> latest;
   for (const auto& [host, peer] : m_peers) {
--- a/packages/relay/src/service_dispatchers.cc
+++ b/packages/relay/src/service_dispatchers.cc
@@ -101,7 +101,7 @@
   }
   for (auto& [id, service] : m_services) {
     Step(id, *service, limits);
-    Step(id, *service, dispatch::PeerLoadChanged{in_flight, peers.Waiting(id), peers.Queueing(id)});
+    Step(id, *service, dispatch::PeerLoadChanged{in_flight, peers.Waiting(id)});
   }
 }
 
@@ -173,9 +173,8 @@
 
 std::vector<peers::UpstreamLoad> ServiceDispatchers::Loads() const {
   std::vector<peers::UpstreamLoad> loads;
-  const core::Instant now = m_clock.Now();
   for (const auto& [id, service] : m_services) {
-    for (const auto& [upstream, count] : service->dispatcher.ReportedLoad(now)) {
+    for (const auto& [upstream, count] : service->dispatcher.InFlight()) {
       loads.push_back({upstream, count});
     }
   }
