--- a/packages/ranks/src/rank_process.cc
+++ b/packages/ranks/src/rank_process.cc
@@ -168,7 +168,9 @@
     // The agents to which the call passes from here may belong to the caller's group.
     if (!call.forward_to.empty()) forwarded = m_agents.Forward(call);
     reply.report = co_await m_engines.FetchReport(m_settings.engine);
-    if (forwarded) co_await AddForwardedReplies(*forwarded, reply);
+    if (forwarded) {
+      co_await AddForwardedReplies(*forwarded, reply);
+    }
     co_return reply;
   }
   if (verdict != CallVerdict::kAdmitted) {
@@ -190,7 +192,9 @@
   if (!call.engine) {
     co_await AddOwnState(call, reply);
   }
-  if (forwarded) co_await AddForwardedReplies(*forwarded, reply);
+  if (forwarded) {
+    co_await AddForwardedReplies(*forwarded, reply);
+  }
   co_return reply;
 }
 
