--- a/packages/net/tests/endless_response_test.cc
+++ b/packages/net/tests/endless_response_test.cc
@@ -171,7 +171,16 @@
 // Guards against a 502 for a request of which no byte was written: its connection was reset after
 // it was opened, or taken from the pool, and before the first write.
 TEST_CASE("a connection that is reset before the first byte counts as not established") {
-  RawServer server([](RawConnection& connection) { connection.ResetOnClose(); });
+  std::promise<void> opened, closed;
+  int connections = 0;
+  RawServer server([&](RawConnection& connection) {
+    if (++connections == 1) {
+      opened.get_future().wait_for(seconds(5));
+      connection.ResetOnClose();
+    } else {
+      closed.set_value();
+    }
+  });
   boost::asio::io_context context(1);
   HttpClient client(context, {});
   bool unsent = false;
@@ -180,8 +189,11 @@
       [&]() -> boost::asio::awaitable<void> {
         auto exchange = co_await client.Open(server.endpoint(), HttpClient::ConnectionUse::kFresh,
                                              {seconds(2), seconds(2)});
-        // Blocks the event loop, so that the reset has arrived at the kernel before the write.
-        std::this_thread::sleep_for(milliseconds(200));
+        opened.set_value();
+        // The server takes the second connection after it has reset the first one.
+        auto second = co_await client.Open(server.endpoint(), HttpClient::ConnectionUse::kFresh,
+                                           {seconds(2), seconds(2)});
+        closed.get_future().wait_for(seconds(5));
         HttpRequest request{"POST", "/", {}, std::string(kMaxBody, 'x')};
         try {
           co_await exchange->SendRequest(std::move(request));
