--- a/review/lib-2/replica.py
+++ b/review/lib-2/replica.py
@@ -7,12 +7,16 @@
   gap_s      pause before each part but the first (0)
   before_s   work before the first part (0.02)
   unframed   neither a length nor chunks: the answer ends with its connection
-  stream     the parts are events of a stream, with ids from 1
+  stream     the parts are events of a stream, so many
+  first_id   id of its first event (1); it goes on behind the Last-Event-Id of a request
   bytes      length of the body of an answer that is no stream (800)
   read_bps   the body of the request is read at so many bytes a second (as fast as it comes)
+The option "deadly" names a part of a prompt: the replica crashes as it begins to write an answer on it.
 """
 
 import json
+import os
+import signal
 import socket
 import sys
 import threading
@@ -98,12 +102,19 @@
             return True
         self.note(id=identity, method=method, target=target, body=len(body),
                   last_event=headers.get("last-event-id"))
+        prefix = headers.get("prompt-prefix", "")
+        if self.options.get("deadly") in [part.split(":")[0] for part in prefix.split(",")[:-1]]:
+            time.sleep(0.05)
+            self.note(id=identity, crashed=True)
+            os.kill(os.getpid(), signal.SIGKILL)
         time.sleep(how.get("before_s", 0.02))
         head = f"HTTP/1.1 200 OK\r\n{head}Replica-Seal: seal.{identity}.{self.name}\r\n"
         if how.get("stream"):
             head += "Content-Type: text/event-stream\r\n"
-            first = int(headers.get("last-event-id", "0")) + 1
-            parts = [event(identity, number) for number in range(first, how["stream"] + 1)]
+            first = how.get("first_id", 1)
+            after = headers.get("last-event-id")
+            start = int(after) + 1 if after is not None else first
+            parts = [event(identity, number) for number in range(start, first + how["stream"])]
         else:
             whole = digest(identity, how.get("bytes", 800))
             count = how.get("parts", 1)
