--- a/review/lib-2/stand_ins.py
+++ b/review/lib-2/stand_ins.py
@@ -100,6 +100,10 @@
         class Server(http.server.ThreadingHTTPServer):
             daemon_threads = True
             allow_reuse_address = True
+
+            def handle_error(self, *args):
+                pass  # the other side has closed
+
             request_queue_size = 128
 
         self.server = Server(self.address, Handler)
@@ -313,14 +317,14 @@
         path = pathlib.Path(self.directory) / "runs.jsonl"
         return [json.loads(line) for line in path.read_text().splitlines()] if path.exists() else []
 
-    def configure(self, version, routes, service="svc", limits=None, **more):
+    def configure(self, version, routes, service="svc", limits=None, engine=None):
         self.store.put("op/config", {
             "version": version, "routes": routes,
             "services": [{"name": service, "health_path": "/healthz", "max_connections": 348, "protocol": "h1",
-                          "tls": False}],
+                          "tls": False, **({"engine": engine} if engine else {})}],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000,
                        "idle_timeout_ms": 15000, **(limits or {})},
-            "tenants": [{"name": "tenant-1", "api_keys": ["key-1"], "priority": 1}], **more})
+            "tenants": [{"name": "tenant-1", "api_keys": ["key-1"], "priority": 1}]})
 
     def start_replica(self, name, port, options, service="svc"):
         replica = ReplicaProcess(name, port, service, options, self.directory)
