--- a/review/lib-2/replica.py
+++ b/review/lib-2/replica.py
@@ -11,7 +11,8 @@
   first_id   id of its first event (1); it goes on behind the Last-Event-Id of a request
   bytes      length of the body of an answer that is no stream (800)
   read_bps   the body of the request is read at so many bytes a second (as fast as it comes)
-The option "deadly" names a part of a prompt: the replica crashes as it begins to write an answer on it.
+The option "deadly" names a part of a prompt: the replica crashes as it begins to write an answer on it, after so many
+events as "deadly_after" says (0).
 """
 
 import json
@@ -55,6 +56,10 @@
         with self.lock:
             self.runs.write(json.dumps({"at": time.monotonic(), "replica": self.name, **fields}) + "\n")
 
+    def crash(self, identity):
+        self.note(id=identity, crashed=True)
+        os.kill(os.getpid(), signal.SIGKILL)
+
     def serve(self, connection):
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         reader = connection.makefile("rb")
@@ -103,10 +108,10 @@
         self.note(id=identity, method=method, target=target, body=len(body),
                   last_event=headers.get("last-event-id"))
         prefix = headers.get("prompt-prefix", "")
-        if self.options.get("deadly") in [part.split(":")[0] for part in prefix.split(",")[:-1]]:
+        deadly = self.options.get("deadly") in [part.split(":")[0] for part in prefix.split(",")[:-1]]
+        if deadly and not self.options.get("deadly_after"):
             time.sleep(0.05)
-            self.note(id=identity, crashed=True)
-            os.kill(os.getpid(), signal.SIGKILL)
+            self.crash(identity)
         time.sleep(how.get("before_s", 0.02))
         head = f"HTTP/1.1 200 OK\r\n{head}Replica-Seal: seal.{identity}.{self.name}\r\n"
         if how.get("stream"):
@@ -134,6 +139,9 @@
             if how.get("stream") and not unframed:
                 part = b"%x\r\n%s\r\n" % (len(part), part)
             connection.sendall(part)
+            if deadly and number + 1 == self.options["deadly_after"]:
+                time.sleep(0.01)
+                self.crash(identity)
         if how.get("stream") and not unframed:
             connection.sendall(b"0\r\n\r\n")
         self.note(id=identity, answered=True)
