--- a/review/6/case.py
+++ b/review/6/case.py
@@ -17,11 +17,11 @@
 GROUP = "g-1"
 DOWN_S = 3.3  # of a killed agent: for_s of node_kill, how = "", in the site file
 LATE_SHARE = 0.35  # x of applied_late in the site file
-MOST_LATE_RELEASES = 4
+MOST_LATE_RELEASES = 5
 ENGINE = {"slots": 12, "kv_tokens": 494000, "kv_bytes": 35136, "link_mbps": 180000.0, "stride": 6,
           "models": [{"name": "m"}], "step_ms": 4.84, "per_seq_ms": 0.362, "context_per_k": 0.011,
           "read_per_s": 74800.0, "pairs_per_m": 0.232, "chunk": 512, "report_lag_ms": 200.0,
-          "usual": {"prompt": 835, "answer": 159}, "sets": 1, "experts": EXPERTS, "places": 6, "spare": 4,
+          "usual": {"prompt": 835, "answer": 159}, "sets": 1, "experts": EXPERTS, "places": 4, "spare": 4,
           "expert_mb": 250.0, "expert_share": 0.85, "form_ms": 600.0}
 
 
@@ -56,6 +56,7 @@
 
     def __init__(self, deployment):
         self.deployment = deployment
+        self.group = None
         self.agents = []
         self.fences = []  # of the leaders, in their order
         self.late_arm = None  # rank whose order to arm is late: that of the first leader
@@ -84,7 +85,7 @@
         if not TROUBLE:
             return None
         number = len(self.fences)
-        if number == 1 and kind == "arm":
+        if number == 1 and kind == "arm" and self.group.switches == 1:  # of the second switch
             return self.decide_arm(rank)
         if number == 2 and kind == "disarm":
             self.kill(1 - self.late_arm)
@@ -118,6 +119,7 @@
         hosts = ["127.0.1.1", "127.0.1.2"]
         trouble = Trouble(deployment)
         group = Group(GROUP, hosts, engine_port, deployment.note, trouble.decide)
+        trouble.group = group
         deployment.configure(3, [], engine=ENGINE)
         for rank, host in enumerate(hosts):
             deployment.store.put(f"servers/i-{rank}", {
@@ -126,7 +128,7 @@
         with group.lock:  # no order is decided before all agents are known
             trouble.agents = [Agent(deployment, f"side-zone-a-{rank + 1}", host, engine_port, agents_port)
                               for rank, host in enumerate(hosts)]
-        time.sleep(8)
+        time.sleep(9)
         with group.lock:
             share = group.late_orders / max(group.orders, 1)
             deployment.note("at the end:", group.states())
--- a/review/lib-2/group.py
+++ b/review/lib-2/group.py
@@ -11,6 +11,7 @@
 
 PASS_S = 0.06
 EXPERTS = 8
+SHIFT_S = 1.0  # when the demand shifts
 LATE_FROM_S, LATE_TO_S = 2.0, 12.0  # when a late order is carried out, by `kinds`
 
 
@@ -31,7 +32,7 @@
         self.name, self.hosts, self.port, self.note, self.decide = name, hosts, port, note, decide
         self.size = len(hosts)
         self.lock = threading.RLock()
-        self.epoch, self.step = 1, 0
+        self.epoch, self.step, self.wanted = 1, 0, []
         self.late, self.orders, self.late_orders, self.broken, self.switches = [], 0, 0, [], 0
         self.started = time.monotonic()
         self.born = int(time.time() * 1000)
@@ -114,9 +115,13 @@
                 "held": state["held"]}
 
     def picked(self, rank, lists):
-        # The experts of rank 0 are in demand.
-        done = int((time.monotonic() - self.started) * 4000)
-        counts = [done if e % self.size == 0 else done // 8 for e in range(EXPERTS)]
+        # At first the experts of rank 0 are in demand, later two that rank 1 holds then.
+        passed = time.monotonic() - self.started
+        before, since = min(passed, SHIFT_S), max(passed - SHIFT_S, 0)
+        if since and not self.wanted:
+            self.wanted = [e for e in self.ranks[1]["experts"] if e not in self.ranks[0]["experts"]][:2]
+        counts = [int(4000 * (before * (1 if e % self.size == 0 else 0.12) + since * (1 if e in self.wanted else 0.05)))
+                  for e in range(EXPERTS)]
         body = {"step": self.step, "epoch": self.epoch, "counts": [counts]}
         if lists:
             state = self.ranks[rank]
