--- a/packages/quarantine/include/cornelrelay/quarantine/suspect_table.h
+++ b/packages/quarantine/include/cornelrelay/quarantine/suspect_table.h
@@ -29,8 +29,8 @@
 ///
 /// Segments that were lost in the same crashes cannot be told apart: one of them is the cause. If a
 /// request has only some of them, the others explain the crashes as well, so a trial of it is made
-/// within seconds, and requests like it that are already running go on. A crash of such a trial
-/// leaves fewer explanations; there are at most as many as the lost request has segments.
+/// within seconds, and requests like it that are already running go on. Once a suspect has its last
+/// crash, such trials end unless all of its crashes are alike.
 ///
 /// CrashLedger serves deployments with idempotency keys and gossip: it announces each further run
 /// of a request that was lost in a crash, and waits for the announcement to spread. This class
@@ -84,9 +84,11 @@
   void Apply(core::Instant now, const RequestLostInCrash& event, Actions& out);
   void Apply(core::Instant now, const SuspectsReported& event, Actions& out);
 
-  void SuspectLost(Fingerprint feature, std::uint64_t crash, const Crash& seen, Actions& out);
   /// \brief Adds a crash. Returns whether it is new.
   bool AddCrash(Fingerprint suspect, std::uint64_t crash, const Crash& seen);
+  /// \brief Drops crashes of features that have too many. Keeps those with the fewest suspects, as
+  /// they tell the suspects apart.
+  void LimitCrashes(const std::vector<Fingerprint>& features);
   /// \brief Forgets a suspect that is not quarantined if the table is full. Returns whether there
   /// is room.
   bool MakeRoom();
@@ -94,7 +96,7 @@
   bool IsQuarantined(Fingerprint feature) const { return m_quarantined.contains(feature); }
   void UpdateQuarantine(core::Instant now, Fingerprint feature, Actions& out);
   /// \brief Whether in each crash of the suspect a quarantined feature that the request does not
-  /// have was lost too.
+  /// have was lost too, and trials of such requests have not failed too often.
   bool IsExplainedWithout(const Suspect& suspect, const RequestFeatures& features) const;
   void Expire(core::Instant now, Actions& out);
   static core::Instant LastCrash(const Suspect& suspect);
--- a/packages/quarantine/src/suspect_table.cc
+++ b/packages/quarantine/src/suspect_table.cc
@@ -62,36 +62,39 @@
 
 void SuspectTable::Apply(core::Instant now, const RequestLostInCrash& event, Actions& out) {
   const std::uint64_t crash = core::Hash64(event.upstream.value(), event.incarnation);
-  for (const Fingerprint feature : event.features.shared_segments) {
-    SuspectLost(feature, crash, {now, event.answer_begun}, out);
+  std::vector<Fingerprint> added;
+  for (const Fingerprint feature : AllOf(event.features)) {
+    if (m_outputs.contains(feature)) continue;
+    const bool is_request = feature == event.features.request;
+    const Crash seen{now, event.answer_begun && !is_request};
+    if (AddCrash(feature, crash, seen)) added.push_back(feature);
   }
-  SuspectLost(event.features.request, crash, {now, false}, out);
-}
-
-void SuspectTable::SuspectLost(Fingerprint feature, std::uint64_t crash, const Crash& seen,
-                               Actions& out) {
-  if (m_outputs.contains(feature)) return;
-  if (AddCrash(feature, crash, seen)) out.emplace_back(SuspectsChanged{});
-  UpdateQuarantine(seen.time, feature, out);
+  LimitCrashes(added);
+  const bool changed = std::any_of(added.begin(), added.end(), [&](Fingerprint feature) {
+    const auto found = m_suspects.find(feature);
+    return found != m_suspects.end() && found->second.crashes.contains(crash);
+  });
+  if (changed) out.emplace_back(SuspectsChanged{});
+  for (const Fingerprint feature : AllOf(event.features)) UpdateQuarantine(now, feature, out);
 }
 
 void SuspectTable::Apply(core::Instant now, const SuspectsReported& event, Actions& out) {
+  std::vector<Fingerprint> added;
   for (const SuspectReport& report : event.reports) {
     for (const CrashSighting& sighting : report.crashes) {
       if (sighting.age >= m_settings.memory) continue;
-      AddCrash(report.suspect, sighting.crash, {now - sighting.age, sighting.answer_begun});
+      const Crash seen{now - sighting.age, sighting.answer_begun};
+      if (AddCrash(report.suspect, sighting.crash, seen)) added.push_back(report.suspect);
     }
     if (report.output_age) RememberOutput(report.suspect, now - *report.output_age);
-    UpdateQuarantine(now, report.suspect, out);
   }
+  LimitCrashes(added);
+  for (const SuspectReport& report : event.reports) UpdateQuarantine(now, report.suspect, out);
 }
 
 bool SuspectTable::AddCrash(Fingerprint suspect, std::uint64_t crash, const Crash& seen) {
   if (!m_suspects.contains(suspect) && !MakeRoom()) return false;
   Suspect& entry = m_suspects[suspect];
-  // Further crashes would change no decision, and take room in the reports.
-  const bool full = entry.crashes.size() >= m_settings.max_crashes;
-  if (full && !entry.crashes.contains(crash)) return false;
   const auto [found, added] = entry.crashes.try_emplace(crash, seen);
   if (added) {
     entry.trial.reset();  // it has failed, or says nothing any more
@@ -102,6 +105,36 @@
   return false;
 }
 
+void SuspectTable::LimitCrashes(const std::vector<Fingerprint>& features) {
+  const auto is_over = [&](Fingerprint feature) {
+    const auto found = m_suspects.find(feature);
+    return found != m_suspects.end() && found->second.crashes.size() > m_settings.max_crashes;
+  };
+  if (std::none_of(features.begin(), features.end(), is_over)) return;
+  std::map<std::uint64_t, std::size_t> suspects_of;
+  for (const auto& [feature, suspect] : m_suspects) {
+    for (const auto& [crash, seen] : suspect.crashes) ++suspects_of[crash];
+  }
+  std::set<std::uint64_t> dropped;
+  for (const Fingerprint feature : features) {
+    if (!is_over(feature)) continue;
+    auto& crashes = m_suspects.at(feature).crashes;
+    std::vector<std::pair<std::size_t, std::uint64_t>> order;
+    for (const auto& [crash, seen] : crashes) order.emplace_back(suspects_of[crash], crash);
+    std::sort(order.begin(), order.end());
+    for (std::size_t n = m_settings.max_crashes; n < order.size(); ++n) {
+      crashes.erase(order[n].second);
+      dropped.insert(order[n].second);
+    }
+  }
+  // Otherwise a crash of two suspects would no longer be explained by the one that has dropped it.
+  for (auto& [feature, suspect] : m_suspects) {
+    if (suspect.crashes.size() < m_settings.max_crashes) continue;
+    std::erase_if(suspect.crashes,
+                  [&](const auto& entry) { return dropped.contains(entry.first); });
+  }
+}
+
 bool SuspectTable::MakeRoom() {
   if (m_suspects.size() < m_settings.max_suspects) return true;
   auto oldest = m_suspects.end();
@@ -191,13 +224,19 @@
 
 bool SuspectTable::IsExplainedWithout(const Suspect& suspect,
                                       const RequestFeatures& features) const {
-  const auto explains = [&](std::uint64_t crash) {
-    return std::any_of(m_quarantined.begin(), m_quarantined.end(), [&](Fingerprint other) {
-      return !Has(features, other) && m_suspects.at(other).crashes.contains(crash);
-    });
-  };
-  return std::all_of(suspect.crashes.begin(), suspect.crashes.end(),
-                     [&](const auto& entry) { return explains(entry.first); });
+  std::set<std::vector<Fingerprint>> lost_together;
+  for (const auto& [crash, seen] : suspect.crashes) {
+    std::vector<Fingerprint> lost;
+    for (const Fingerprint other : m_quarantined) {
+      if (m_suspects.at(other).crashes.contains(crash)) lost.push_back(other);
+    }
+    const bool explained = std::any_of(lost.begin(), lost.end(),
+                                       [&](Fingerprint other) { return !Has(features, other); });
+    if (!explained) return false;
+    lost_together.insert(std::move(lost));
+  }
+  // Crashes of different requests show that trials have failed before.
+  return suspect.crashes.size() < m_settings.max_crashes || lost_together.size() == 1;
 }
 
 bool SuspectTable::MayGoOn(const core::RequestId& request, const RequestFeatures& features) const {
