--- a/packages/balance/include/cornelrelay/balance/pass_selector.h
+++ b/packages/balance/include/cornelrelay/balance/pass_selector.h
@@ -39,6 +39,8 @@
   bool WasReleased(RankIndex rank, StepIndex step) const {
     return m_released.contains({rank, step});
   }
+  /// \brief Whether the pass was released at each rank of a group of this size.
+  bool WasReleasedAtAll(StepIndex step, RankIndex ranks) const;
   /// \brief Forgets the released passes after the group has formed again.
   void Reset() { m_released.clear(); }
 
--- a/packages/balance/src/pass_selector.cc
+++ b/packages/balance/src/pass_selector.cc
@@ -13,6 +13,13 @@
       m_config.hold_time_gain * static_cast<double>((time - m_hold_time).count())));
 }
 
+bool PassSelector::WasReleasedAtAll(StepIndex step, RankIndex ranks) const {
+  for (RankIndex rank = 0; rank < ranks; ++rank) {
+    if (!WasReleased(rank, step)) return false;
+  }
+  return true;
+}
+
 StepIndex PassSelector::Select(core::Instant now, const RankStateTable& ranks,
                                RankIndex hold_rank) const {
   const bool extended =
--- a/packages/balance/src/switch_leader.cc
+++ b/packages/balance/src/switch_leader.cc
@@ -249,8 +249,12 @@
 void SwitchLeader::Recover(core::Instant now, Actions& out) {
   if (m_ranks.LatestStep() >= m_switch_step) return EnterPhase(now, Phase::kSurveying);
   const auto held = m_ranks.PassHeldAt(m_hold_rank);
-  if (held != m_switch_step || m_pass_selector.WasReleased(m_hold_rank, m_switch_step)) {
-    if (held || m_pass_selector.WasReleased(m_hold_rank, m_switch_step)) {
+  const bool released = m_pass_selector.WasReleased(m_hold_rank, m_switch_step);
+  // If this leader has released the pass at every rank, no hold of it can be relied on any more.
+  // To wait would not make it safer.
+  if ((held != m_switch_step || released) &&
+      !m_pass_selector.WasReleasedAtAll(m_switch_step, m_config.ranks)) {
+    if (held || released) {
       m_hold_rank = (m_hold_rank + 1) % m_config.ranks;
     } else if (m_orders.Refused(m_hold_rank)) {
       // The pass has begun, so the switch is over, whether it took place or not.
--- a/packages/balance/tests/switch_leader_test.cc
+++ b/packages/balance/tests/switch_leader_test.cc
@@ -209,6 +209,19 @@
   CHECK(switches > 20);
 }
 
+// Guards against a pass that stays held in a small group after a leader whose releases of it at all
+// ranks are late has lost the lead and taken it again.
+TEST_CASE("no pass is held forever while leaders of two ranks take over from each other") {
+  for (std::uint64_t seed = 1; seed <= 500; ++seed) {
+    CAPTURE(seed);
+    SwitchSimulation simulation({.ranks = 2, .late_order_rate = 0.1, .lapse_rate = 0.02}, seed);
+    simulation.Run(3000);
+    CHECK(simulation.violations().empty());
+    // As for the group with faults, though no leader freezes here.
+    CHECK(simulation.longest_hold() < 5'000 / 50);
+  }
+}
+
 // Guards against checks that cannot fail: each deliberate fault must produce a violation.
 TEST_CASE("each deliberate fault is detected") {
   const auto fault = GENERATE(SwitchFault::kReleaseUnconfirmed, SwitchFault::kSkipAbort,
