--- a/packages/balance/tests/switch_leader_test.cc
+++ b/packages/balance/tests/switch_leader_test.cc
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "cornelrelay/balance/rank_state_table.h"
 #include "switch_simulation.h"
 
 namespace cornelrelay::balance {
@@ -37,7 +38,7 @@
 /// A group whose leader changes often, and whose states arrive much later than answers to orders.
 const SwitchSimulationSettings kUnsteadyGroup{.ranks = 2,
                                               .lost_order_rate = 0.05,
-                                              .late_order_rate = 0.25,
+                                              .late_order_rate = 0.4,
                                               .lost_answer_rate = 0.05,
                                               .freeze_rate = 0.02,
                                               .lapse_rate = 0.02,
@@ -185,6 +186,25 @@
   CHECK(switches > 500);
 }
 
+// Guards against a hold that is taken for standing after a newer state has shown its release.
+TEST_CASE("a state that was requested before the last one arrived is not used") {
+  RankStateTable table(2, 0, std::chrono::milliseconds(50));
+  const core::Instant now{std::chrono::seconds(1)};
+  RankState state;
+  state.step = 5;
+  state.held = 6;
+  table.Observe(now, 1, state, now);
+  REQUIRE(table.PassHeldAt(1));
+  state.held.reset();
+  table.Observe(now + std::chrono::milliseconds(20), 1, state, now);
+  CHECK_FALSE(table.PassHeldAt(1));
+  state.held = 6;
+  table.Observe(now + std::chrono::milliseconds(30), 1, state, now + std::chrono::milliseconds(10));
+  CHECK_FALSE(table.PassHeldAt(1));
+  table.Observe(now + std::chrono::milliseconds(40), 1, state, now + std::chrono::milliseconds(20));
+  CHECK(table.PassHeldAt(1));
+}
+
 // Guards against a next map that is planned against old states, and against needless reads of all
 // states. Load pattern: the demand shifts while hosts freeze and groups form again.
 TEST_CASE("all states are read after a switch, and not after one that failed or was taken over") {
