--- a/packages/limits/include/cornelrelay/limits/byte_budget.h
+++ b/packages/limits/include/cornelrelay/limits/byte_budget.h
@@ -51,6 +51,8 @@
     return true;
   }
 
+  std::size_t limit() const { return m_budget->limit(); }
+
  private:
   std::shared_ptr<ByteBudget> m_budget;
   std::size_t m_bytes = 0;
--- a/packages/limits/src/caller_memory.cc
+++ b/packages/limits/src/caller_memory.cc
@@ -6,8 +6,7 @@
 namespace cornelrelay::limits {
 namespace {
 
-/// A body with a key exists twice while it is written to an upstream, so that these pools take at
-/// most half of the memory. Answers that are not sent yet may take another quarter.
+/// Answers that are not sent yet may take a quarter of the memory besides.
 constexpr std::size_t kWithKeyDivisor = 5;
 constexpr std::size_t kWithoutKeyDivisor = 16;
 constexpr std::size_t kSmallWithKeyDivisor = 32;
--- a/packages/net/include/cornelrelay/net/http_exchange.h
+++ b/packages/net/include/cornelrelay/net/http_exchange.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "cornelrelay/net/http_message.h"
+#include "cornelrelay/net/shared_body.h"
 
 namespace cornelrelay::net {
 
@@ -21,6 +22,8 @@
   /// reported by ReadHead(), and only if no response has arrived.
   /// \throws ConnectFailed if the connection was lost before the kernel accepted the first byte
   virtual boost::asio::awaitable<void> SendRequest(HttpRequest request) = 0;
+  /// \brief The same with `body` as the body, which is not copied.
+  virtual boost::asio::awaitable<void> SendRequest(HttpRequest request, SharedBody body) = 0;
 
   /// \brief Head of the final response; interim responses are skipped.
   /// \throws ExchangeBroken
--- a/packages/net/src/pooled_exchange.cc
+++ b/packages/net/src/pooled_exchange.cc
@@ -6,7 +6,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
 #include <chrono>
@@ -70,7 +70,12 @@
 }
 
 asio::awaitable<void> PooledExchange::SendRequest(HttpRequest request) {
-  http::request<http::string_body> message;
+  SharedBody body(std::move(request.body));
+  co_await SendRequest(std::move(request), std::move(body));
+}
+
+asio::awaitable<void> PooledExchange::SendRequest(HttpRequest request, SharedBody body) {
+  http::request<http::span_body<const char>> message;
   message.version(11);
   message.method_string(request.method);
   message.target(request.target);
@@ -78,7 +83,7 @@
   if (message.find(http::field::host) == message.end()) {
     message.set(http::field::host, core::ToString(m_peer));
   }
-  message.body() = std::move(request.body);
+  message.body() = {body.view().data(), body.size()};
   message.prepare_payload();
   m_head_only = request.method == "HEAD";
   if (m_head_only) m_parser->skip(true);
--- a/packages/net/src/pooled_exchange.h
+++ b/packages/net/src/pooled_exchange.h
@@ -28,6 +28,7 @@
   PooledExchange& operator=(const PooledExchange&) = delete;
 
   boost::asio::awaitable<void> SendRequest(HttpRequest request) override;
+  boost::asio::awaitable<void> SendRequest(HttpRequest request, SharedBody body) override;
   boost::asio::awaitable<HttpResponseHead> ReadHead() override;
   boost::asio::awaitable<std::optional<std::string>> ReadPiece() override;
   boost::asio::awaitable<void> SkipResponse() override;
--- a/packages/relay/include/cornelrelay/relay/relay_request.h
+++ b/packages/relay/include/cornelrelay/relay/relay_request.h
@@ -8,6 +8,7 @@
 #include "cornelrelay/core/ids.h"
 #include "cornelrelay/core/time.h"
 #include "cornelrelay/net/http_headers.h"
+#include "cornelrelay/net/shared_body.h"
 
 namespace cornelrelay::relay {
 
@@ -17,7 +18,7 @@
   std::string host;
   std::string method;
   std::string target;
-  std::string body;
+  net::SharedBody body;
   net::HttpHeaders forwarded_headers;  ///< headers that an upstream receives unchanged
   std::optional<std::string> api_key;
   std::optional<core::Duration> timeout;      ///< how long the caller waits for the response
--- a/packages/relay/include/cornelrelay/relay/relay_writer.h
+++ b/packages/relay/include/cornelrelay/relay/relay_writer.h
@@ -24,7 +24,7 @@
   /// \brief Whether a part of the response has been written, so that a failure cuts it off.
   bool started() const { return m_response.Started(); }
 
-  void Append(const std::string& bytes) { m_pending += bytes; }
+  void Append(std::string bytes);
   void Finish() { m_finished = true; }
   /// \brief Replaces a response that has not been started, and aborts one that has.
   void Fail(net::HttpResponse error) { m_error = std::move(error); }
--- a/packages/relay/include/cornelrelay/relay/upstream_call.h
+++ b/packages/relay/include/cornelrelay/relay/upstream_call.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "cornelrelay/core/ids.h"
 #include "cornelrelay/driver/attempt_call.h"
@@ -44,8 +45,8 @@
   const core::UpstreamId& upstream_id() const { return m_request.upstream; }
   /// \brief Why the exchange broke; empty if it did not, or was cancelled.
   const std::optional<net::BreakCause>& break_cause() const { return m_break_cause; }
-  /// \brief Body of the response that was reported as ErrorResponseReceived.
-  const std::string& failure_body() const { return m_failure_body; }
+  /// \brief Hands over the body of the response that was reported as ErrorResponseReceived.
+  std::string TakeFailureBody() { return std::exchange(m_failure_body, {}); }
   /// \brief Id of the last event of a stream; the id after which it resumes before the first one.
   std::optional<std::uint64_t> last_event_id() const { return m_last_event_id; }
   /// \brief Whether the upstream ended the connection before it gave any output.
@@ -60,8 +61,13 @@
   /// \brief Reads the body of a refusal, which has been reported, so that the connection can be
   /// used again.
   boost::asio::awaitable<void> DiscardBody();
+  /// \brief Throws ExchangeBroken if a body of this size is too large.
+  void CheckBodySize(std::size_t bytes) const;
   /// \brief Reserves memory for the bytes that are held. Throws ExchangeBroken if there is none.
   void Hold(std::size_t bytes);
+  /// \brief Reserves memory for a body of known length before it is read, and waits for it until
+  /// the deadline with the bytes left in the kernel.
+  boost::asio::awaitable<void> HoldAnnouncedBody();
   boost::asio::awaitable<void> ReadStream();
   request::StreamVerdict CheckSequence(std::string_view event);
   /// \brief Throws ExchangeBroken if only the end of the connection ended the response, and the
@@ -71,6 +77,7 @@
   /// without an event that has an id.
   void CheckProgress();
 
+  boost::asio::io_context& m_context;
   const runtime::ProcessClock& m_clock;
   const UpstreamProtocol& m_protocol;
   const CrashProbe& m_crash_probe;
@@ -81,6 +88,7 @@
   std::optional<UpstreamResponseHead> m_head;
   std::optional<net::BreakCause> m_break_cause;
   std::string m_failure_body;
+  std::size_t m_announced_bytes = 0;  ///< length of the body, 0 if it is not announced
   std::optional<std::uint64_t> m_last_event_id;
   bool m_ends_with_connection = false;  ///< the response has neither a length nor chunks
   bool m_output = false;                ///< an event with an id has arrived
--- a/packages/relay/include/cornelrelay/relay/upstream_protocol.h
+++ b/packages/relay/include/cornelrelay/relay/upstream_protocol.h
@@ -12,6 +12,7 @@
  public:
   virtual ~UpstreamProtocol() = default;
 
+  /// \brief The request without its body, which is sent unchanged.
   virtual net::HttpRequest Encode(core::Instant now,
                                   const UpstreamRequest& upstream_request) const = 0;
   virtual UpstreamResponseHead Decode(net::HttpResponseHead head) const = 0;
--- a/packages/relay/src/relay_task.cc
+++ b/packages/relay/src/relay_task.cc
@@ -47,7 +47,7 @@
   const RelayRequest& request = routed.request;
   features.request = quarantine::Fingerprint::OfRequest(
       routed.service, routed.account ? routed.account->id : core::ClientAccountId(), request.method,
-      request.target, request.body);
+      request.target, request.body.view());
   for (const std::string& segment : request.shared_segments) {
     features.shared_segments.push_back(quarantine::Fingerprint::OfSegment(routed.service, segment));
   }
@@ -349,7 +349,7 @@
     ReportUnknownOutcome(std::to_string(head.status), "answer_of_upstream");
   }
   m_writer.SetHead(head, false);
-  m_writer.Append(m_failed_call->failure_body());
+  m_writer.Append(m_failed_call->TakeFailureBody());
   m_writer.Finish();
 }
 
--- a/packages/relay/src/relay_writer.cc
+++ b/packages/relay/src/relay_writer.cc
@@ -10,6 +10,14 @@
   m_stream = stream;
 }
 
+void RelayWriter::Append(std::string bytes) {
+  if (m_pending.empty()) {
+    m_pending = std::move(bytes);
+  } else {
+    m_pending += bytes;
+  }
+}
+
 boost::asio::awaitable<void> RelayWriter::Flush() {
   if (m_error) {
     co_await FlushError();
--- a/packages/relay/src/upstream_call.cc
+++ b/packages/relay/src/upstream_call.cc
@@ -1,10 +1,16 @@
 #include "cornelrelay/relay/upstream_call.h"
 
+#include <algorithm>
+#include <charconv>
+#include <limits>
+#include <string_view>
+#include <system_error>
 #include <utility>
 
 #include "cornelrelay/core/http_status.h"
 #include "cornelrelay/net/errors.h"
 #include "cornelrelay/request/sse_splitter.h"
+#include "cornelrelay/runtime/pause.h"
 
 namespace cornelrelay::relay {
 namespace {
@@ -20,6 +26,8 @@
 /// A response that is not a stream is buffered as a whole, so that a truncated one never looks
 /// complete.
 constexpr std::size_t kMaxResponseBytes = 4'194'304;
+/// Time between attempts to reserve memory for a response.
+constexpr std::chrono::milliseconds kMemoryWait{20};
 /// Number of responses to earlier requests that are skipped before the connection is closed.
 constexpr int kMaxStaleResponses = 4;
 /// Added to the request's deadline, so that the deadline ends the call before the read times out.
@@ -31,6 +39,16 @@
   return joined;
 }
 
+// The parser has checked the value; one that is too large for the type is too large for any limit.
+std::size_t AnnouncedBytesOf(const net::HttpResponseHead& head, std::string_view method) {
+  const auto length = net::FindHeader(head.headers, "Content-Length");
+  if (!length || method == "HEAD") return 0;
+  std::size_t bytes = 0;
+  const auto [rest, status] =
+      std::from_chars(length->data(), length->data() + length->size(), bytes);
+  return status == std::errc() ? bytes : std::numeric_limits<std::size_t>::max();
+}
+
 bool IsFailure(int status) {
   return core::PromisesNotRun(status) || status >= core::kFirstServerErrorStatus;
 }
@@ -46,6 +64,7 @@
                                                                          dependencies.clock.Now()) +
                        kReadTimeoutMargin},
                   std::move(mailbox)),
+      m_context(dependencies.context),
       m_clock(dependencies.clock),
       m_protocol(dependencies.protocol),
       m_crash_probe(dependencies.crash_probe),
@@ -57,7 +76,7 @@
 
 asio::awaitable<void> UpstreamCall::Exchange() {
   net::HttpRequest message = m_protocol.Encode(m_clock.Now(), m_request);
-  co_await exchange().SendRequest(std::move(message));
+  co_await exchange().SendRequest(std::move(message), m_request.request.body);
   co_await ReadMatchingHead();
   const int status = m_head->forwarded_head.status;
   if (m_head->not_executed) {
@@ -109,19 +128,38 @@
 }
 
 asio::awaitable<std::string> UpstreamCall::ReadBufferedBody() {
+  co_await HoldAnnouncedBody();
   std::string body;
+  body.reserve(m_announced_bytes);
   while (std::optional<std::string> piece = co_await exchange().ReadPiece()) {
     body += *piece;
-    if (body.size() > kMaxResponseBytes) {
-      throw net::ExchangeBroken(upstream(), net::BreakCause::kBodyTooLarge,
-                                "the response body exceeds its limit");
-    }
-    Hold(body.size());
+    CheckBodySize(body.size());
+    Hold(std::max(m_announced_bytes, body.size()));
   }
   co_await CheckEnd();
   co_return body;
 }
 
+void UpstreamCall::CheckBodySize(std::size_t bytes) const {
+  if (bytes <= kMaxResponseBytes) return;
+  throw net::ExchangeBroken(upstream(), net::BreakCause::kBodyTooLarge,
+                            "the response body exceeds its limit");
+}
+
+// Responses that are read side by side would each take a part of the memory, and none would fit.
+asio::awaitable<void> UpstreamCall::HoldAnnouncedBody() {
+  CheckBodySize(m_announced_bytes);
+  if (m_held_bytes.Resize(m_announced_bytes)) co_return;
+  m_log.Info("response_awaits_memory", {{"request", m_request.request.id},
+                                        {"upstream", m_request.upstream},
+                                        {"bytes", m_announced_bytes}});
+  while (!m_held_bytes.Resize(m_announced_bytes)) {
+    const bool hopeless = m_announced_bytes > m_held_bytes.limit();
+    if (hopeless || cancelled() || m_clock.Now() >= m_request.deadline) Hold(m_announced_bytes);
+    co_await runtime::Pause(m_context, kMemoryWait);
+  }
+}
+
 // The response has been reported, so whatever happens now breaks nothing.
 asio::awaitable<void> UpstreamCall::DiscardBody() {
   std::size_t discarded = 0;
@@ -138,6 +176,7 @@
     net::HttpResponseHead head = co_await exchange().ReadHead();
     m_ends_with_connection = !net::FindHeader(head.headers, "Content-Length") &&
                              !net::FindHeader(head.headers, "Transfer-Encoding");
+    m_announced_bytes = AnnouncedBytesOf(head, m_request.request.method);
     UpstreamResponseHead answer = m_protocol.Decode(std::move(head));
     if (answer.request_id == m_request.request.id) {
       m_head = std::move(answer);
--- a/tests/system/platform_stand_ins.py
+++ b/tests/system/platform_stand_ins.py
@@ -138,6 +138,8 @@
         self.endless_bytes = 0  # that its callers took of answers without end
         self.flooded_bytes = 0  # that its callers took of a `flood`
         self.unread_path = None  # requests for it are not read beyond their head
+        self.large_answers = {}  # their lengths by path, whatever the plan says
+        self.read_bytes_per_s = None  # at which bodies are read; as fast as they come if none
         self.endless_kept = 0  # such answers that no caller closed
         self.left_at = None  # when the caller of the last `until left` was gone
         self.address = address
@@ -195,10 +197,12 @@
                     self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
                     time.sleep(4)
                     return self.hang_up()
-                body = self.rfile.read(int(self.headers["Content-Length"] or 0))
+                body = self.read_body(int(self.headers["Content-Length"] or 0))
                 step = replica.plan.pop(0) if len(replica.plan) > 1 else replica.plan[0]
                 replica.seen.append({"path": self.path, "body": body, "headers": dict(self.headers),
                                      "at": time.monotonic()})
+                if self.path in replica.large_answers:
+                    return self.large(replica.large_answers[self.path])
                 if body == replica.crashing_body:
                     return replica.crash()
                 segments = [part.split(":")[0] for part in self.headers.get("Prompt-Prefix", "").split(",")]
@@ -235,8 +239,7 @@
                 if step.startswith("endless"):
                     return self.endless(step.partition(" ")[2])
                 if step.startswith("large"):
-                    self.head(200, int(step.split()[1]), Replica_Seal="seal-" + replica.name)
-                    return self.wfile.write(b"x" * int(step.split()[1]))
+                    return self.large(int(step.split()[1]))
                 if step == "flood":
                     return self.flood()
                 if step.startswith("steady"):
@@ -254,6 +257,19 @@
                 self.head(200, len(answer), Replica_Seal="seal-" + replica.name)
                 return self.wfile.write(answer)
 
+            def large(self, length):
+                self.head(200, length, Replica_Seal="seal-" + replica.name)
+                self.wfile.write(b"x" * length)
+
+            def read_body(self, length):
+                if replica.read_bytes_per_s is None:
+                    return self.rfile.read(length)
+                body = b""
+                while len(body) < length:
+                    body += self.rfile.read(min(replica.read_bytes_per_s // 20, length - len(body)))
+                    time.sleep(0.05)
+                return body
+
             def refuse(self, step):
                 """`refuse N` asks for no requests for N seconds; `refuse cut` breaks off inside the body."""
                 if step == "refuse cut":
