--- a/packages/relay/include/cornelrelay/relay/relay_process.h
+++ b/packages/relay/include/cornelrelay/relay/relay_process.h
@@ -17,6 +17,7 @@
 #include "cornelrelay/relay/retry_budgets.h"
 #include "cornelrelay/relay/service_dispatchers.h"
 #include "cornelrelay/runtime/metrics_server.h"
+#include "cornelrelay/runtime/pause_detector.h"
 #include "cornelrelay/runtime/process_clock.h"
 #include "cornelrelay/runtime/store_link.h"
 #include "cornelrelay/settings/relay_settings.h"
@@ -76,6 +77,7 @@
   ServiceDispatchers m_dispatchers;
   FleetView m_fleet;
   CrashProbe m_crash_probe;
+  runtime::PauseDetector m_pauses;
   QuarantineService m_quarantine;
   ShutdownLimit m_shutdown;
   RelayGateway m_gateway;
--- a/packages/relay/include/cornelrelay/relay/relay_services.h
+++ b/packages/relay/include/cornelrelay/relay/relay_services.h
@@ -15,6 +15,7 @@
 #include "cornelrelay/relay/service_dispatchers.h"
 #include "cornelrelay/relay/shutdown_limit.h"
 #include "cornelrelay/relay/upstream_protocol.h"
+#include "cornelrelay/runtime/pause_detector.h"
 #include "cornelrelay/runtime/process_clock.h"
 #include "cornelrelay/telemetry/json_log.h"
 #include "cornelrelay/telemetry/metric_registry.h"
@@ -35,6 +36,7 @@
       on_upstream_leaving;
   RetryBudgets& retries;
   const CrashProbe& crash_probe;
+  runtime::PauseDetector& pauses;
   QuarantineService& quarantine;
   const ShutdownLimit& shutdown;
   std::shared_ptr<limits::ByteBudget> request_bytes;   ///< bodies of the requests in progress
--- a/packages/relay/include/cornelrelay/relay/upstream_call.h
+++ b/packages/relay/include/cornelrelay/relay/upstream_call.h
@@ -17,6 +17,7 @@
 #include "cornelrelay/relay/upstream_protocol.h"
 #include "cornelrelay/relay/upstream_request.h"
 #include "cornelrelay/request/request_event.h"
+#include "cornelrelay/runtime/pause_detector.h"
 #include "cornelrelay/runtime/process_clock.h"
 #include "cornelrelay/telemetry/json_log.h"
 #include "cornelrelay/telemetry/metric_registry.h"
@@ -32,6 +33,7 @@
     net::HttpClient& client;
     const UpstreamProtocol& protocol;
     const CrashProbe& crash_probe;
+    runtime::PauseDetector& pauses;
     std::shared_ptr<limits::ByteBudget> response_bytes;
     telemetry::MetricRegistry& metrics;
     telemetry::JsonLog& log;
@@ -70,8 +72,13 @@
   boost::asio::awaitable<void> HoldAnnouncedBody();
   boost::asio::awaitable<void> ReadStream();
   request::StreamVerdict CheckSequence(std::string_view event);
+  /// \brief Reads the next piece and notes whether the end of the response can be recent.
+  boost::asio::awaitable<std::optional<std::string>> ReadPiece();
+  /// \brief Notes that a part of the response has been read that was asked for at `asked`.
+  void NoteRead(core::Instant asked);
   /// \brief Throws ExchangeBroken if only the end of the connection ended the response, and the
-  /// upstream has ended too: its host then ends connections as after a complete response.
+  /// upstream has ended too: its host then ends connections as after a complete response. Also if
+  /// the end may have arrived so long ago that the upstream may have ended and started again.
   boost::asio::awaitable<void> CheckEnd();
   /// \brief Throws ExchangeBroken if bytes of the stream have arrived for too long, or too many,
   /// without an event that has an id.
@@ -81,6 +88,7 @@
   const runtime::ProcessClock& m_clock;
   const UpstreamProtocol& m_protocol;
   const CrashProbe& m_crash_probe;
+  runtime::PauseDetector& m_pauses;
   telemetry::MetricRegistry& m_metrics;
   telemetry::JsonLog& m_log;
   UpstreamRequest m_request;
@@ -90,6 +98,9 @@
   std::string m_failure_body;
   std::size_t m_announced_bytes = 0;  ///< length of the body, 0 if it is not announced
   std::optional<std::uint64_t> m_last_event_id;
+  core::Instant m_last_read{};          ///< when a part of the response was read
+  core::Instant m_unended_at{};         ///< when the response was last known to go on
+  bool m_read_late = false;             ///< parts were left unread for long since then
   bool m_ends_with_connection = false;  ///< the response has neither a length nor chunks
   bool m_output = false;                ///< an event with an id has arrived
   bool m_connection_ended = false;      ///< by the upstream, before the end of the response
--- a/packages/relay/src/relay_process.cc
+++ b/packages/relay/src/relay_process.cc
@@ -96,6 +96,7 @@
                [this] { OnItemsChanged(); },
                [this](const store::ItemChange& item) { OnInternalItem(item); }}),
       m_crash_probe(context, m_upstream_client, m_fleet.upstreams()),
+      m_pauses(context, m_clock),
       m_quarantine(context, m_clock, m_crash_probe, m_fleet.upstreams(), seed + 6, log, m_metrics,
                    {[this] { m_peers.Step(peers::LocalSuspectsChanged{}); },
                     [this] { m_gateway.EndQuarantined(); }}),
@@ -106,7 +107,7 @@
               [this](const core::UpstreamId& upstream, std::uint64_t incarnation) {
                 m_fleet.NoteLeaving(upstream, incarnation);
               },
-              m_retries, m_crash_probe, m_quarantine, m_shutdown,
+              m_retries, m_crash_probe, m_pauses, m_quarantine, m_shutdown,
               std::make_shared<limits::ByteBudget>(m_settings.memory_bytes / kBodyMemoryDivisor),
               std::make_shared<limits::ByteBudget>(m_settings.memory_bytes / kBodyMemoryDivisor),
               m_metrics, log},
--- a/packages/relay/src/relay_task.cc
+++ b/packages/relay/src/relay_task.cc
@@ -282,7 +282,7 @@
                        : net::HttpClient::ConnectionUse::kFresh;
   m_call = std::make_shared<UpstreamCall>(
       UpstreamCall::Dependencies{m_services.context, m_services.clock, m_services.client,
-                                 m_services.upstreams, m_services.crash_probe,
+                                 m_services.upstreams, m_services.crash_probe, m_services.pauses,
                                  m_services.response_bytes, m_services.metrics, m_services.log},
       action.attempt, std::move(message), use, mailbox());
   m_call->Start();
--- a/packages/relay/src/upstream_call.cc
+++ b/packages/relay/src/upstream_call.cc
@@ -28,6 +28,8 @@
 constexpr std::size_t kMaxResponseBytes = 4'194'304;
 /// Time between attempts to reserve memory for a response.
 constexpr std::chrono::milliseconds kMemoryWait{20};
+/// A read that takes this long has waited for the upstream.
+constexpr std::chrono::milliseconds kWaitedRead{20};
 /// Number of responses to earlier requests that are skipped before the connection is closed.
 constexpr int kMaxStaleResponses = 4;
 /// Added to the request's deadline, so that the deadline ends the call before the read times out.
@@ -68,6 +70,7 @@
       m_clock(dependencies.clock),
       m_protocol(dependencies.protocol),
       m_crash_probe(dependencies.crash_probe),
+      m_pauses(dependencies.pauses),
       m_metrics(dependencies.metrics),
       m_log(dependencies.log),
       m_request(std::move(request)),
@@ -75,8 +78,10 @@
       m_last_event_id(m_request.resume_after) {}
 
 asio::awaitable<void> UpstreamCall::Exchange() {
+  const runtime::PauseDetector::Watch watch(m_pauses);
   net::HttpRequest message = m_protocol.Encode(m_clock.Now(), m_request);
   co_await exchange().SendRequest(std::move(message), m_request.request.body);
+  m_unended_at = m_clock.Now();
   co_await ReadMatchingHead();
   const int status = m_head->forwarded_head.status;
   if (m_head->not_executed) {
@@ -131,7 +136,7 @@
   co_await HoldAnnouncedBody();
   std::string body;
   body.reserve(m_announced_bytes);
-  while (std::optional<std::string> piece = co_await exchange().ReadPiece()) {
+  while (std::optional<std::string> piece = co_await ReadPiece()) {
     body += *piece;
     CheckBodySize(body.size());
     Hold(std::max(m_announced_bytes, body.size()));
@@ -173,7 +178,9 @@
 // by its request id and skipped.
 asio::awaitable<void> UpstreamCall::ReadMatchingHead() {
   for (int skipped = 0; skipped < kMaxStaleResponses; ++skipped) {
+    const core::Instant asked = m_clock.Now();
     net::HttpResponseHead head = co_await exchange().ReadHead();
+    NoteRead(asked);
     m_ends_with_connection = !net::FindHeader(head.headers, "Content-Length") &&
                              !net::FindHeader(head.headers, "Transfer-Encoding");
     m_announced_bytes = AnnouncedBytesOf(head, m_request.request.method);
@@ -188,6 +195,23 @@
                             "too many responses to earlier requests");
 }
 
+asio::awaitable<std::optional<std::string>> UpstreamCall::ReadPiece() {
+  const core::Instant asked = m_clock.Now();
+  if (asked - m_last_read >= runtime::PauseDetector::kPause) m_read_late = true;
+  std::optional<std::string> piece = co_await exchange().ReadPiece();
+  if (piece) NoteRead(asked);
+  co_return piece;
+}
+
+void UpstreamCall::NoteRead(core::Instant asked) {
+  m_last_read = m_clock.Now();
+  // A read that waits shows that nothing was left unread, unless this process did not run.
+  const bool waited = m_last_read - asked >= kWaitedRead;
+  if (!waited || !m_pauses.RanSince(m_last_read - kWaitedRead)) return;
+  m_unended_at = m_last_read;
+  m_read_late = false;
+}
+
 asio::awaitable<void> UpstreamCall::CheckEnd() {
   if (!m_ends_with_connection || cancelled()) co_return;
   const bool empty_stream = m_head->event_stream && !m_output;
@@ -196,12 +220,16 @@
     throw net::ExchangeBroken(upstream(), net::BreakCause::kConnection,
                               "the connection ended, but not the response");
   }
+  if (m_read_late || !m_pauses.RanSince(m_unended_at)) {
+    throw net::ExchangeBroken(upstream(), net::BreakCause::kConnection,
+                              "the end of the connection was read too late to trust it");
+  }
 }
 
 asio::awaitable<void> UpstreamCall::ReadStream() {
   request::SseSplitter splitter(kMaxEventBytes);
   while (!cancelled()) {
-    std::optional<std::string> piece = co_await exchange().ReadPiece();
+    std::optional<std::string> piece = co_await ReadPiece();
     if (!piece) break;
     if (!m_no_progress_since) m_no_progress_since = m_clock.Now();
     splitter.Feed(*piece);
--- a/packages/relay/tests/upstream_call_test.cc
+++ b/packages/relay/tests/upstream_call_test.cc
@@ -11,11 +11,14 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 #include <variant>
 
 #include "cornelrelay/directory/upstream_directory.h"
 #include "cornelrelay/net/http_headers.h"
 #include "cornelrelay/net/testing/raw_server.h"
+#include "cornelrelay/runtime/pause.h"
+#include "cornelrelay/runtime/pause_detector.h"
 
 namespace cornelrelay::relay {
 namespace {
@@ -61,8 +64,17 @@
   std::chrono::steady_clock::duration time{};
 };
 
+/// What delays the reading of an answer after its first part.
+enum class ReadDelay {
+  kNone,
+  kFrozenProcess,
+  kSlowCaller,
+};
+
+constexpr milliseconds kReadDelay = 2 * runtime::PauseDetector::kPause;
+
 Outcome CallUpstream(const RawServer::Handler& respond, milliseconds time_left = seconds(20),
-                     bool leaving = false) {
+                     bool leaving = false, ReadDelay delay = ReadDelay::kNone) {
   Outcome outcome;
   const auto start = std::chrono::steady_clock::now();
   {
@@ -82,6 +94,7 @@
     entry.leaving = leaving;
     directory.Step(clock.Now(), directory::EntriesChanged{{{entry.id, entry}}});
     const CrashProbe probe(context, client, directory);
+    runtime::PauseDetector pauses(context, clock);
     const auto budget = std::make_shared<limits::ByteBudget>(kBudget);
     telemetry::MetricRegistry metrics;
     telemetry::JsonLog log("test", telemetry::LogLevel::kError,
@@ -93,7 +106,8 @@
     request.request.id = core::RequestId("r-1");
     request.deadline = clock.Now() + time_left;
     const auto call = std::make_shared<UpstreamCall>(
-        UpstreamCall::Dependencies{context, clock, client, protocol, probe, budget, metrics, log},
+        UpstreamCall::Dependencies{context, clock, client, protocol, probe, pauses, budget, metrics,
+                                   log},
         core::AttemptId("a-1"), std::move(request), net::HttpClient::ConnectionUse::kFresh,
         mailbox);
     call->Start();
@@ -102,6 +116,7 @@
         [&]() -> boost::asio::awaitable<void> {
           const auto end = std::chrono::steady_clock::now() + seconds(30);
           bool over = false;
+          bool delayed = false;
           while (!over && std::chrono::steady_clock::now() < end) {
             co_await mailbox->WaitUntil(end);
             while (auto event = mailbox->Pop()) {
@@ -115,6 +130,10 @@
               }
             }
             over = outcome.closed || outcome.refused || outcome.completed || outcome.truncated;
+            if (!std::exchange(delayed, outcome.chunks > 0) && delayed) {
+              if (delay == ReadDelay::kFrozenProcess) std::this_thread::sleep_for(kReadDelay);
+              if (delay == ReadDelay::kSlowCaller) co_await runtime::Pause(context, kReadDelay);
+            }
             mailbox->MarkTaken();
           }
         },
@@ -301,6 +320,38 @@
   CHECK(outcome.payload == kFirstEvent);
 }
 
+// Guards against cut streams that look complete because their upstream was back when the end of the
+// connection was read (review/7).
+TEST_CASE("a stream is broken off if its end is read so late that its upstream may be back") {
+  const auto delay = GENERATE(ReadDelay::kFrozenProcess, ReadDelay::kSlowCaller);
+  const Outcome outcome = CallUpstream(
+      [](RawConnection& connection) {
+        connection.Send(kStreamHead + kFirstEvent);
+        std::this_thread::sleep_for(kReadDelay / 2);
+        connection.EndSending();
+        std::this_thread::sleep_for(kReadDelay);
+      },
+      seconds(20), false, delay);
+  CHECK_FALSE(outcome.completed);
+  CHECK(outcome.payload == kFirstEvent);
+}
+
+TEST_CASE("a stream that goes on after a delay of its reader is complete at its end") {
+  const auto delay = GENERATE(ReadDelay::kFrozenProcess, ReadDelay::kSlowCaller);
+  const std::string second = "id: 2\ndata: y\n\n";
+  const Outcome outcome = CallUpstream(
+      [&](RawConnection& connection) {
+        connection.Send(kStreamHead + kFirstEvent);
+        std::this_thread::sleep_for(2 * kReadDelay);
+        connection.Send(second);
+        connection.EndSending();
+        std::this_thread::sleep_for(milliseconds(200));
+      },
+      seconds(20), false, delay);
+  CHECK(outcome.completed);
+  CHECK(outcome.payload == kFirstEvent + second);
+}
+
 TEST_CASE("a stream that ends with its connection is complete if its upstream goes on") {
   const Outcome outcome = CallUpstream([](RawConnection& connection) {
     connection.Send(kStreamHead + kFirstEvent);
