--- a/packages/quarantine/include/cornelrelay/quarantine/suspect_events.h
+++ b/packages/quarantine/include/cornelrelay/quarantine/suspect_events.h
@@ -11,12 +11,14 @@
 
 namespace cornelrelay::quarantine {
 
-/// \brief An upstream has given the first output of a request.
+/// \brief An upstream has gone on with a request after the first part of its output, or has
+/// completed it. Some requests crash their upstream just behind the first part.
 struct OutputBegan {
   RequestFeatures features;
 };
 
-/// \brief The upstream crashed while it ran a request that had given no output.
+/// \brief The upstream crashed while it ran a request that had given no more than the first part of
+/// its output.
 struct RequestLostInCrash {
   core::UpstreamId upstream;
   std::uint64_t incarnation = 0;
--- a/packages/relay/include/cornelrelay/relay/quarantine_service.h
+++ b/packages/relay/include/cornelrelay/relay/quarantine_service.h
@@ -21,7 +21,8 @@
 
 namespace cornelrelay::relay {
 
-/// \brief An attempt whose upstream ended the connection before any output.
+/// \brief An attempt whose upstream ended the connection before it had gone on after the first
+/// event.
 struct LostAttempt {
   core::UpstreamId upstream;
   bool answer_begun = false;  ///< the head of the answer had arrived
--- a/packages/relay/include/cornelrelay/relay/upstream_call.h
+++ b/packages/relay/include/cornelrelay/relay/upstream_call.h
@@ -51,8 +51,11 @@
   std::string TakeFailureBody() { return std::exchange(m_failure_body, {}); }
   /// \brief Id of the last event of a stream; the id after which it resumes before the first one.
   std::optional<std::uint64_t> last_event_id() const { return m_last_event_id; }
-  /// \brief Whether the upstream ended the connection before it gave any output.
-  bool lost_before_output() const { return m_connection_ended && !m_output; }
+  /// \brief Whether the upstream has gone on after the first event of a stream. Until then the
+  /// request may still crash it.
+  bool gone_on() const { return m_numbered_events > 1; }
+  /// \brief Whether the upstream ended the connection before it had gone on.
+  bool lost_at_begin() const { return m_connection_ended && !gone_on(); }
 
  private:
   boost::asio::awaitable<void> Exchange() override;
@@ -102,7 +105,7 @@
   core::Instant m_unended_at{};         ///< when the response was last known to go on
   bool m_read_late = false;             ///< parts were left unread for long since then
   bool m_ends_with_connection = false;  ///< the response has neither a length nor chunks
-  bool m_output = false;                ///< an event with an id has arrived
+  std::size_t m_numbered_events = 0;    ///< events with an id that have arrived
   bool m_connection_ended = false;      ///< by the upstream, before the end of the response
   std::size_t m_unnumbered_bytes = 0;   ///< of events without an id since the last one with an id
   /// When the first byte after the last event with an id arrived.
--- a/packages/relay/src/relay_task.cc
+++ b/packages/relay/src/relay_task.cc
@@ -309,7 +309,7 @@
   m_place->RecordOutput();
   // After the dispatcher, so that this output is no sign of life after the last output.
   m_stall_detector.RecordOutput(m_services.clock.Now());
-  m_services.quarantine.RecordOutput(m_features);
+  if (m_call->gone_on()) m_services.quarantine.RecordOutput(m_features);
 }
 
 void RelayTask::Perform(const request::ForwardChunk& action) {
@@ -330,6 +330,7 @@
   if (!m_writer.has_head()) {
     m_writer.SetHead(m_call->head()->forwarded_head, m_call->head()->event_stream);
   }
+  m_services.quarantine.RecordOutput(m_features);
   m_writer.Finish();
 }
 
@@ -458,7 +459,7 @@
   if (action.result == request::AttemptResult::kFailed) m_failed_call = m_call;
   m_place->RecordAttemptEnd(AttemptEndOf(action));
   if (!m_replacing) DropNextPlace();
-  if (action.result == request::AttemptResult::kBroken && m_call->lost_before_output()) {
+  if (action.result == request::AttemptResult::kBroken && m_call->lost_at_begin()) {
     ExamineLostAttempt(action.upstream);
   }
   m_record.AddAttempt(action);
--- a/packages/relay/src/upstream_call.cc
+++ b/packages/relay/src/upstream_call.cc
@@ -117,7 +117,7 @@
                                    {"upstream", m_request.upstream},
                                    {"attempt", attempt()},
                                    {"cause", ToString(cause)},
-                                   {"output", m_output},
+                                   {"output", m_numbered_events > 0},
                                    {"shared_segments", Join(m_request.request.shared_segments)},
                                    {"reason", error.what()}});
   m_metrics
@@ -214,7 +214,7 @@
 
 asio::awaitable<void> UpstreamCall::CheckEnd() {
   if (!m_ends_with_connection || cancelled()) co_return;
-  const bool empty_stream = m_head->event_stream && !m_output;
+  const bool empty_stream = m_head->event_stream && m_numbered_events == 0;
   // Also of an upstream that leaves: it may end before its last answers do.
   if (empty_stream || co_await m_crash_probe.HasEnded(m_request.endpoint)) {
     throw net::ExchangeBroken(upstream(), net::BreakCause::kConnection,
@@ -265,7 +265,7 @@
     return request::Gap{*m_last_event_id + 1, *id};
   }
   if (id) {
-    m_output = true;
+    ++m_numbered_events;
     m_last_event_id = id;
     m_unnumbered_bytes = 0;
     m_no_progress_since.reset();
--- a/tests/system/platform_stand_ins.py
+++ b/tests/system/platform_stand_ins.py
@@ -144,6 +144,7 @@
         self.left_at = None  # when the caller of the last `until left` was gone
         self.address = address
         self.crashing_segment = None  # crashes when it begins to answer a prompt with this segment
+        self.crashes_behind_event = False  # with that segment, just after the first event instead
         self.crashing_body = None  # crashes when it runs a request with this body
         self.rate_limit = None  # requests a second, named in each answer
         self.leaving = False  # says so in each answer
@@ -210,6 +211,9 @@
                     self.head(200, Replica_Seal="seal-" + replica.name, Content_Type="text/event-stream",
                               Transfer_Encoding="chunked")
                     self.wfile.flush()
+                    if replica.crashes_behind_event:
+                        self.chunk(b"id: 1\ndata: piece 1\n\n")
+                        time.sleep(0.01)
                     return replica.crash()
                 if step.startswith("refuse"):
                     return self.refuse(step)
--- a/tests/system/test_crashing_requests.py
+++ b/tests/system/test_crashing_requests.py
@@ -78,6 +78,27 @@
         self.assertGreaterEqual(len(served), 20)
         self.assertGreater(served.count(200), len(served) / 2)
 
+    # Guards against BUDGET: the first event of an answer was taken for proof that its prompt is sound (review/10).
+    def test_segment_that_crashes_replicas_behind_the_first_event_is_held_back(self):
+        for replica in self.replicas:
+            replica.crashing_segment = CRASHING
+            replica.crashes_behind_event = True
+        crashing, sound = [], []
+        threads = self.send_for(6.0, ["first", CRASHING], 0.3, crashing)
+        threads += self.send_for(6.0, ["first"], 0.1, sound)
+        for thread in threads:
+            thread.join()
+        crashes = self.crashes()
+        self.assertGreaterEqual(len(crashes), 1)
+        fifth = crashes[min(4, len(crashes) - 1)]
+        self.assertLessEqual(len([at for at in crashes if at > fifth + CONTACT_S]), 3, f"{len(crashes)} crashes")
+        last = [status for asked, status in crashing if asked > fifth + CONTACT_S]
+        self.assertGreaterEqual(len(last), 20)
+        self.assertGreaterEqual(last.count(503), len(last) - 3)
+        served = [status for asked, status in sound if asked > fifth + 2 * CONTACT_S]
+        self.assertGreaterEqual(len(served), 20)
+        self.assertGreater(served.count(200), len(served) / 2)
+
     # Guards against LOST: after a start of all entry processes no output is known, and the first segment of all prompts
     # of a route was held back with the one behind it that crashes replicas.
     def test_shared_first_segment_is_served_after_a_start_of_all_entry_processes(self):
