--- a/packages/quarantine/src/suspect_table.cc
+++ b/packages/quarantine/src/suspect_table.cc
@@ -12,9 +12,9 @@
 namespace {
 
 /// Weights of a crash as evidence, and the sum that quarantines a suspect.
-constexpr int kAnswerBegunWeight = 2;
-constexpr int kAnswerNotBegunWeight = 1;
-constexpr int kQuarantineWeight = 2;
+constexpr std::size_t kAnswerBegunWeight = 2;
+constexpr std::size_t kAnswerNotBegunWeight = 1;
+constexpr std::size_t kQuarantineWeight = 2;
 
 constexpr std::size_t kMaxDoublings = 16;
 
@@ -130,8 +130,10 @@
   // Otherwise a crash of two suspects would no longer be explained by the one that has dropped it.
   for (auto& [feature, suspect] : m_suspects) {
     if (suspect.crashes.size() < m_settings.max_crashes) continue;
-    std::erase_if(suspect.crashes,
-                  [&](const auto& entry) { return dropped.contains(entry.first); });
+    for (const std::uint64_t crash : dropped) {
+      // Enough are left to keep the suspect in quarantine.
+      if (suspect.crashes.size() > kQuarantineWeight) suspect.crashes.erase(crash);
+    }
   }
 }
 
@@ -175,7 +177,7 @@
 
 void SuspectTable::UpdateQuarantine(core::Instant now, Fingerprint feature, Actions& out) {
   const auto found = m_suspects.find(feature);
-  int weight = 0;
+  std::size_t weight = 0;
   if (found != m_suspects.end() && !m_outputs.contains(feature)) {
     for (const auto& [id, crash] : found->second.crashes) {
       weight += crash.answer_begun ? kAnswerBegunWeight : kAnswerNotBegunWeight;
--- a/packages/quarantine/tests/suspect_table_test.cc
+++ b/packages/quarantine/tests/suspect_table_test.cc
@@ -271,6 +271,21 @@
   }));
 }
 
+// Guards against a suspect that loses all of its crashes when another one has too many.
+TEST_CASE("a segment stays held back while the crashes of another one are dropped") {
+  const SuspectSettings settings;
+  SuspectTable here = Table(1);
+  SuspectTable there = Table(2);
+  for (std::size_t n = 0; n < settings.max_crashes; ++n) {
+    here.Step(kStart, Lost("u" + std::to_string(n), {"a"}));
+    there.Step(kStart, Lost("v" + std::to_string(n), {"a", "b"}));
+  }
+  here.Step(kStart, SuspectsReported{there.Reports(kStart)});
+  CHECK(Held(here, kStart + seconds(1), {"a"}));
+  CHECK(Held(here, kStart + seconds(1), {"a", "b"}));
+  CHECK(here.quarantined_count() >= 2);
+}
+
 // Guards against endless trials, and against an hour without the first segment, after a segment has
 // crashed many upstreams at once.
 TEST_CASE("segments that were lost together in many crashes are still told apart") {
