--- a/packages/quarantine/src/suspect_table.cc
+++ b/packages/quarantine/src/suspect_table.cc
@@ -120,6 +120,7 @@
     if (!is_over(feature)) continue;
     auto& crashes = m_suspects.at(feature).crashes;
     std::vector<std::pair<std::size_t, std::uint64_t>> order;
+    order.reserve(crashes.size());
     for (const auto& [crash, seen] : crashes) order.emplace_back(suspects_of[crash], crash);
     std::sort(order.begin(), order.end());
     for (std::size_t n = m_settings.max_crashes; n < order.size(); ++n) {
--- a/packages/relay/include/cornelrelay/relay/upstream_call.h
+++ b/packages/relay/include/cornelrelay/relay/upstream_call.h
@@ -55,7 +55,7 @@
   /// request may still crash it.
   bool gone_on() const { return m_numbered_events > 1; }
   /// \brief Whether the upstream ended the connection before it had gone on.
-  bool lost_at_begin() const { return m_connection_ended && !gone_on(); }
+  bool lost_at_start() const { return m_connection_ended && !gone_on(); }
 
  private:
   boost::asio::awaitable<void> Exchange() override;
@@ -102,7 +102,7 @@
   std::size_t m_announced_bytes = 0;  ///< length of the body, 0 if it is not announced
   std::optional<std::uint64_t> m_last_event_id;
   core::Instant m_last_read{};          ///< when a part of the response was read
-  core::Instant m_unended_at{};         ///< when the response was last known to go on
+  core::Instant m_known_open_at{};      ///< when the response was last known to go on
   bool m_read_late = false;             ///< parts were left unread for long since then
   bool m_ends_with_connection = false;  ///< the response has neither a length nor chunks
   std::size_t m_numbered_events = 0;    ///< events with an id that have arrived
--- a/packages/relay/src/relay_task.cc
+++ b/packages/relay/src/relay_task.cc
@@ -459,7 +459,7 @@
   if (action.result == request::AttemptResult::kFailed) m_failed_call = m_call;
   m_place->RecordAttemptEnd(AttemptEndOf(action));
   if (!m_replacing) DropNextPlace();
-  if (action.result == request::AttemptResult::kBroken && m_call->lost_at_begin()) {
+  if (action.result == request::AttemptResult::kBroken && m_call->lost_at_start()) {
     ExamineLostAttempt(action.upstream);
   }
   m_record.AddAttempt(action);
--- a/packages/relay/src/upstream_call.cc
+++ b/packages/relay/src/upstream_call.cc
@@ -81,7 +81,7 @@
   const runtime::PauseDetector::Watch watch(m_pauses);
   net::HttpRequest message = m_protocol.Encode(m_clock.Now(), m_request);
   co_await exchange().SendRequest(std::move(message), m_request.request.body);
-  m_unended_at = m_clock.Now();
+  m_known_open_at = m_clock.Now();
   co_await ReadMatchingHead();
   const int status = m_head->forwarded_head.status;
   if (m_head->not_executed) {
@@ -208,7 +208,7 @@
   // A read that waits shows that nothing was left unread, unless this process did not run.
   const bool waited = m_last_read - asked >= kWaitedRead;
   if (!waited || !m_pauses.RanSince(m_last_read - kWaitedRead)) return;
-  m_unended_at = m_last_read;
+  m_known_open_at = m_last_read;
   m_read_late = false;
 }
 
@@ -220,7 +220,7 @@
     throw net::ExchangeBroken(upstream(), net::BreakCause::kConnection,
                               "the connection ended, but not the response");
   }
-  if (m_read_late || !m_pauses.RanSince(m_unended_at)) {
+  if (m_read_late || !m_pauses.RanSince(m_known_open_at)) {
     throw net::ExchangeBroken(upstream(), net::BreakCause::kConnection,
                               "the end of the connection was read too late to trust it");
   }
