--- a/packages/policybench/include/cornelrelay/policybench/table.h
+++ b/packages/policybench/include/cornelrelay/policybench/table.h
@@ -11,7 +11,7 @@
 ///
 /// \code
 /// Table table("routing", {"shape", "policy", "p95 ms"});
-/// table.Add({"midlands", "ours", Number(210.5)});
+/// table.Add({"morning-peak", "ours", Number(210.5)});
 /// table.Print(std::cout);
 /// table.WriteCsv(out);
 /// table.WriteSvg(out, 2, {0, 1});
--- a/packages/policybench/include/cornelrelay/policybench/workload.h
+++ b/packages/policybench/include/cornelrelay/policybench/workload.h
@@ -26,7 +26,8 @@
   bool drift = false;  ///< new text grows by half over the run, at constant load
 };
 
-/// \brief The shapes of the design page: `midlands`, `rs-sul` and the target mix.
+/// \brief A morning peak, a drift over the day, and the target mix with and without shared
+/// prefixes.
 std::vector<Shape> Shapes();
 
 /// \brief Mean prompt of a request, over whole conversations.
--- a/packages/policybench/src/workload.cc
+++ b/packages/policybench/src/workload.cc
@@ -58,20 +58,20 @@
 }  // namespace
 
 std::vector<Shape> Shapes() {
-  Shape midlands;
-  midlands.name = "midlands";
-  midlands.description = "order assistant, short steep morning peak";
-  midlands.morning_peak = true;
-
-  Shape sul;
-  sul.name = "rs-sul";
-  sul.description = "dispatch model, steady all-day drift";
-  sul.base_prompt = 250;
-  sul.turn_prompt = 60;
-  sul.output = 80;
-  sul.turns = 3;
-  sul.think_seconds = 5;
-  sul.drift = true;
+  Shape peak;
+  peak.name = "morning-peak";
+  peak.description = "short steep morning peak";
+  peak.morning_peak = true;
+
+  Shape drift;
+  drift.name = "all-day-drift";
+  drift.description = "short prompts, steady all-day drift";
+  drift.base_prompt = 250;
+  drift.turn_prompt = 60;
+  drift.output = 80;
+  drift.turns = 3;
+  drift.think_seconds = 5;
+  drift.drift = true;
 
   Shape target;
   target.name = "target";
@@ -87,7 +87,7 @@
   unshared.description = "target mix without any shared prefix";
   unshared.turns = 1;
   unshared.base_prompt = 1000;
-  return {midlands, sul, target, unshared};
+  return {peak, drift, target, unshared};
 }
 
 double MeanPrompt(const Shape& shape, std::uint64_t seed, double growth) {
--- a/packages/profile/include/cornelrelay/profile/profile_document.h
+++ b/packages/profile/include/cornelrelay/profile/profile_document.h
@@ -10,7 +10,7 @@
 /// \brief A profile as operators write it, in TOML. Fields that are left out have their defaults.
 ///
 /// \code
-/// const ProfileDocument document(text, "midlands-orders.toml");  // InvalidProfileDocument
+/// const ProfileDocument document(text, "morning-peak.toml");  // InvalidProfileDocument
 /// editor.Change(document.profile());
 /// \endcode
 class ProfileDocument {
--- a/packages/profile/tests/profile_document_test.cc
+++ b/packages/profile/tests/profile_document_test.cc
@@ -34,9 +34,9 @@
 // difference between the two deployments.
 TEST_CASE("the example profiles are valid") {
   const Profile orders =
-      ProfileDocument(ReadExample("midlands-orders.toml"), "midlands-orders.toml").profile();
+      ProfileDocument(ReadExample("morning-peak.toml"), "morning-peak.toml").profile();
   const Profile dispatch =
-      ProfileDocument(ReadExample("rs-sul-dispatch.toml"), "rs-sul-dispatch.toml").profile();
+      ProfileDocument(ReadExample("all-day-drift.toml"), "all-day-drift.toml").profile();
   CHECK(orders.rebalancing.skew_weight > dispatch.rebalancing.skew_weight);
   CHECK_FALSE(orders.IsIdempotent("POST", "/orders/"));
   CHECK_FALSE(dispatch.IsIdempotent("POST", "/deliveries"));
--- a/packages/quarantine/include/cornelrelay/quarantine/suspect_events.h
+++ b/packages/quarantine/include/cornelrelay/quarantine/suspect_events.h
@@ -13,7 +13,7 @@
 
 /// \brief An upstream has gone on with a request after the first part of its output, or has
 /// completed it. Some requests crash their upstream just behind the first part.
-struct OutputBegan {
+struct OutputContinued {
   RequestFeatures features;
 };
 
@@ -31,7 +31,7 @@
   std::vector<SuspectReport> reports;
 };
 
-using SuspectEvent = std::variant<OutputBegan, RequestLostInCrash, SuspectsReported>;
+using SuspectEvent = std::variant<OutputContinued, RequestLostInCrash, SuspectsReported>;
 
 /// \brief Requests with this feature are held back from now on.
 struct SuspectQuarantined {
--- a/packages/quarantine/include/cornelrelay/quarantine/suspect_table.h
+++ b/packages/quarantine/include/cornelrelay/quarantine/suspect_table.h
@@ -80,7 +80,7 @@
   };
   using Actions = std::vector<SuspectAction>;
 
-  void Apply(core::Instant now, const OutputBegan& event, Actions& out);
+  void Apply(core::Instant now, const OutputContinued& event, Actions& out);
   void Apply(core::Instant now, const RequestLostInCrash& event, Actions& out);
   void Apply(core::Instant now, const SuspectsReported& event, Actions& out);
 
--- a/packages/quarantine/src/suspect_table.cc
+++ b/packages/quarantine/src/suspect_table.cc
@@ -49,7 +49,7 @@
   return out;
 }
 
-void SuspectTable::Apply(core::Instant now, const OutputBegan& event, Actions& out) {
+void SuspectTable::Apply(core::Instant now, const OutputContinued& event, Actions& out) {
   for (const Fingerprint feature : event.features.shared_segments) {
     RememberOutput(feature, now);
     UpdateQuarantine(now, feature, out);
--- a/packages/quarantine/tests/suspect_table_test.cc
+++ b/packages/quarantine/tests/suspect_table_test.cc
@@ -49,7 +49,7 @@
 
 TEST_CASE("a segment without output that was running in a crash is held back at once") {
   SuspectTable table = Table();
-  table.Step(kStart, OutputBegan{Features({"shared"})});
+  table.Step(kStart, OutputContinued{Features({"shared"})});
   table.Step(kStart, Lost("u1", {"shared", "crashing"}));
   CHECK(Held(table, kStart, {"shared", "crashing"}));
   CHECK(Held(table, kStart, {"other", "crashing"}));
@@ -70,7 +70,7 @@
 TEST_CASE("output in another entry process clears a segment in all of them") {
   SuspectTable here = Table();
   SuspectTable there = Table();
-  there.Step(kStart, OutputBegan{Features({"a"})});
+  there.Step(kStart, OutputContinued{Features({"a"})});
   here.Step(kStart, Lost("u1", {"a"}));
   CHECK(Held(here, kStart, {"a"}));
   there.Step(kStart, SuspectsReported{here.Reports(kStart)});
@@ -102,7 +102,7 @@
   CHECK_FALSE(Held(table, now, {"a"}, "trial"));
   CHECK(Held(table, now, {"a"}, "other"));
   SECTION("output of the trial clears the segment") {
-    table.Step(now, OutputBegan{Features({"a"})});
+    table.Step(now, OutputContinued{Features({"a"})});
     CHECK_FALSE(Held(table, now, {"a"}, "other"));
   }
   SECTION("a crash ends the trial, and its request is not sent again") {
@@ -124,7 +124,7 @@
     table.Step(kStart, Lost("u" + std::to_string(n), {"a"}));
   }
   CHECK(Held(table, kStart + settings.memory - seconds(1), {"a"}));
-  table.Step(kStart + settings.memory, OutputBegan{Features({"b"})});
+  table.Step(kStart + settings.memory, OutputContinued{Features({"b"})});
   CHECK_FALSE(Held(table, kStart + settings.memory, {"a"}));
 }
 
@@ -151,7 +151,7 @@
     CHECK_FALSE(held(here, "other"));
   }
   SECTION("an answer in between clears it") {
-    there.Step(kStart, OutputBegan{Features({}, "body")});
+    there.Step(kStart, OutputContinued{Features({}, "body")});
     there.Step(kStart, lost("u2"));
     here.Step(kStart, lost("u2"));
     here.Step(kStart, SuspectsReported{there.Reports(kStart)});
@@ -183,7 +183,7 @@
   CHECK(Held(here, now, sound, "other"));
   CHECK(Held(here, now, crashing));
   SECTION("its output clears what it has, in all processes, and leaves the rest held back") {
-    here.Step(now, OutputBegan{Features(sound)});
+    here.Step(now, OutputContinued{Features(sound)});
     CHECK_FALSE(Held(here, now, sound));
     CHECK(Held(here, now, crashing));
     now += settings.report_time / 2;
@@ -231,7 +231,7 @@
 TEST_CASE("a segment that was lost alone gets no early trial beside sound ones") {
   const SuspectSettings settings;
   SuspectTable table = Table();
-  table.Step(kStart, OutputBegan{Features({"a"})});
+  table.Step(kStart, OutputContinued{Features({"a"})});
   table.Step(kStart, Lost("u1", {"a", "crashing"}));
   table.Step(kStart, Lost("u1", {"a", "sound"}, false));  // ran there at the same time
   const core::Instant now = kStart + settings.partial_trial_window;
@@ -263,7 +263,7 @@
       if (crashes_upstream) {
         table.Step(now, Lost("u" + std::to_string(++crashes), some));
       } else {
-        table.Step(now, OutputBegan{Features(some)});
+        table.Step(now, OutputContinued{Features(some)});
       }
     }
     // The rule allows five crashes and three requests more.
@@ -356,9 +356,9 @@
   settings.max_known_features = 10;
   SuspectTable table(settings, 1);
   table.Step(kStart, Lost("u1", {"a"}));
-  table.Step(kStart, OutputBegan{Features({"a"})});
+  table.Step(kStart, OutputContinued{Features({"a"})});
   for (int n = 0; n < 50; ++n) {
-    table.Step(kStart + milliseconds(n), OutputBegan{Features({"s" + std::to_string(n)})});
+    table.Step(kStart + milliseconds(n), OutputContinued{Features({"s" + std::to_string(n)})});
   }
   table.Step(kStart + seconds(1), SuspectsReported{table.Reports(kStart + seconds(1))});
   CHECK_FALSE(Held(table, kStart + seconds(1), {"a"}));
@@ -374,7 +374,7 @@
       const std::vector<std::string> segments = {std::to_string(random.Below(6))};
       SuspectTable& table = tables[random.Below(tables.size())];
       if (random.Below(3) == 0) {
-        table.Step(kStart, OutputBegan{Features(segments)});
+        table.Step(kStart, OutputContinued{Features(segments)});
       } else {
         table.Step(kStart, Lost(std::to_string(random.Below(4)), segments, random.Below(2) == 0));
       }
@@ -425,7 +425,7 @@
         if (crashing) ++crashes;
         table.Step(now, Lost(id, segments, crashing || random.Below(2) == 0));
       } else {
-        table.Step(now, OutputBegan{Features(segments)});
+        table.Step(now, OutputContinued{Features(segments)});
       }
       if (n % 8 != 0) continue;
       for (const SuspectTable& from : tables) {
--- a/packages/relay/src/quarantine_service.cc
+++ b/packages/relay/src/quarantine_service.cc
@@ -58,7 +58,7 @@
 }
 
 void QuarantineService::RecordOutput(const quarantine::RequestFeatures& features) {
-  Step(quarantine::OutputBegan{features});
+  Step(quarantine::OutputContinued{features});
 }
 
 bool QuarantineService::Examine(const LostAttempt& attempt, std::function<void()> on_done) {
