--- a/packages/net/include/cornelrelay/net/testing/raw_server.h
+++ b/packages/net/include/cornelrelay/net/testing/raw_server.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -70,8 +71,14 @@
  public:
   using Handler = std::function<void(RawConnection&)>;
 
-  explicit RawServer(Handler handler) : m_handler(std::move(handler)) {
+  /// \param receive_buffer size of the kernel's buffer for unread bytes of a connection, if not the
+  /// default
+  explicit RawServer(Handler handler, std::optional<int> receive_buffer = std::nullopt)
+      : m_handler(std::move(handler)) {
     m_listener = socket(AF_INET, SOCK_STREAM, 0);
+    if (receive_buffer) {
+      setsockopt(m_listener, SOL_SOCKET, SO_RCVBUF, &*receive_buffer, sizeof(*receive_buffer));
+    }
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
--- a/packages/net/src/pooled_exchange.cc
+++ b/packages/net/src/pooled_exchange.cc
@@ -116,6 +116,7 @@
     std::string piece = co_await ReadBody();
     if (!piece.empty()) co_return piece;
   }
+  ThrowIfEndUnknown();
   Release();
   co_return std::nullopt;
 }
@@ -158,6 +159,14 @@
   if (ec) throw ExchangeBroken(m_peer, CauseOf(ec), ec.message());
 }
 
+// On Linux, a write that fails takes the error of a reset from the socket, and the reads after it
+// report a regular end of the connection.
+void PooledExchange::ThrowIfEndUnknown() const {
+  if (m_written || !m_parser->need_eof()) return;
+  throw ExchangeBroken(m_peer, BreakCause::kConnection,
+                       "the connection ended during the request, but not the response");
+}
+
 asio::awaitable<std::string> PooledExchange::ReadBody() {
   auto& body = m_parser->get().body();
   body.data = m_piece.data();
--- a/packages/net/src/pooled_exchange.h
+++ b/packages/net/src/pooled_exchange.h
@@ -41,6 +41,8 @@
   void StartTimer();
   /// \brief Throws ExchangeBroken if `ec` is an error.
   void ThrowIfBroken(const boost::system::error_code& ec) const;
+  /// \brief Throws ExchangeBroken if the response has no end but that of a connection that failed.
+  void ThrowIfEndUnknown() const;
   void ResetParser();
   void Release();
   /// \brief Closes the connection so that the kernel discards what it has not sent yet.
@@ -54,7 +56,7 @@
   HttpClientLimits m_limits;
   std::string m_piece;
   std::optional<Parser> m_parser;
-  bool m_written = false;
+  bool m_written = false;  ///< the whole request was written
   bool m_head_only = false;
 };
 
--- /dev/null
+++ b/packages/net/tests/broken_response_test.cc
@@ -0,0 +1,130 @@
+// Servers in trouble send responses that are cut off or are no valid HTTP.
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <optional>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "cornelrelay/net/errors.h"
+#include "cornelrelay/net/http_client.h"
+#include "cornelrelay/net/testing/raw_server.h"
+
+namespace cornelrelay::net {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::RawConnection;
+using testing::RawServer;
+
+constexpr seconds kTimeout{10};
+/// A response that is known to be broken is reported without waiting for the timeout.
+constexpr seconds kAtOnce{2};
+/// More than the kernel buffers of both sides hold.
+constexpr std::size_t kLongUpload = 16'777'216;
+constexpr int kSmallReceiveBuffer = 4'096;
+/// Time for sent bytes to arrive before the connection is reset.
+constexpr milliseconds kDelivery{50};
+
+struct Outcome {
+  std::optional<HttpResponse> response;
+  std::optional<BreakCause> cause;
+  std::chrono::steady_clock::duration time{};
+};
+
+Outcome FetchFrom(const RawServer& server, std::size_t upload = 0) {
+  Outcome outcome;
+  boost::asio::io_context context(1);
+  HttpClient client(context, {});
+  const auto start = std::chrono::steady_clock::now();
+  boost::asio::co_spawn(
+      context,
+      [&]() -> boost::asio::awaitable<void> {
+        HttpRequest request{"POST", "/", {}, std::string(upload, 'x')};
+        try {
+          outcome.response = co_await client.Fetch(server.endpoint(), std::move(request), kTimeout);
+        } catch (const ExchangeBroken& error) {
+          outcome.cause = error.cause();
+        }
+      },
+      boost::asio::detached);
+  context.run();
+  outcome.time = std::chrono::steady_clock::now() - start;
+  return outcome;
+}
+
+/// \brief The outcome of an upload whose connection is reset in its midst, just after `bytes`.
+Outcome UploadUntilReset(const std::string& bytes, bool with_linger) {
+  const RawServer server(
+      [&](RawConnection& connection) {
+        std::string part;
+        connection.Receive(part);
+        connection.Send(bytes);
+        std::this_thread::sleep_for(kDelivery);
+        // Without it the kernel resets the connection because of the unread bytes.
+        if (with_linger) connection.ResetOnClose();
+      },
+      kSmallReceiveBuffer);
+  return FetchFrom(server, kLongUpload);
+}
+
+}  // namespace
+
+// Guards against a part of a response that is taken for a complete one: the failed write takes the
+// error of the connection, and the read then reports a regular end.
+TEST_CASE("a response without length is broken if its connection is reset during the upload") {
+  const std::string head =
+      GENERATE("HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n",
+               "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n");
+  const std::size_t length = GENERATE(std::size_t{16}, std::size_t{60'000});
+  const bool with_linger = GENERATE(true, false);
+  CAPTURE(head, length, with_linger);
+  const Outcome outcome = UploadUntilReset(head + std::string(length, 'y'), with_linger);
+  CHECK_FALSE(outcome.response);
+  CHECK(outcome.cause == BreakCause::kConnection);
+  CHECK(outcome.time < kAtOnce);
+}
+
+TEST_CASE("a response is broken if its connection is reset during the upload before its end") {
+  const std::string response =
+      GENERATE("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart",
+               "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n");
+  CAPTURE(response);
+  const Outcome outcome = UploadUntilReset(response, true);
+  CHECK_FALSE(outcome.response);
+  CHECK(outcome.cause == BreakCause::kConnection);
+}
+
+// Guards against the loss of an early refusal, which a server may send without reading the upload.
+TEST_CASE("a whole response is kept if its connection is reset during the upload") {
+  const std::string response = GENERATE(
+      "HTTP/1.1 413 Too Large\r\nContent-Length: 5\r\n\r\nlarge",
+      "HTTP/1.1 413 Too Large\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nlarge\r\n0\r\n\r\n");
+  CAPTURE(response);
+  const Outcome outcome = UploadUntilReset(response, true);
+  REQUIRE(outcome.response);
+  CHECK(outcome.response->status == 413);
+  CHECK(outcome.response->body == "large");
+}
+
+TEST_CASE("a response without length that ends before the upload does is complete") {
+  const RawServer server(
+      [](RawConnection& connection) {
+        std::string part;
+        connection.Receive(part);
+        connection.Send("HTTP/1.1 200 OK\r\n\r\nwhole");
+        connection.EndSending();
+        while (connection.Receive(part) > 0) {
+        }
+      },
+      kSmallReceiveBuffer);
+  const Outcome outcome = FetchFrom(server, kLongUpload);
+  REQUIRE(outcome.response);
+  CHECK(outcome.response->body == "whole");
+}
+
+}  // namespace cornelrelay::net
