--- a/packages/entry/tests/attempt_runner_test.cc
+++ b/packages/entry/tests/attempt_runner_test.cc
@@ -80,6 +80,15 @@
   return RunAttempt(server, kLongUpload);
 }
 
+Outcome RunAttemptAnswered(const std::string& answer) {
+  const RawServer server([&](RawConnection& connection) {
+    std::string request;
+    connection.Receive(request);
+    connection.Send(answer);
+  });
+  return RunAttempt(server, 1);
+}
+
 }  // namespace
 
 // Guards against MIXED of issue 46: a part of an answer that counted as a whole one.
@@ -97,4 +106,16 @@
   CHECK(outcome.payload == "large");
 }
 
+// Guards against MIXED of issue 46: bytes that are no HTTP response, or follow one, as the answer.
+TEST_CASE("an attempt with an invalid answer is broken") {
+  const std::string inner = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\ninner";
+  const std::string head =
+      GENERATE(as<std::string>{}, "HTTP/1.1 000 None\r\nContent-Length: 43\r\n",
+               "HTTP/1.1 600 Odd\r\nContent-Length: 43\r\n");
+  CAPTURE(head);
+  const Outcome outcome = RunAttemptAnswered(head + "\r\n" + inner);
+  CHECK(outcome.broken);
+  CHECK_FALSE(outcome.completed);
+}
+
 }  // namespace cornelrelay::entry
--- a/packages/net/src/pooled_exchange.cc
+++ b/packages/net/src/pooled_exchange.cc
@@ -10,6 +10,7 @@
 #include <boost/beast/http/write.hpp>
 #include <charconv>
 #include <chrono>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -25,7 +26,10 @@
 
 /// Share of the peer's announced idle time that is used, as the peer counts it from earlier on.
 constexpr double kIdleShare = 0.7;
+// Classes of statuses (RFC 9110, section 15).
+constexpr int kFirstStatus = 100;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 599;
 
 auto Redirect(error_code& ec) { return asio::redirect_error(asio::use_awaitable, ec); }
 
@@ -103,6 +107,10 @@
                                      Redirect(ec));
     ThrowIfBroken(ec);
     const auto status = static_cast<int>(m_parser->get().result_int());
+    if (status < kFirstStatus || status > kLastStatus) {
+      throw ExchangeBroken(m_peer, BreakCause::kMalformed,
+                           "status " + std::to_string(status) + " is invalid");
+    }
     if (status >= kFirstFinalStatus) {
       co_return HttpResponseHead{status, ToHeaders(m_parser->get().base())};
     }
--- a/packages/net/tests/broken_response_test.cc
+++ b/packages/net/tests/broken_response_test.cc
@@ -72,6 +72,12 @@
   return FetchFrom(server, kLongUpload);
 }
 
+std::string WithLength(const std::string& body) {
+  return "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+const std::string kInnerResponse = "HTTP/1.1 200 OK\r\n" + WithLength("inner");
+
 }  // namespace
 
 // Guards against a part of a response that is taken for a complete one: the failed write takes the
@@ -127,4 +133,24 @@
   CHECK(outcome.response->body == "whole");
 }
 
+// Guards against a response with an invalid status that is passed on, and against one that counts
+// as interim, so that the client waits for another or takes the body for it.
+TEST_CASE("a response with an invalid status is broken at once") {
+  const std::string status =
+      GENERATE("000", "001", "099", "600", "999", "20", "2000", "-20", "2x0");
+  const std::string body = GENERATE(as<std::string>{}, "hello", kInnerResponse);
+  CAPTURE(status, body);
+  const RawServer server([&](RawConnection& connection) {
+    std::string request;
+    connection.Receive(request);
+    connection.Send("HTTP/1.1 " + status + " Odd\r\n" + WithLength(body));
+    // Ends when the client closes.
+    connection.Receive(request);
+  });
+  const Outcome outcome = FetchFrom(server);
+  CHECK_FALSE(outcome.response);
+  CHECK(outcome.cause == BreakCause::kMalformed);
+  CHECK(outcome.time < kAtOnce);
+}
+
 }  // namespace cornelrelay::net
--- a/tests/system/test_broken_answers.py
+++ b/tests/system/test_broken_answers.py
@@ -115,6 +115,13 @@
         response, received = self.ask_raw("/upload/1", UPLOAD, with_length(b"too large", b"413 Too Large"))
         self.assertEqual((response.status, received), (413, b"too large"))
 
+    # Guards against MIXED of issue 46: a status that is none was passed on, or its body was taken for the answer.
+    def test_answer_with_an_invalid_status(self):
+        for status in (b"000 None", b"099 Odd", b"600 Odd", b"999 Odd"):
+            for body in (b"hello", with_length(b"inner")):
+                with self.subTest(status=status, body=body[:5]):
+                    self.check_no_answer("/upload/1", b"x", with_length(body, status))
+
 
 if __name__ == "__main__":
     unittest.main()
