--- a/packages/entry/tests/attempt_runner_test.cc
+++ b/packages/entry/tests/attempt_runner_test.cc
@@ -109,9 +109,10 @@
 // Guards against MIXED of issue 46: bytes that are no HTTP response, or follow one, as the answer.
 TEST_CASE("an attempt with an invalid answer is broken") {
   const std::string inner = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\ninner";
-  const std::string head =
-      GENERATE(as<std::string>{}, "HTTP/1.1 000 None\r\nContent-Length: 43\r\n",
-               "HTTP/1.1 600 Odd\r\nContent-Length: 43\r\n");
+  const std::string head = GENERATE(
+      as<std::string>{}, "HTTP/1.1 000 None\r\nContent-Length: 43\r\n",
+      "HTTP/1.1 600 Odd\r\nContent-Length: 43\r\n", "HTTP/1.1 101 Switch\r\nUpgrade: other\r\n",
+      "HTTP/1.1 103 Hints\r\nContent-Length: 43\r\n");
   CAPTURE(head);
   const Outcome outcome = RunAttemptAnswered(head + "\r\n" + inner);
   CHECK(outcome.broken);
--- a/packages/net/src/pooled_exchange.cc
+++ b/packages/net/src/pooled_exchange.cc
@@ -28,6 +28,7 @@
 constexpr double kIdleShare = 0.7;
 // Classes of statuses (RFC 9110, section 15).
 constexpr int kFirstStatus = 100;
+constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
 constexpr int kLastStatus = 599;
 
@@ -114,6 +115,7 @@
     if (status >= kFirstFinalStatus) {
       co_return HttpResponseHead{status, ToHeaders(m_parser->get().base())};
     }
+    ThrowIfNoInterim(status);
     ResetParser();
   }
   throw ExchangeBroken(m_peer, BreakCause::kTooManyHeads, "too many interim responses");
@@ -167,6 +169,17 @@
   if (ec) throw ExchangeBroken(m_peer, CauseOf(ec), ec.message());
 }
 
+// What follows an interim response is read as the next head, so it must be one.
+void PooledExchange::ThrowIfNoInterim(int status) const {
+  const auto& head = m_parser->get();
+  const bool has_body = m_parser->content_length().value_or(0) > 0 ||
+                        head.find(http::field::transfer_encoding) != head.end();
+  if (status != kSwitchingProtocols && !has_body) return;
+  throw ExchangeBroken(m_peer, BreakCause::kUnexpected,
+                       "interim response " + std::to_string(status) +
+                           (has_body ? " announces a body" : " was not asked for"));
+}
+
 // On Linux, a write that fails takes the error of a reset from the socket, and the reads after it
 // report a regular end of the connection.
 void PooledExchange::ThrowIfEndUnknown() const {
--- a/packages/net/src/pooled_exchange.h
+++ b/packages/net/src/pooled_exchange.h
@@ -41,6 +41,8 @@
   void StartTimer();
   /// \brief Throws ExchangeBroken if `ec` is an error.
   void ThrowIfBroken(const boost::system::error_code& ec) const;
+  /// \brief Throws ExchangeBroken if no head may follow the response.
+  void ThrowIfNoInterim(int status) const;
   /// \brief Throws ExchangeBroken if the response has no end but that of a connection that failed.
   void ThrowIfEndUnknown() const;
   void ResetParser();
--- a/packages/net/tests/broken_response_test.cc
+++ b/packages/net/tests/broken_response_test.cc
@@ -57,6 +57,15 @@
   return outcome;
 }
 
+/// \brief The outcome of a request to a server that sends `bytes` and ends the connection.
+Outcome FetchBytes(const std::string& bytes) {
+  const RawServer server([&](RawConnection& connection) {
+    std::string request;
+    if (connection.Receive(request) > 0) connection.Send(bytes);
+  });
+  return FetchFrom(server);
+}
+
 /// \brief The outcome of an upload whose connection is reset in its midst, just after `bytes`.
 Outcome UploadUntilReset(const std::string& bytes, bool with_linger) {
   const RawServer server(
@@ -153,4 +162,36 @@
   CHECK(outcome.time < kAtOnce);
 }
 
+// Guards against bytes of another protocol that are taken for a response. No request asks for a
+// switch.
+TEST_CASE("a switch of protocols is no interim response") {
+  const Outcome outcome = FetchBytes(
+      "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n" +
+      kInnerResponse);
+  CHECK_FALSE(outcome.response);
+  CHECK(outcome.cause == BreakCause::kUnexpected);
+}
+
+// Guards against a body that is taken for the next response.
+TEST_CASE("an interim response that announces a body is broken") {
+  const std::string announced =
+      GENERATE(as<std::string>{}, "Content-Length: 44", "Transfer-Encoding: chunked");
+  CAPTURE(announced);
+  const Outcome outcome =
+      FetchBytes("HTTP/1.1 103 Early Hints\r\n" + announced + "\r\n\r\n" + kInnerResponse);
+  CHECK_FALSE(outcome.response);
+  CHECK(outcome.cause == BreakCause::kUnexpected);
+}
+
+TEST_CASE("interim responses before the final one are skipped") {
+  const std::string interim = GENERATE(
+      "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", "HTTP/1.1 199 Other\r\n\r\n");
+  CAPTURE(interim);
+  const Outcome outcome = FetchBytes(interim + interim + kInnerResponse);
+  REQUIRE(outcome.response);
+  CHECK(outcome.response->status == 200);
+  CHECK(outcome.response->body == "inner");
+}
+
 }  // namespace cornelrelay::net
--- a/tests/system/test_broken_answers.py
+++ b/tests/system/test_broken_answers.py
@@ -122,6 +122,16 @@
                 with self.subTest(status=status, body=body[:5]):
                     self.check_no_answer("/upload/1", b"x", with_length(body, status))
 
+    # Guards against MIXED of issue 46: bytes behind an interim answer that no request asks for.
+    def test_interim_answers(self):
+        inner = with_length(b"inner")
+        switch = answer(b"101 Switching Protocols", b"Connection: upgrade", b"Upgrade: other", body=inner)
+        for sent in (switch, with_length(inner, b"103 Early Hints")):
+            with self.subTest(sent[:12]):
+                self.check_no_answer("/upload/1", b"x", sent)
+        _, received = self.ask_raw("/upload/1", b"x", b"HTTP/1.1 100 Continue\r\n\r\n" + inner)
+        self.assertEqual(received, b"inner")
+
 
 if __name__ == "__main__":
     unittest.main()
