--- a/packages/net/src/pooled_exchange.cc
+++ b/packages/net/src/pooled_exchange.cc
@@ -16,6 +16,7 @@
 
 #include "beast_convert.h"
 #include "cornelrelay/net/errors.h"
+#include "transfer_coding.h"
 
 namespace cornelrelay::net::internal {
 namespace {
@@ -113,6 +114,9 @@
                            "status " + std::to_string(status) + " is invalid");
     }
     if (status >= kFirstFinalStatus) {
+      if (!HasKnownTransferCoding(m_parser->get().base())) {
+        throw ExchangeBroken(m_peer, BreakCause::kMalformed, "unknown transfer coding");
+      }
       co_return HttpResponseHead{status, ToHeaders(m_parser->get().base())};
     }
     ThrowIfNoInterim(status);
--- a/packages/net/src/transfer_coding.cc
+++ b/packages/net/src/transfer_coding.cc
@@ -1,6 +1,7 @@
 #include "transfer_coding.h"
 
 #include <boost/beast/core/string.hpp>
+#include <iterator>
 
 #include "bad_input.h"
 
@@ -8,13 +9,28 @@
 
 namespace http = boost::beast::http;
 
+namespace {
+
+bool IsChunkedAlone(const http::fields& fields) {
+  const auto [first, last] = fields.equal_range(http::field::transfer_encoding);
+  return first != last && std::next(first) == last &&
+         boost::beast::iequals(first->value(), "chunked");
+}
+
+bool HasTransferCoding(const http::fields& fields) {
+  return fields.find(http::field::transfer_encoding) != fields.end();
+}
+
+}  // namespace
+
 bool HasKnownTransferCoding(const http::request_header<>& head) {
-  const auto [first, last] = head.equal_range(http::field::transfer_encoding);
-  if (first == last) return true;
-  const bool single = std::next(first) == last;
+  if (!HasTransferCoding(head)) return true;
   const bool has_length = head.find(http::field::content_length) != head.end();
-  return single && !has_length && head.version() == 11 &&
-         boost::beast::iequals(first->value(), "chunked");
+  return IsChunkedAlone(head) && !has_length && head.version() == 11;
+}
+
+bool HasKnownTransferCoding(const http::response_header<>& head) {
+  return !HasTransferCoding(head) || IsChunkedAlone(head);
 }
 
 HttpResponse UnknownTransferCoding() {
--- a/packages/net/src/transfer_coding.h
+++ b/packages/net/src/transfer_coding.h
@@ -13,6 +13,12 @@
 /// for another request.
 bool HasKnownTransferCoding(const boost::beast::http::request_header<>& head);
 
+/// \brief Whether the response has no transfer coding or `chunked` alone.
+///
+/// A body in any other coding cannot be passed on, as the name of its coding ends with this
+/// connection, and its end is not known.
+bool HasKnownTransferCoding(const boost::beast::http::response_header<>& head);
+
 /// \brief Refuses a request whose body length cannot be told.
 HttpResponse UnknownTransferCoding();
 
--- a/packages/net/tests/broken_response_test.cc
+++ b/packages/net/tests/broken_response_test.cc
@@ -194,4 +194,16 @@
   CHECK(outcome.response->body == "inner");
 }
 
+// Guards against coded bytes that are passed on without their coding, and against an end that is
+// trusted although nothing but the connection shows it.
+TEST_CASE("a response in an unknown transfer coding is broken") {
+  const std::string coding =
+      GENERATE(as<std::string>{}, "gzip", "gzip, chunked", "chunked, gzip", "xchunked", "identity");
+  CAPTURE(coding);
+  const Outcome outcome = FetchBytes("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding +
+                                     "\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+  CHECK_FALSE(outcome.response);
+  CHECK(outcome.cause == BreakCause::kMalformed);
+}
+
 }  // namespace cornelrelay::net
--- a/tests/system/test_broken_answers.py
+++ b/tests/system/test_broken_answers.py
@@ -132,6 +132,13 @@
         _, received = self.ask_raw("/upload/1", b"x", b"HTTP/1.1 100 Continue\r\n\r\n" + inner)
         self.assertEqual(received, b"inner")
 
+    # Guards against MIXED: coded bytes that were passed on without the name of their coding.
+    def test_answer_in_an_unknown_transfer_coding(self):
+        for coding in (b"gzip", b"gzip, chunked", b"chunked, gzip"):
+            with self.subTest(coding):
+                sent = answer(b"200 OK", b"Transfer-Encoding: " + coding, body=b"5\r\nhello\r\n0\r\n\r\n")
+                self.check_no_answer("/upload/1", b"x", sent)
+
 
 if __name__ == "__main__":
     unittest.main()
