--- a/packages/net/tests/broken_response_test.cc
+++ b/packages/net/tests/broken_response_test.cc
@@ -8,6 +8,7 @@
 #include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
 #include "cornelrelay/net/errors.h"
 #include "cornelrelay/net/http_client.h"
@@ -87,6 +88,18 @@
 
 const std::string kInnerResponse = "HTTP/1.1 200 OK\r\n" + WithLength("inner");
 
+/// \brief Lines that are no header field because of the bytes of their name.
+std::vector<std::string> LinesWithInvalidName() {
+  std::vector<std::string> lines = {
+      "X Name: 1", "X\tName: 1", "X-Name : 1",         "X-Name\t: 1",
+      ": 1",       "X-Name",     "Content-Length : 4", "Transfer-Encoding\t: chunked"};
+  for (int byte = 0; byte <= 0x7f; ++byte) {
+    const char c = static_cast<char>(byte);
+    if (byte < 0x20 || byte == 0x7f) lines.push_back(std::string("X") + c + "Name: 1");
+  }
+  return lines;
+}
+
 }  // namespace
 
 // Guards against a part of a response that is taken for a complete one: the failed write takes the
@@ -194,6 +207,34 @@
   CHECK(outcome.response->body == "inner");
 }
 
+// Guards against a line that is passed on, or ignored so that the body has another length.
+TEST_CASE("a response whose head has a field with an invalid name is broken at once") {
+  for (const std::string& line : LinesWithInvalidName()) {
+    for (const std::string& head :
+         {"HTTP/1.1 200 OK\r\n" + line + "\r\n",
+          "HTTP/1.1 200 OK\r\nX-First: 1\r\n" + line + "\r\n",
+          "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\n"}) {
+      const Outcome outcome = FetchBytes(head + WithLength("body"));
+      CAPTURE(head);
+      CHECK_FALSE(outcome.response);
+      CHECK(outcome.cause == BreakCause::kMalformed);
+      CHECK(outcome.time < kAtOnce);
+    }
+  }
+}
+
+TEST_CASE("a response whose trailers have a field with an invalid name is broken at once") {
+  for (const std::string& line : LinesWithInvalidName()) {
+    const Outcome outcome =
+        FetchBytes("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" +
+                   line + "\r\n\r\n");
+    CAPTURE(line);
+    CHECK_FALSE(outcome.response);
+    CHECK(outcome.cause == BreakCause::kMalformed);
+    CHECK(outcome.time < kAtOnce);
+  }
+}
+
 // Guards against coded bytes that are passed on without their coding, and against an end that is
 // trusted although nothing but the connection shows it.
 TEST_CASE("a response in an unknown transfer coding is broken") {
--- a/packages/runtime/tests/store_link_test.cc
+++ b/packages/runtime/tests/store_link_test.cc
@@ -60,7 +60,8 @@
       as<std::string>{}, "HTTP/1.1 000 None\r\nContent-Length: 40\r\n",
       "HTTP/1.1 600 Odd\r\nContent-Length: 40\r\n", "HTTP/1.1 101 Switch\r\nUpgrade: other\r\n",
       "HTTP/1.1 103 Hints\r\nContent-Length: 40\r\n",
-      "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n");
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n",
+      "HTTP/1.1 200 OK\r\nContent-Length : 40\r\n");
   CAPTURE(head);
   CHECK(RevokeLease(head + "\r\n" + kSuccess) == store::StoreReply(store::TimedOut{}));
 }
--- a/tests/system/test_broken_answers.py
+++ b/tests/system/test_broken_answers.py
@@ -132,6 +132,15 @@
         _, received = self.ask_raw("/upload/1", b"x", b"HTTP/1.1 100 Continue\r\n\r\n" + inner)
         self.assertEqual(received, b"inner")
 
+    # Guards against MIXED of issue 46: a line that is no field was passed on, or hid the length of the body.
+    def test_answer_with_an_invalid_field_name(self):
+        for line in (b"X Name: 1", b"X-Name : 1", b"X\tName: 1", b"X\x00Name: 1", b"X\x01Name: 1", b"X\x7fName: 1",
+                     b"X\rName: 1", b": 1", b"X-Name", b"Content-Length : 3"):
+            with self.subTest(line):
+                self.check_no_answer("/upload/1", b"x", with_length(b"hello", b"200 OK", line))
+                trailers = b"5\r\nhello\r\n0\r\n" + line + b"\r\n\r\n"
+                self.check_no_answer("/upload/1", b"x", answer(b"200 OK", b"Transfer-Encoding: chunked", body=trailers))
+
     # Guards against MIXED: coded bytes that were passed on without the name of their coding.
     def test_answer_in_an_unknown_transfer_coding(self):
         for coding in (b"gzip", b"gzip, chunked", b"chunked, gzip"):
