--- a/packages/entry/tests/attempt_runner_test.cc
+++ b/packages/entry/tests/attempt_runner_test.cc
@@ -114,7 +114,8 @@
       "HTTP/1.1 600 Odd\r\nContent-Length: 43\r\n", "HTTP/1.1 101 Switch\r\nUpgrade: other\r\n",
       "HTTP/1.1 103 Hints\r\nContent-Length: 43\r\n",
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n",
-      "HTTP/1.1 200 OK\r\nContent-Length : 43\r\n");
+      "HTTP/1.1 200 OK\r\nContent-Length : 43\r\n",
+      "HTTP/1.1 200 OK\r\nX-First: 1\r\n Content-Length: 90\r\n");
   CAPTURE(head);
   const Outcome outcome = RunAttemptAnswered(head + "\r\n" + inner);
   CHECK(outcome.broken);
--- a/packages/net/src/pooled_exchange.cc
+++ b/packages/net/src/pooled_exchange.cc
@@ -5,6 +5,8 @@
 #include <boost/asio/socket_base.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/error.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
@@ -60,6 +62,26 @@
   return std::chrono::milliseconds(static_cast<std::int64_t>(seconds * 1000.0 * kIdleShare));
 }
 
+std::string_view BytesOf(const boost::beast::flat_buffer& buffer) {
+  const auto data = buffer.data();
+  return {static_cast<const char*>(data.data()), data.size()};
+}
+
+// Whether a line of a head begins with a blank. The parser would join it to the field before it,
+// and a length in it would be lost. `bytes` begin with a line of the head or with its end, and may
+// go on with a body.
+bool HasFoldedLine(std::string_view bytes) {
+  constexpr std::string_view kLineEnd = "\r\n";
+  if (bytes.starts_with(kLineEnd)) return false;
+  for (auto at = bytes.find(kLineEnd); at != std::string_view::npos;
+       at = bytes.find(kLineEnd, at + kLineEnd.size())) {
+    const std::string_view next = bytes.substr(at + kLineEnd.size());
+    if (next.starts_with(' ') || next.starts_with('\t')) return true;
+    if (next.starts_with('\r')) return false;
+  }
+  return false;
+}
+
 }  // namespace
 
 PooledExchange::PooledExchange(core::Endpoint peer, ConnectionPtr connection,
@@ -103,11 +125,7 @@
 
 asio::awaitable<HttpResponseHead> PooledExchange::ReadHead() {
   for (int heads = 0; heads <= m_limits.interim_responses; ++heads) {
-    error_code ec;
-    StartTimer();
-    co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser,
-                                     Redirect(ec));
-    ThrowIfBroken(ec);
+    co_await ParseHead();
     const auto status = static_cast<int>(m_parser->get().result_int());
     if (status < kFirstStatus || status > kLastStatus) {
       throw ExchangeBroken(m_peer, BreakCause::kMalformed,
@@ -125,6 +143,33 @@
   throw ExchangeBroken(m_peer, BreakCause::kTooManyHeads, "too many interim responses");
 }
 
+asio::awaitable<void> PooledExchange::ParseHead() {
+  auto& buffer = m_connection->buffer;
+  while (!m_parser->is_header_done()) {
+    error_code ec = http::error::need_more;
+    if (buffer.size() > 0) {
+      if (HasFoldedLine(BytesOf(buffer))) {
+        throw ExchangeBroken(m_peer, BreakCause::kMalformed, "a line of the head is folded");
+      }
+      buffer.consume(m_parser->put(buffer.data(), ec));
+    }
+    if (ec == http::error::need_more) ec = co_await ReadMore();
+    ThrowIfBroken(ec);
+  }
+}
+
+asio::awaitable<error_code> PooledExchange::ReadMore() {
+  auto& buffer = m_connection->buffer;
+  const std::size_t room = boost::beast::read_size(buffer, m_limits.piece_bytes);
+  if (room == 0) co_return http::error::buffer_overflow;
+  error_code ec;
+  StartTimer();
+  const std::size_t count =
+      co_await m_connection->stream.async_read_some(buffer.prepare(room), Redirect(ec));
+  buffer.commit(count);
+  co_return ec;
+}
+
 asio::awaitable<std::optional<std::string>> PooledExchange::ReadPiece() {
   while (!m_parser->is_done()) {
     std::string piece = co_await ReadBody();
--- a/packages/net/src/pooled_exchange.h
+++ b/packages/net/src/pooled_exchange.h
@@ -37,6 +37,10 @@
  private:
   using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+  /// \brief Reads one head, interim or final, into the parser.
+  boost::asio::awaitable<void> ParseHead();
+  /// \brief Reads further bytes into the buffer of the connection.
+  boost::asio::awaitable<boost::system::error_code> ReadMore();
   boost::asio::awaitable<std::string> ReadBody();
   void StartTimer();
   /// \brief Throws ExchangeBroken if `ec` is an error.
--- a/packages/net/tests/broken_response_test.cc
+++ b/packages/net/tests/broken_response_test.cc
@@ -88,11 +88,14 @@
 
 const std::string kInnerResponse = "HTTP/1.1 200 OK\r\n" + WithLength("inner");
 
-/// \brief Lines that are no header field because of the bytes of their name.
+/// \brief Lines that are no header field because of the bytes of their name. Those that begin with
+/// a blank continue the field before them in an obsolete way.
 std::vector<std::string> LinesWithInvalidName() {
   std::vector<std::string> lines = {
-      "X Name: 1", "X\tName: 1", "X-Name : 1",         "X-Name\t: 1",
-      ": 1",       "X-Name",     "Content-Length : 4", "Transfer-Encoding\t: chunked"};
+      "X Name: 1",  "X\tName: 1",  "X-Name : 1",          "X-Name\t: 1",
+      ": 1",        "X-Name",      "Content-Length : 4",  "Transfer-Encoding\t: chunked",
+      " X-Name: 1", "\tX-Name: 1", " Content-Length: 40", " ",
+      "\t"};
   for (int byte = 0; byte <= 0x7f; ++byte) {
     const char c = static_cast<char>(byte);
     if (byte < 0x20 || byte == 0x7f) lines.push_back(std::string("X") + c + "Name: 1");
@@ -213,7 +216,9 @@
     for (const std::string& head :
          {"HTTP/1.1 200 OK\r\n" + line + "\r\n",
           "HTTP/1.1 200 OK\r\nX-First: 1\r\n" + line + "\r\n",
-          "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\n"}) {
+          "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\n",
+          "HTTP/1.1 103 Early Hints\r\nX-First: 1\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\n",
+          "HTTP/1.1 200 OK\r\nX-Empty:\r\n" + line + "\r\n"}) {
       const Outcome outcome = FetchBytes(head + WithLength("body"));
       CAPTURE(head);
       CHECK_FALSE(outcome.response);
@@ -223,6 +228,29 @@
   }
 }
 
+// Guards against a folded line that is not seen because it arrives in parts, and against a body
+// that is searched for one.
+TEST_CASE("a head that arrives in parts is checked like one that arrives at once") {
+  const std::string head = "HTTP/1.1 200 OK\r\nX-First: 1\r\n";
+  const bool folded = GENERATE(true, false);
+  const std::string response =
+      head + (folded ? " X-Name: 1\r\n" : "") + WithLength("a\r\n b\r\n\tc\r\n\r\n d");
+  const std::size_t size = GENERATE(std::size_t{1}, std::size_t{2}, std::size_t{5});
+  CAPTURE(folded, size);
+  const RawServer server([&](RawConnection& connection) {
+    std::string request;
+    connection.Receive(request);
+    bool open = true;
+    for (std::size_t at = 0; open && at < response.size(); at += size) {
+      open = connection.Send(response.substr(at, size));
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+  });
+  const Outcome outcome = FetchFrom(server);
+  CHECK(outcome.response.has_value() == !folded);
+  if (outcome.response) CHECK(outcome.response->body == "a\r\n b\r\n\tc\r\n\r\n d");
+}
+
 TEST_CASE("a response whose trailers have a field with an invalid name is broken at once") {
   for (const std::string& line : LinesWithInvalidName()) {
     const Outcome outcome =
--- a/packages/runtime/tests/store_link_test.cc
+++ b/packages/runtime/tests/store_link_test.cc
@@ -61,7 +61,8 @@
       "HTTP/1.1 600 Odd\r\nContent-Length: 40\r\n", "HTTP/1.1 101 Switch\r\nUpgrade: other\r\n",
       "HTTP/1.1 103 Hints\r\nContent-Length: 40\r\n",
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n",
-      "HTTP/1.1 200 OK\r\nContent-Length : 40\r\n");
+      "HTTP/1.1 200 OK\r\nContent-Length : 40\r\n",
+      "HTTP/1.1 200 OK\r\nX-First: 1\r\n Content-Length: 90\r\n");
   CAPTURE(head);
   CHECK(RevokeLease(head + "\r\n" + kSuccess) == store::StoreReply(store::TimedOut{}));
 }
--- a/tests/system/test_broken_answers.py
+++ b/tests/system/test_broken_answers.py
@@ -141,6 +141,15 @@
                 trailers = b"5\r\nhello\r\n0\r\n" + line + b"\r\n\r\n"
                 self.check_no_answer("/upload/1", b"x", answer(b"200 OK", b"Transfer-Encoding: chunked", body=trailers))
 
+    # Guards against MIXED of issue 46: such a line that was joined to the one before, with the length of the body.
+    def test_answer_with_a_field_name_that_begins_with_a_blank(self):
+        for line in (b" X-Name: 1", b"\tX-Name: 1", b"  X-Name: 1", b" "):
+            with self.subTest(line):
+                self.check_no_answer("/upload/1", b"x", with_length(b"hello", b"200 OK", b"X-First: 1", line))
+        hidden = answer(b"200 OK", b"X-First: 1", b" Content-Length: 100", body=b"hello")
+        self.check_no_answer("/upload/1", b"x", hidden)
+        self.check_no_answer("/speech/1", b"x", hidden)
+
     # Guards against MIXED: coded bytes that were passed on without the name of their coding.
     def test_answer_in_an_unknown_transfer_coding(self):
         for coding in (b"gzip", b"gzip, chunked", b"chunked, gzip"):
