--- a/packages/net/include/cornelrelay/net/http_exchange.h
+++ b/packages/net/include/cornelrelay/net/http_exchange.h
@@ -18,10 +18,10 @@
 
   /// \brief Sends the whole request; after a failure the peer may have received it.
   ///
-  /// A peer may answer and close before it has read a long body. A failed write is therefore
-  /// reported by ReadHead(), and only if no response has arrived, or by ReadPiece() at the end of a
-  /// response that ends with its connection.
-  /// \throws ConnectFailed if the connection was lost before the kernel accepted the first byte
+  /// A peer may answer and close before it has read a long body. A failed write is therefore only
+  /// reported by ReadHead(), if no response has arrived, or by ReadPiece(), at the end of a
+  /// response that ends with its connection. \throws ConnectFailed if the connection was lost
+  /// before the kernel accepted the first byte
   virtual boost::asio::awaitable<void> SendRequest(HttpRequest request) = 0;
   /// \brief The same with `body` as the body, which is not copied.
   virtual boost::asio::awaitable<void> SendRequest(HttpRequest request, SharedBody body) = 0;
--- a/packages/net/src/pooled_exchange.cc
+++ b/packages/net/src/pooled_exchange.cc
@@ -29,7 +29,7 @@
 
 /// Share of the peer's announced idle time that is used, as the peer counts it from earlier on.
 constexpr double kIdleShare = 0.7;
-// Classes of statuses (RFC 9110, section 15).
+// Statuses and their limits (RFC 9110, section 15).
 constexpr int kFirstStatus = 100;
 constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
@@ -137,12 +137,13 @@
       }
       co_return HttpResponseHead{status, ToHeaders(m_parser->get().base())};
     }
-    ThrowIfNoInterim(status);
+    CheckInterimHead(status);
     ResetParser();
   }
   throw ExchangeBroken(m_peer, BreakCause::kTooManyHeads, "too many interim responses");
 }
 
+// http::async_read_header would leave no moment to look at the lines before the parser joins them.
 asio::awaitable<void> PooledExchange::ParseHead() {
   auto& buffer = m_connection->buffer;
   while (!m_parser->is_header_done()) {
@@ -175,7 +176,7 @@
     std::string piece = co_await ReadBody();
     if (!piece.empty()) co_return piece;
   }
-  ThrowIfEndUnknown();
+  CheckEnd();
   Release();
   co_return std::nullopt;
 }
@@ -219,7 +220,7 @@
 }
 
 // What follows an interim response is read as the next head, so it must be one.
-void PooledExchange::ThrowIfNoInterim(int status) const {
+void PooledExchange::CheckInterimHead(int status) const {
   const auto& head = m_parser->get();
   const bool has_body = m_parser->content_length().value_or(0) > 0 ||
                         head.find(http::field::transfer_encoding) != head.end();
@@ -231,7 +232,7 @@
 
 // On Linux, a write that fails takes the error of a reset from the socket, and the reads after it
 // report a regular end of the connection.
-void PooledExchange::ThrowIfEndUnknown() const {
+void PooledExchange::CheckEnd() const {
   if (m_written || !m_parser->need_eof()) return;
   throw ExchangeBroken(m_peer, BreakCause::kConnection,
                        "the connection ended during the request, but not the response");
--- a/packages/net/src/pooled_exchange.h
+++ b/packages/net/src/pooled_exchange.h
@@ -45,10 +45,10 @@
   void StartTimer();
   /// \brief Throws ExchangeBroken if `ec` is an error.
   void ThrowIfBroken(const boost::system::error_code& ec) const;
-  /// \brief Throws ExchangeBroken if no head may follow the response.
-  void ThrowIfNoInterim(int status) const;
-  /// \brief Throws ExchangeBroken if the response has no end but that of a connection that failed.
-  void ThrowIfEndUnknown() const;
+  /// \brief Throws ExchangeBroken if the head is none that another head may follow.
+  void CheckInterimHead(int status) const;
+  /// \brief Throws ExchangeBroken if only the end of a failed connection shows the response's end.
+  void CheckEnd() const;
   void ResetParser();
   void Release();
   /// \brief Closes the connection so that the kernel discards what it has not sent yet.
