--- a/packages/net/src/pooled_exchange.cc
+++ b/packages/net/src/pooled_exchange.cc
@@ -154,7 +154,9 @@
       }
       buffer.consume(m_parser->put(buffer.data(), ec));
     }
-    if (ec == http::error::need_more) ec = co_await ReadMore();
+    if (ec == http::error::need_more) {
+      ec = co_await ReadMore();
+    }
     ThrowIfBroken(ec);
   }
 }
