--- a/tests/system/test_broken_answers.py
+++ b/tests/system/test_broken_answers.py
@@ -84,7 +84,7 @@
         self.wait_for(lambda: self.ask("POST", "/upload/0", body=b"x")[1] == b"sound")
 
     def ask_raw(self, path, body, sent):
-        """The reply to one request, which must come at once and from one attempt."""
+        """The reply to one request, which comes at once; a non-idempotent one reaches the replica once."""
         self.raw.answer = sent
         self.raw.requests = 0
         started = time.monotonic()
