--- a/packages/net/src/pooled_exchange.cc
+++ b/packages/net/src/pooled_exchange.cc
@@ -7,7 +7,6 @@
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/read_size.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
@@ -18,6 +17,7 @@
 
 #include "beast_convert.h"
 #include "cornelrelay/net/errors.h"
+#include "put_body.h"
 #include "transfer_coding.h"
 
 namespace cornelrelay::net::internal {
@@ -155,6 +155,7 @@
       buffer.consume(m_parser->put(buffer.data(), ec));
     }
     if (ec == http::error::need_more) {
+      StartTimer();
       ec = co_await ReadMore();
     }
     ThrowIfBroken(ec);
@@ -166,7 +167,6 @@
   const std::size_t room = boost::beast::read_size(buffer, m_limits.piece_bytes);
   if (room == 0) co_return http::error::buffer_overflow;
   error_code ec;
-  StartTimer();
   const std::size_t count =
       co_await m_connection->stream.async_read_some(buffer.prepare(room), Redirect(ec));
   buffer.commit(count);
@@ -244,17 +244,30 @@
   auto& body = m_parser->get().body();
   body.data = m_piece.data();
   body.size = m_piece.size();
-  error_code ec;
   StartTimer();
-  co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser,
-                                 Redirect(ec));
-  if (ec == http::error::need_buffer) ec = {};
-  ThrowIfBroken(ec);
+  while (true) {
+    error_code ec;
+    m_body_used += PutBody(*m_parser, m_connection->buffer, m_body_used, ec);
+    if (ec == http::error::need_buffer) ec = {};
+    if (ec != http::error::need_more) {
+      ThrowIfBroken(ec);
+      break;
+    }
+    ec = co_await ReadMore();
+    if (ec == asio::error::eof) {
+      ec = {};
+      m_parser->put_eof(ec);
+      ThrowIfBroken(ec);
+      break;
+    }
+    ThrowIfBroken(ec);
+  }
   co_return m_piece.substr(0, m_piece.size() - m_parser->get().body().size);
 }
 
 void PooledExchange::ResetParser() {
   m_parser.emplace();
+  m_body_used = 0;
   m_parser->header_limit(m_limits.head_bytes);
   m_parser->body_limit(boost::none);
   if (m_head_only) m_parser->skip(true);
--- a/packages/net/src/pooled_exchange.h
+++ b/packages/net/src/pooled_exchange.h
@@ -4,6 +4,7 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -62,7 +63,8 @@
   HttpClientLimits m_limits;
   std::string m_piece;
   std::optional<Parser> m_parser;
-  bool m_written = false;  ///< the whole request was written
+  std::size_t m_body_used = 0;  ///< bytes of the body that the parser has used
+  bool m_written = false;       ///< the whole request was written
   bool m_head_only = false;
 };
 
--- a/packages/net/tests/broken_response_test.cc
+++ b/packages/net/tests/broken_response_test.cc
@@ -13,6 +13,7 @@
 #include "cornelrelay/net/errors.h"
 #include "cornelrelay/net/http_client.h"
 #include "cornelrelay/net/testing/raw_server.h"
+#include "pieces.h"
 
 namespace cornelrelay::net {
 namespace {
@@ -30,6 +31,8 @@
 constexpr int kSmallReceiveBuffer = 4'096;
 /// Time for sent bytes to arrive before the connection is reset.
 constexpr milliseconds kDelivery{50};
+/// Time for the bytes of one piece to be read before the next.
+constexpr milliseconds kBetweenPieces{10};
 
 struct Outcome {
   std::optional<HttpResponse> response;
@@ -67,6 +70,20 @@
   return FetchFrom(server);
 }
 
+/// \brief The outcome of a request to a server that sends pieces one by one and ends the
+/// connection.
+Outcome FetchPieces(const std::vector<std::string>& pieces) {
+  const RawServer server([&](RawConnection& connection) {
+    std::string request;
+    if (connection.Receive(request) <= 0) return;
+    for (const std::string& piece : pieces) {
+      connection.Send(piece);
+      std::this_thread::sleep_for(kBetweenPieces);
+    }
+  });
+  return FetchFrom(server);
+}
+
 /// \brief The outcome of an upload whose connection is reset in its midst, just after `bytes`.
 Outcome UploadUntilReset(const std::string& bytes, bool with_linger) {
   const RawServer server(
@@ -275,4 +292,30 @@
   CHECK(outcome.cause == BreakCause::kMalformed);
 }
 
+// Guards against an assertion of the parser that ends the process, and against such a response
+// being taken for a broken one.
+TEST_CASE("an empty chunked response is complete in any pieces") {
+  for (const auto& pieces : AllDivisions("0\r\n\r\n")) {
+    std::vector<std::string> all = {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"};
+    all.insert(all.end(), pieces.begin(), pieces.end());
+    const Outcome outcome = FetchPieces(all);
+    REQUIRE(outcome.response);
+    CHECK(outcome.response->body.empty());
+  }
+}
+
+// Guards against an assertion of the parser that ends the process at a truncated response.
+TEST_CASE("an empty chunked response that is cut inside its end is broken at once") {
+  const std::string end = "0\r\n\r\n";
+  for (std::size_t size = 0; size < end.size(); ++size) {
+    for (const auto& pieces : AllDivisions(end.substr(0, size))) {
+      std::vector<std::string> all = {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"};
+      all.insert(all.end(), pieces.begin(), pieces.end());
+      const Outcome outcome = FetchPieces(all);
+      CHECK(outcome.cause == BreakCause::kConnection);
+      CHECK(outcome.time < kAtOnce);
+    }
+  }
+}
+
 }  // namespace cornelrelay::net
