--- a/packages/quarantine/include/cornelrelay/quarantine/fingerprint.h
+++ b/packages/quarantine/include/cornelrelay/quarantine/fingerprint.h
@@ -32,6 +32,9 @@
   static Fingerprint OfSegment(const core::ServiceId& service, std::string_view id);
 
   constexpr std::uint64_t value() const { return m_value; }
+  /// \brief Whether OfRequest() has made it, not OfSegment(). The value says so, as reports carry
+  /// nothing else.
+  constexpr bool is_request() const { return (m_value & kRequestBit) != 0; }
 
   friend bool operator==(const Fingerprint&, const Fingerprint&) = default;
   friend std::strong_ordering operator<=>(const Fingerprint& a, const Fingerprint& b) {
@@ -39,6 +42,8 @@
   }
 
  private:
+  static constexpr std::uint64_t kRequestBit = 1;
+
   std::uint64_t m_value = 0;
 };
 
--- a/packages/quarantine/include/cornelrelay/quarantine/suspect_table.h
+++ b/packages/quarantine/include/cornelrelay/quarantine/suspect_table.h
@@ -28,9 +28,13 @@
 /// time of the one before.
 ///
 /// Segments that were lost in the same crashes cannot be told apart: one of them is the cause. If a
-/// request has only some of them, the others explain the crashes as well, so a trial of it is made
-/// within seconds, and requests like it that are already running go on. Once a suspect has its last
-/// crash, such trials end unless all of its crashes are alike.
+/// request has only some of them, the others explain the crashes as well. Upstreams also crash for
+/// reasons of their own. So if half of the crashes of a suspect have such an explanation, a trial
+/// of the request is made within seconds, and requests like it that are already running go on. Once
+/// a suspect has its last crash, such trials end unless all of its crashes are alike.
+///
+/// A suspect that most requests have gets its trials sooner, too: holding them back would leave the
+/// service with little to do.
 ///
 /// CrashLedger serves deployments with idempotency keys and gossip: it announces each further run
 /// of a request that was lost in a crash, and waits for the announcement to spread. This class
@@ -77,6 +81,10 @@
     std::optional<core::RequestId> trial;
     core::Instant trial_end{};
     core::Instant cleared{};  ///< when output last ended its quarantine
+    /// Requests with it that HoldBack() was asked about since its last crash, and the number of all
+    /// requests at that time.
+    std::uint64_t requests = 0;
+    std::uint64_t all_requests_before = 0;
   };
   using Actions = std::vector<SuspectAction>;
 
@@ -95,14 +103,25 @@
   void RememberOutput(Fingerprint feature, core::Instant at);
   bool IsQuarantined(Fingerprint feature) const { return m_quarantined.contains(feature); }
   void UpdateQuarantine(core::Instant now, Fingerprint feature, Actions& out);
-  /// \brief Whether in each crash of the suspect a quarantined feature that the request does not
-  /// have was lost too, and trials of such requests have not failed too often.
+  /// \brief Counts a request for HoldsBackMost().
+  void CountRequest(const RequestFeatures& features);
+  /// \brief Whether most requests since the last crash of the suspect had it.
+  bool HoldsBackMost(const Suspect& suspect) const;
+  /// \brief Whether features that the request does not have may have caused so many crashes of the
+  /// suspect that the others would not quarantine it, and its trials have not failed too often.
   bool IsExplainedWithout(const Suspect& suspect, const RequestFeatures& features) const;
+  /// \brief Whether the request has a segment that is not in quarantine and has given no output. A
+  /// trial that it fails would not tell which of them is the cause.
+  bool HasUntriedSegment(const RequestFeatures& features) const;
+  /// \brief Whether a feature that was lost in the crash, too, may have caused it as well.
+  bool MayExplain(Fingerprint other, const Crash& its_loss, const Crash& loss) const;
   void Expire(core::Instant now, Actions& out);
+  static std::size_t Weight(const Crash& crash);
   static core::Instant LastCrash(const Suspect& suspect);
-  /// \brief When a trial of the suspect may begin; max() if there is none.
-  core::Instant NextTrial(Fingerprint feature, const Suspect& suspect) const;
-  /// \brief When a request that does not have all that was lost in the crashes may run as a trial.
+  /// \brief When the request may run as a trial of the suspect; max() if it may not.
+  core::Instant NextTrial(Fingerprint feature, const Suspect& suspect,
+                          const RequestFeatures& features) const;
+  /// \brief When a request that IsExplainedWithout() applies to may run as a trial.
   core::Instant NextPartialTrial(Fingerprint feature, const Suspect& suspect) const;
   /// \brief A share that differs between processes and features, from 0 to less than 1.
   double Jitter(Fingerprint feature) const;
@@ -113,6 +132,7 @@
   std::map<Fingerprint, core::Instant> m_outputs;  ///< last output of each feature
   std::set<Fingerprint> m_quarantined;
   std::uint64_t m_trial_count = 0;
+  std::uint64_t m_request_count = 0;  ///< requests with segments, for HoldsBackMost()
 };
 
 }  // namespace cornelrelay::quarantine
--- a/packages/quarantine/src/records.cc
+++ b/packages/quarantine/src/records.cc
@@ -26,11 +26,11 @@
                                       std::string_view(account.value()), method, target, body}) {
     hash = core::Hash64(part, hash);
   }
-  return Fingerprint(hash);
+  return Fingerprint(hash | kRequestBit);
 }
 
 Fingerprint Fingerprint::OfSegment(const core::ServiceId& service, std::string_view id) {
-  return Fingerprint(core::Hash64(id, core::Hash64(service.value())));
+  return Fingerprint(core::Hash64(id, core::Hash64(service.value())) & ~kRequestBit);
 }
 
 CrashRecord Merge(const CrashRecord& a, const CrashRecord& b) {
--- a/packages/quarantine/src/suspect_table.cc
+++ b/packages/quarantine/src/suspect_table.cc
@@ -98,6 +98,8 @@
   const auto [found, added] = entry.crashes.try_emplace(crash, seen);
   if (added) {
     entry.trial.reset();  // it has failed, or says nothing any more
+    entry.requests = 0;
+    entry.all_requests_before = m_request_count;
     return true;
   }
   found->second.time = std::min(found->second.time, seen.time);
@@ -152,6 +154,10 @@
   return true;
 }
 
+std::size_t SuspectTable::Weight(const Crash& crash) {
+  return crash.answer_begun ? kAnswerBegunWeight : kAnswerNotBegunWeight;
+}
+
 core::Instant SuspectTable::LastCrash(const Suspect& suspect) {
   core::Instant last{};
   for (const auto& [id, crash] : suspect.crashes) last = std::max(last, crash.time);
@@ -180,9 +186,7 @@
   const auto found = m_suspects.find(feature);
   std::size_t weight = 0;
   if (found != m_suspects.end() && !m_outputs.contains(feature)) {
-    for (const auto& [id, crash] : found->second.crashes) {
-      weight += crash.answer_begun ? kAnswerBegunWeight : kAnswerNotBegunWeight;
-    }
+    for (const auto& [id, crash] : found->second.crashes) weight += Weight(crash);
   }
   if (weight >= kQuarantineWeight) {
     if (m_quarantined.insert(feature).second) {
@@ -214,10 +218,14 @@
   return static_cast<double>(step) / static_cast<double>(kSteps);
 }
 
-core::Instant SuspectTable::NextTrial(Fingerprint feature, const Suspect& suspect) const {
+core::Instant SuspectTable::NextTrial(Fingerprint feature, const Suspect& suspect,
+                                      const RequestFeatures& features) const {
   if (suspect.crashes.size() >= m_settings.max_crashes) return core::Instant::max();
   const std::size_t doublings = std::min(suspect.crashes.size() - 1, kMaxDoublings);
-  const core::Duration delay = m_settings.trial_delay * (std::int64_t{1} << doublings);
+  core::Duration delay = m_settings.trial_delay * (std::int64_t{1} << doublings);
+  if (HoldsBackMost(suspect) && !HasUntriedSegment(features)) {
+    delay = std::min(delay, m_settings.majority_trial_delay);
+  }
   return LastCrash(suspect) + delay + Share(delay, m_settings.trial_jitter * Jitter(feature));
 }
 
@@ -225,21 +233,61 @@
   return LastCrash(suspect) + Share(m_settings.partial_trial_window, Jitter(feature));
 }
 
+void SuspectTable::CountRequest(const RequestFeatures& features) {
+  if (features.shared_segments.empty()) return;
+  ++m_request_count;
+  for (const Fingerprint feature : AllOf(features)) {
+    if (IsQuarantined(feature)) ++m_suspects.at(feature).requests;
+  }
+}
+
+bool SuspectTable::HoldsBackMost(const Suspect& suspect) const {
+  return suspect.requests >= m_settings.majority_requests &&
+         2 * suspect.requests > m_request_count - suspect.all_requests_before;
+}
+
+bool SuspectTable::HasUntriedSegment(const RequestFeatures& features) const {
+  const auto& segments = features.shared_segments;
+  return std::any_of(segments.begin(), segments.end(), [this](Fingerprint segment) {
+    return !IsQuarantined(segment) && !m_outputs.contains(segment);
+  });
+}
+
+// A request is new whenever it comes for the first time, so that it was lost once says nothing. Of
+// what the upstream had not begun to answer, much may have been waiting there.
+bool SuspectTable::MayExplain(Fingerprint other, const Crash& its_loss, const Crash& loss) const {
+  if (IsQuarantined(other)) return true;
+  if (other.is_request() || m_outputs.contains(other)) return false;
+  return its_loss.answer_begun || !loss.answer_begun;
+}
+
 bool SuspectTable::IsExplainedWithout(const Suspect& suspect,
                                       const RequestFeatures& features) const {
-  std::set<std::vector<Fingerprint>> lost_together;
-  for (const auto& [crash, seen] : suspect.crashes) {
-    std::vector<Fingerprint> lost;
-    for (const Fingerprint other : m_quarantined) {
-      if (m_suspects.at(other).crashes.contains(crash)) lost.push_back(other);
+  std::size_t unexplained_weight = 0;
+  bool explained_by_quarantined = true;
+  std::set<std::vector<Fingerprint>> quarantined_together;
+  for (const auto& [crash, loss] : suspect.crashes) {
+    bool may_be_other = false;
+    bool may_be_quarantined = false;
+    std::vector<Fingerprint> quarantined;
+    for (const auto& [other, entry] : m_suspects) {
+      const auto its_loss = entry.crashes.find(crash);
+      if (its_loss == entry.crashes.end()) continue;
+      if (IsQuarantined(other)) quarantined.push_back(other);
+      if (Has(features, other) || !MayExplain(other, its_loss->second, loss)) continue;
+      may_be_other = true;
+      may_be_quarantined = may_be_quarantined || IsQuarantined(other);
     }
-    const bool explained = std::any_of(lost.begin(), lost.end(),
-                                       [&](Fingerprint other) { return !Has(features, other); });
-    if (!explained) return false;
-    lost_together.insert(std::move(lost));
+    if (!may_be_other) unexplained_weight += Weight(loss);
+    explained_by_quarantined = explained_by_quarantined && may_be_quarantined;
+    quarantined_together.insert(std::move(quarantined));
+  }
+  if (suspect.crashes.size() < m_settings.max_crashes) {
+    return unexplained_weight == 0 ||
+           (unexplained_weight < kQuarantineWeight && !HasUntriedSegment(features));
   }
   // Crashes of different requests show that trials have failed before.
-  return suspect.crashes.size() < m_settings.max_crashes || lost_together.size() == 1;
+  return explained_by_quarantined && quarantined_together.size() == 1;
 }
 
 bool SuspectTable::MayGoOn(const core::RequestId& request, const RequestFeatures& features) const {
@@ -255,6 +303,7 @@
                                                      const core::RequestId& request,
                                                      const RequestFeatures& features) {
   if (m_quarantined.empty()) return std::nullopt;
+  CountRequest(features);
   std::optional<core::Instant> next;
   std::vector<std::pair<Suspect*, core::Duration>> trials;
   for (const Fingerprint feature : AllOf(features)) {
@@ -262,7 +311,8 @@
     Suspect& suspect = m_suspects.at(feature);
     if (suspect.trial == request) continue;
     const bool partial = IsExplainedWithout(suspect, features);
-    core::Instant free = partial ? NextPartialTrial(feature, suspect) : NextTrial(feature, suspect);
+    core::Instant free =
+        partial ? NextPartialTrial(feature, suspect) : NextTrial(feature, suspect, features);
     if (suspect.trial) free = std::max(free, suspect.trial_end);
     if (free > now) {
       next = std::max(next.value_or(free), free);
