--- a/packages/entry/src/request_task.cc
+++ b/packages/entry/src/request_task.cc
@@ -116,8 +116,8 @@
   order.request.headers["X-Request-Id"] = action.attempt.value();
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - now);
   order.request.headers["X-Deadline-Ms"] = std::to_string(std::max<std::int64_t>(1, left.count()));
-  if (action.resume_after.sequence > 0) {
-    order.request.headers["Last-Event-ID"] = std::to_string(action.resume_after.sequence);
+  if (action.resume_after.sequence) {
+    order.request.headers["Last-Event-ID"] = std::to_string(*action.resume_after.sequence);
   }
   order.kind = m_request.kind;
   order.stream = m_request.stream;
--- a/packages/relay/src/relay_task.cc
+++ b/packages/relay/src/relay_task.cc
@@ -268,7 +268,7 @@
   if (m_routed.account) message.account = m_routed.account->id;
   message.priority = m_routed.Priority();
   message.resume_after = m_routed.request.resume_after;
-  if (action.resume_after.sequence > 0) message.resume_after = action.resume_after.sequence;
+  if (action.resume_after.sequence) message.resume_after = action.resume_after.sequence;
   message.caller_patience = m_routed.route.CallerPatience();
   message.deadline = m_routed.deadline;
   m_stall_detector.StartAttempt(m_services.clock.Now());
--- a/packages/relay/src/upstream_call.cc
+++ b/packages/relay/src/upstream_call.cc
@@ -251,7 +251,7 @@
   closed.attempt = attempt();
   if (splitter.HasPartialEvent()) {
     m_connection_ended = true;
-    closed.verdict = request::Truncated{m_last_event_id.value_or(0)};
+    closed.verdict = request::Truncated{m_last_event_id};
   } else {
     closed.verdict = request::End{};
   }
@@ -272,7 +272,7 @@
   } else {
     m_unnumbered_bytes += event.size();
   }
-  return request::Accepted{request::StreamPosition{m_last_event_id.value_or(0), {}, {}}};
+  return request::Accepted{request::StreamPosition{m_last_event_id, {}, {}}};
 }
 
 void UpstreamCall::CheckProgress() {
--- a/packages/relay/tests/upstream_call_test.cc
+++ b/packages/relay/tests/upstream_call_test.cc
@@ -60,6 +60,7 @@
   std::size_t chunks = 0;
   std::size_t sent = 0;  ///< bytes that the upstream got rid of
   std::size_t held_after = 0;
+  std::optional<std::uint64_t> position;  ///< after which the stream would resume
   std::string metrics;
   std::chrono::steady_clock::duration time{};
 };
@@ -124,6 +125,8 @@
               if (std::holds_alternative<request::AttemptRefused>(*event)) outcome.refused = true;
               if (const auto* chunk = std::get_if<request::ChunkChecked>(&*event)) {
                 ++outcome.chunks;
+                const auto* accepted = std::get_if<request::Accepted>(&chunk->verdict);
+                if (accepted) outcome.position = accepted->position.sequence;
                 outcome.completed = std::holds_alternative<request::End>(chunk->verdict);
                 outcome.truncated = std::holds_alternative<request::Truncated>(chunk->verdict);
                 if (outcome.payload.size() < kMaxPayload) outcome.payload += chunk->payload;
@@ -216,6 +219,19 @@
 
 // The cases below guard against MIXED and ORDER of issue 24: an answer without length and chunks
 // that broke off and looks complete, or that is complete and counts as broken.
+// Guards against ORDER of review/15: the position behind the event with id 0 was that of a stream
+// without any event, so its first event came twice.
+TEST_CASE("a stream has a position as soon as an event with an id has come, also with id 0") {
+  const auto position_after = [](const std::string& events) {
+    return CallUpstream([&](RawConnection& connection) { connection.Send(kStreamHead + events); })
+        .position;
+  };
+  CHECK_FALSE(position_after(": comment\n\n"));
+  CHECK(position_after("id: 0\ndata: x\n\n") == 0U);
+  CHECK(position_after(": comment\n\nid: 0\ndata: x\n\n: comment\n\n") == 0U);
+  CHECK(position_after("id: 0\ndata: x\n\nid: 1\ndata: y\n\n") == 1U);
+}
+
 TEST_CASE("an answer that ends with its connection is complete") {
   const Outcome outcome = CallUpstream(
       [](RawConnection& connection) { connection.Send("HTTP/1.1 200 OK\r\n\r\nwhole answer"); });
--- a/packages/request/include/cornelrelay/request/request_action.h
+++ b/packages/request/include/cornelrelay/request/request_action.h
@@ -33,7 +33,7 @@
 struct OpenAttempt {
   core::AttemptId attempt;
   core::UpstreamId upstream;
-  StreamPosition resume_after;  ///< sequence 0 starts the stream afresh, without `Last-Event-ID`
+  StreamPosition resume_after;  ///< without a sequence number the stream starts afresh
 };
 /// \brief Closes the connection of the attempt. Nothing may be written to it afterwards.
 struct CancelAttempt {
--- a/packages/request/include/cornelrelay/request/request_snapshot.h
+++ b/packages/request/include/cornelrelay/request/request_snapshot.h
@@ -18,7 +18,7 @@
   int attempts = 0;
   bool sent = false;  ///< an attempt that was not refused may have sent a byte
   bool claim_held = false;
-  std::uint64_t forwarded_sequence = 0;  ///< last sequence number sent to the caller
+  std::optional<std::uint64_t> forwarded_sequence;  ///< last sequence number sent to the caller
   std::optional<core::AttemptId> current_attempt;
   std::set<core::UpstreamId> tried;  ///< upstreams to which an attempt was opened
   std::optional<core::Instant> wake_at;
--- a/packages/request/include/cornelrelay/request/stream_position.h
+++ b/packages/request/include/cornelrelay/request/stream_position.h
@@ -1,13 +1,14 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <set>
 
 namespace cornelrelay::request {
 
 /// \brief Progress of a streamed answer. A later attempt resumes after it.
 struct StreamPosition {
-  std::uint64_t sequence = 0;  ///< last accepted sequence number; 0 if none was accepted
+  std::optional<std::uint64_t> sequence;  ///< last accepted sequence number, which may be 0
   /// Indices of choices that have begun but have no finish_reason yet.
   std::set<std::int64_t> unfinished;
   std::set<std::int64_t> finished;  ///< indices of choices whose finish_reason has arrived
--- a/packages/request/include/cornelrelay/request/stream_verdict.h
+++ b/packages/request/include/cornelrelay/request/stream_verdict.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -40,7 +41,7 @@
 
 /// \brief The answer ended before it was complete.
 struct Truncated {
-  std::uint64_t last_sequence = 0;
+  std::optional<std::uint64_t> last_sequence;
   friend bool operator==(const Truncated&, const Truncated&) = default;
 };
 
--- a/packages/request/include/cornelrelay/request/stream_verifier.h
+++ b/packages/request/include/cornelrelay/request/stream_verifier.h
@@ -35,6 +35,7 @@
 
  private:
   StreamVerdict CheckDone(const SseEvent& event);
+  std::uint64_t NextSequence() const;
 
   core::AttemptId m_attempt;
   StreamPosition m_position;
--- a/packages/request/src/stream_verifier.cc
+++ b/packages/request/src/stream_verifier.cc
@@ -10,12 +10,13 @@
 namespace {
 
 constexpr std::string_view kDone = "[DONE]";
+constexpr std::uint64_t kFirstSequence = 1;
 
 std::optional<std::uint64_t> ParseSequence(const std::string& text) {
   std::uint64_t value = 0;
   const char* end = text.data() + text.size();
   const auto [rest, status] = std::from_chars(text.data(), end, value);
-  if (status != std::errc() || rest != end || value == 0) return std::nullopt;
+  if (status != std::errc() || rest != end || value < kFirstSequence) return std::nullopt;
   return value;
 }
 
@@ -60,7 +61,7 @@
   }
   const auto sequence = ParseSequence(event.id);
   if (!sequence) return Malformed{"the event has no sequence number"};
-  const std::uint64_t expected = m_position.sequence + 1;
+  const std::uint64_t expected = NextSequence();
   if (*sequence < expected && m_accepted_any) return Duplicate{*sequence};
   const bool accept_gap = m_fault == InjectedFault::kAcceptGaps && *sequence > expected;
   if (*sequence != expected && !accept_gap) return Gap{expected, *sequence};
@@ -70,11 +71,15 @@
   return Accepted{m_position};
 }
 
+std::uint64_t StreamVerifier::NextSequence() const {
+  return m_position.sequence ? *m_position.sequence + 1 : kFirstSequence;
+}
+
 StreamVerdict StreamVerifier::CheckDone(const SseEvent& event) {
   const auto sequence = ParseSequence(event.id);
   const bool accept_gap = m_fault == InjectedFault::kAcceptGaps;
-  if (sequence && *sequence != m_position.sequence + 1 && !accept_gap) {
-    return Gap{m_position.sequence + 1, *sequence};
+  if (sequence && *sequence != NextSequence() && !accept_gap) {
+    return Gap{NextSequence(), *sequence};
   }
   if (!m_position.AllFinished() && m_fault != InjectedFault::kEndWithoutFinish) {
     return Truncated{m_position.sequence};
--- a/packages/request/tests/fake_upstream.h
+++ b/packages/request/tests/fake_upstream.h
@@ -28,7 +28,7 @@
 inline std::deque<SseEvent> FaultyStream(const OpenAttempt& open, std::size_t length,
                                          ChoiceSequence& choices) {
   std::vector<SseEvent> events;
-  for (std::size_t k = open.resume_after.sequence + 1; k <= length; ++k) {
+  for (std::size_t k = open.resume_after.sequence.value_or(0) + 1; k <= length; ++k) {
     const auto number = std::to_string(k);
     events.push_back({"", number, ChunkJson(open.attempt.value(), "own-" + number, k == length)});
   }
--- a/packages/request/tests/request_simulation.cc
+++ b/packages/request/tests/request_simulation.cc
@@ -167,7 +167,8 @@
   Expect(++m_opened_count <= m_settings.policy.max_attempts, "the attempt limit holds");
   Expect(m_opened_count - 1 <= m_tokens, "each retry has a token");
   Expect(!m_open_attempt, "only one attempt is open at a time");
-  Expect(action.resume_after.sequence == m_forwarded,
+  const auto forwarded = m_forwarded > 0 ? std::optional<std::uint64_t>(m_forwarded) : std::nullopt;
+  Expect(action.resume_after.sequence == forwarded,
          "an attempt resumes after the last forwarded event");
   const bool needs_claim = !m_settings.policy.idempotent && m_settings.attributes.has_key;
   Expect(!needs_claim || m_claim_timely,
