--- a/packages/ranks/include/cornelrelay/ranks/group_leader.h
+++ b/packages/ranks/include/cornelrelay/ranks/group_leader.h
@@ -16,6 +16,7 @@
 #include "cornelrelay/ranks/engine_client.h"
 #include "cornelrelay/ranks/expert_map_planner.h"
 #include "cornelrelay/ranks/group_members.h"
+#include "cornelrelay/ranks/known_map.h"
 #include "cornelrelay/ranks/order_outbox.h"
 #include "cornelrelay/ranks/rank_ports.h"
 #include "cornelrelay/routes/engine_model.h"
@@ -57,13 +58,6 @@
   bool leading() const { return m_leading; }
 
  private:
-  /// A map in use whose experts are known for all ranks.
-  struct KnownMap {
-    std::uint64_t epoch = 0;
-    balance::MapVersion version = 0;
-    balance::SharedLayerMap map;
-  };
-
   void ReadMembers(const std::string& after_key);
   void ReadConfiguration();
   void AddMembers(const store::PrefixRead& page);
@@ -91,8 +85,6 @@
                                             std::chrono::milliseconds timeout);
   boost::asio::awaitable<void> DeliverOrder(balance::SendOrder order);
 
-  /// \brief Adds the experts of a map that the leader knows, which agents omit.
-  balance::RankState CompleteState(const balance::RankReport& report) const;
   bool IsOfGroup(const balance::RankReport& report) const;
   /// \brief Leaves the engine out of later calls if its report names another group.
   /// \return whether it does
@@ -117,7 +109,7 @@
   OrderOutbox m_outbox;
   std::optional<ExpertMapPlanner> m_map_planner;
   std::optional<core::Instant> m_window_start;  ///< of the window of counts, once one has ended
-  std::optional<KnownMap> m_known_map;
+  KnownMap m_known_map;
   std::set<balance::MapDigest> m_sent_maps;  ///< that the agents have been sent by this leader
   runtime::WakeTimer m_round_timer;
   runtime::WakeTimer m_tick_timer;
--- a/packages/ranks/src/group_leader.cc
+++ b/packages/ranks/src/group_leader.cc
@@ -180,7 +180,7 @@
   call.group = m_own_report.group;
   call.fence = m_switch_leader.fence();
   call.want_expert_counts = m_map_planner.has_value();
-  if (m_known_map) call.known_map = m_known_map->version;
+  call.known_map = m_known_map.version();
   return call;
 }
 
@@ -206,7 +206,8 @@
   balance::RanksObserved observed;
   for (const wire::ForwardedReply& answer : reply.replies) {
     if (!answer.report || !IsOfGroup(*answer.report)) continue;
-    observed.ranks.push_back({answer.report->rank, CompleteState(*answer.report), requested_at});
+    observed.ranks.push_back(
+        {answer.report->rank, m_known_map.Complete(*answer.report), requested_at});
   }
   if (m_map_planner) m_map_planner->AddCounts(reply.expert_counts);
   Step(observed);
@@ -231,8 +232,8 @@
   if (!current) return;
   const auto proposal = m_map_planner->ProposeMap(*current);
   const balance::MapVersion version = m_switch_leader.state(m_own_report.rank)->map;
-  if (!m_known_map || m_known_map->version != version) {
-    m_known_map = {m_switch_leader.epoch(), version, balance::SharedLayerMap(std::move(*current))};
+  if (m_known_map.version() != version) {
+    m_known_map.Set(m_switch_leader.epoch(), version, balance::SharedLayerMap(std::move(*current)));
   }
   const core::Instant planning_end = m_dependencies.clock.Now();
   m_next_plan_at = planning_end + kPlanPauseFactor * (planning_end - planning_start);
@@ -275,15 +276,6 @@
   return report.group == m_own_report.group && report.rank < m_own_report.size;
 }
 
-balance::RankState GroupLeader::CompleteState(const balance::RankReport& report) const {
-  balance::RankState state = report.state;
-  const bool known = m_known_map && m_known_map->version == state.map &&
-                     m_known_map->epoch == state.epoch && state.experts.empty();
-  if (!known) return state;
-  for (const auto& ranks : m_known_map->map.layers()) state.experts.push_back(ranks[report.rank]);
-  return state;
-}
-
 void GroupLeader::NoteReplies(const std::vector<core::Endpoint>& called,
                               const std::vector<wire::ForwardedReply>& replies) {
   std::set<core::Endpoint> answered;
@@ -294,7 +286,7 @@
     if (NoteOtherGroup(member->engine, *reply.report)) continue;
     if (!IsOfGroup(*reply.report)) continue;
     // The states of a map whose experts the agents omit are of no use in another epoch.
-    if (m_known_map && reply.report->state.epoch != m_known_map->epoch) m_known_map.reset();
+    m_known_map.NoteEpoch(reply.report->state.epoch);
     m_members.SetRank(member->engine, reply.report->rank);
     if (m_map_planner) m_map_planner->SetPace(reply.report->rank, reply.report->pace);
   }
@@ -311,10 +303,10 @@
                                core::Instant requested_at) {
   if (NoteOtherGroup(engine, report)) return;
   if (!IsOfGroup(report) || !m_leading) return;
-  if (m_known_map && report.state.epoch != m_known_map->epoch) m_known_map.reset();
+  m_known_map.NoteEpoch(report.state.epoch);
   m_members.SetRank(engine, report.rank);
   if (m_map_planner) m_map_planner->SetPace(report.rank, report.pace);
-  Step(balance::RankObserved{report.rank, CompleteState(report), requested_at});
+  Step(balance::RankObserved{report.rank, m_known_map.Complete(report), requested_at});
 }
 
 void GroupLeader::SendOrders() {
@@ -353,11 +345,11 @@
   call.fence = batch.fence;
   call.epoch = batch.epoch;
   call.order = batch.order;
-  if (m_known_map) call.known_map = m_known_map->version;
+  call.known_map = m_known_map.version();
   if (auto* prepare = std::get_if<balance::PrepareMap>(&call.order)) {
     const balance::LayerMap& map = prepare->map.layers();
-    if (as_difference && m_known_map) {
-      auto delta = balance::DiffMaps(m_known_map->map.layers(), map);
+    if (as_difference && m_known_map.layers() != nullptr) {
+      auto delta = balance::DiffMaps(*m_known_map.layers(), map);
       if (delta && m_sent_maps.contains(delta->base)) call.map_delta = std::move(delta);
     }
     m_sent_maps.insert(balance::DigestOf(map));
@@ -397,7 +389,7 @@
       order.result = answer.result;
       order.requested_at = requested_at;
       if (answer.report && answer.report->rank == order.rank) {
-        order.state = CompleteState(*answer.report);
+        order.state = m_known_map.Complete(*answer.report);
       }
     }
     ranks.erase(found);
@@ -431,7 +423,7 @@
   call.fence = order.fence;
   call.epoch = order.epoch;
   call.order = order.order;
-  if (m_known_map) call.known_map = m_known_map->version;
+  call.known_map = m_known_map.version();
   const bool map = std::holds_alternative<balance::PrepareMap>(order.order);
   std::optional<wire::RankReply> reply;
   if (forwarder != nullptr || member->agent_answers || map) {
@@ -441,7 +433,7 @@
   if (reply) {
     ended.result = reply->result;
     if (reply->report && reply->report->rank == order.rank) {
-      ended.state = CompleteState(*reply->report);
+      ended.state = m_known_map.Complete(*reply->report);
     }
   } else if (!map) {
     m_dependencies.log.Warning("agent_bypassed", {{"engine", core::ToString(engine)},
@@ -477,9 +469,7 @@
 void GroupLeader::Perform(const balance::SendOrder& action) { m_outbox.Add(action); }
 
 void GroupLeader::Perform(const balance::SwitchEnded& action) {
-  if (action.outcome == balance::SwitchOutcome::kSwitched) {
-    m_known_map = {m_switch_leader.epoch(), action.version, action.map};
-  }
+  m_known_map.NoteSwitch(m_switch_leader.epoch(), action);
   m_dependencies.log.Info("map_switch_ended", {{"group", m_own_report.group},
                                                {"version", action.version},
                                                {"outcome", ToString(action.outcome)},
