--- a/packages/balance/include/cornelrelay/balance/switch_leader.h
+++ b/packages/balance/include/cornelrelay/balance/switch_leader.h
@@ -143,7 +143,8 @@
   PassSelector m_pass_selector;
   std::optional<SharedLayerMap> m_requested_map;
   SharedLayerMap m_previous_map;  ///< map in use when the switch began
-  SharedLayerMap m_new_map;       ///< map of the switch in progress
+  /// Map of the switch in progress; empty for an unfinished switch of an earlier leader.
+  std::optional<SharedLayerMap> m_new_map;
   MapVersion m_version = 0;
   MapVersion m_abort_version = 0;
   StepIndex m_switch_step = 0;
--- a/packages/balance/include/cornelrelay/balance/switch_messages.h
+++ b/packages/balance/include/cornelrelay/balance/switch_messages.h
@@ -81,7 +81,9 @@
   SwitchOutcome outcome = SwitchOutcome::kSwitched;
   StepIndex step = 0;
   core::Duration elapsed{};
-  SharedLayerMap map;
+  /// The map of the switch. Empty if an earlier leader began it, of which only the version is
+  /// known.
+  std::optional<SharedLayerMap> map;
 };
 /// \brief An unfinished switch of an earlier leader was found.
 struct SwitchInherited {
--- a/packages/balance/src/switch_leader.cc
+++ b/packages/balance/src/switch_leader.cc
@@ -142,15 +142,15 @@
   if (unfinished) {
     m_switch_step = *unfinished;
     m_version = 0;
-    m_new_map = {};
+    m_new_map.reset();
     m_switch_start = now;
     return EnterPhase(now, Phase::kRecovering);
   }
   if (!m_requested_map || !ReadyForSwitch()) return;
   std::optional<LayerMap> previous_map = m_ranks.MapInUse();
   if (!previous_map) return;
-  m_new_map = *std::exchange(m_requested_map, std::nullopt);
-  if (m_new_map.layers() == *previous_map) return;
+  m_new_map = std::exchange(m_requested_map, std::nullopt);
+  if (m_new_map->layers() == *previous_map) return;
   m_previous_map = SharedLayerMap(std::move(*previous_map));
   m_version = NextVersion();
   m_switch_start = now;
@@ -172,7 +172,7 @@
     if (m_orders.Accepted<PrepareMap>(index) || refused) {
       m_orders.Poll(now, index, out);
     } else {
-      m_orders.Send(now, index, PrepareMap{m_version, m_new_map}, out);
+      m_orders.Send(now, index, PrepareMap{m_version, *m_new_map}, out);
     }
   }
   if (!m_ranks.AllPrepared(m_version)) return;
--- a/packages/balance/tests/switch_simulation.cc
+++ b/packages/balance/tests/switch_simulation.cc
@@ -204,7 +204,10 @@
           }
         }
       } else if (const auto* ended = std::get_if<SwitchEnded>(&action)) {
-        if (ended->outcome == SwitchOutcome::kSwitched) ++m_switches;
+        if (ended->outcome == SwitchOutcome::kSwitched) {
+          ++m_switches;
+          CheckNamedMap(*ended);
+        }
       } else if (std::holds_alternative<RefreshRankStates>(action)) {
         ++m_state_reads;
       }
@@ -213,6 +216,15 @@
   }
 }
 
+void SwitchSimulation::CheckNamedMap(const SwitchEnded& ended) {
+  for (const SimulatedEngine& engine : m_engines) {
+    const bool uses_it = engine.state().map == ended.version;
+    if (uses_it && ended.map && engine.content() != ended.map->layers()) {
+      m_violations.insert("a switch names another map");
+    }
+  }
+}
+
 OrderEnded SwitchSimulation::DeliverOrder(const SendOrder& send) {
   OrderEnded ended{send.rank, OrderResult::kUnknown, std::nullopt, m_now};
   SimulatedEngine& engine = m_engines[send.rank];
--- a/packages/balance/tests/switch_simulation.h
+++ b/packages/balance/tests/switch_simulation.h
@@ -104,6 +104,8 @@
   void RunPass();
   void StepCandidate(std::size_t index, const SwitchEvent& event);
   void DeliverObservations(std::size_t index);
+  /// \brief Checks that a map that a completed switch names is the one that the ranks use.
+  void CheckNamedMap(const SwitchEnded& ended);
   OrderEnded DeliverOrder(const SendOrder& send);
   std::vector<std::uint16_t> InitialExperts(RankIndex rank) const;
 
--- a/packages/ranks/include/cornelrelay/ranks/known_map.h
+++ b/packages/ranks/include/cornelrelay/ranks/known_map.h
@@ -20,7 +20,8 @@
 class KnownMap {
  public:
   void Set(std::uint64_t epoch, balance::MapVersion version, balance::SharedLayerMap map);
-  /// \brief Takes over the map of a switch that has taken place.
+  /// \brief Takes over the map of a switch that has taken place. If the switch was begun by an
+  /// earlier leader, the map is not known until all ranks have reported their experts.
   void NoteSwitch(std::uint64_t epoch, const balance::SwitchEnded& ended);
   /// \brief Forgets the map if a rank has reported another epoch.
   void NoteEpoch(std::uint64_t epoch);
--- a/packages/ranks/src/known_map.cc
+++ b/packages/ranks/src/known_map.cc
@@ -9,7 +9,9 @@
 }
 
 void KnownMap::NoteSwitch(std::uint64_t epoch, const balance::SwitchEnded& ended) {
-  if (ended.outcome == balance::SwitchOutcome::kSwitched) Set(epoch, ended.version, ended.map);
+  if (ended.outcome != balance::SwitchOutcome::kSwitched) return;
+  m_entry.reset();
+  if (ended.map) Set(epoch, ended.version, *ended.map);
 }
 
 void KnownMap::NoteEpoch(std::uint64_t epoch) {
--- a/packages/ranks/tests/known_map_test.cc
+++ b/packages/ranks/tests/known_map_test.cc
@@ -53,4 +53,15 @@
   CheckExperts(known_map);
 }
 
+// Guards against RECOVER of review/13: a leader that had completed the switch of an earlier one
+// took its map for known, so agents omitted the experts of it for good.
+TEST_CASE("after a switch of an earlier leader the experts are reported") {
+  KnownMap known_map;
+  known_map.Set(kEpoch, kVersion - 1, balance::SharedLayerMap(kLayers));
+  balance::SwitchEnded inherited;
+  inherited.version = kVersion;
+  known_map.NoteSwitch(kEpoch, inherited);
+  CheckExperts(known_map);
+}
+
 }  // namespace cornelrelay::ranks
