--- a/packages/net/src/pooled_exchange.cc
+++ b/packages/net/src/pooled_exchange.cc
@@ -245,21 +245,17 @@
   body.data = m_piece.data();
   body.size = m_piece.size();
   StartTimer();
-  while (true) {
-    error_code ec;
+  error_code ec;
+  bool waits = true;
+  while (waits) {
     m_body_used += PutBody(*m_parser, m_connection->buffer, m_body_used, ec);
-    if (ec == http::error::need_buffer) ec = {};
-    if (ec != http::error::need_more) {
-      ThrowIfBroken(ec);
-      break;
-    }
-    ec = co_await ReadMore();
+    waits = ec == http::error::need_more;
+    if (waits) ec = co_await ReadMore();
     if (ec == asio::error::eof) {
-      ec = {};
+      waits = false;
       m_parser->put_eof(ec);
-      ThrowIfBroken(ec);
-      break;
     }
+    if (ec == http::error::need_buffer) ec = {};
     ThrowIfBroken(ec);
   }
   co_return m_piece.substr(0, m_piece.size() - m_parser->get().body().size);
--- a/packages/net/src/put_body.h
+++ b/packages/net/src/put_body.h
@@ -8,8 +8,7 @@
 
 namespace cornelrelay::net::internal {
 
-/// \brief Whether `bytes` are a part of the end of a chunked body that has no chunks, behind its
-/// first line.
+/// \brief Whether `bytes` are the last chunk of a body and an incomplete end of its trailers.
 inline bool IsPartOfEmptyBodyEnd(std::string_view bytes) {
   constexpr std::string_view kLastChunk = "0\r\n";
   constexpr std::string_view kShortestEnd = "0\r\n\r\n";
--- a/packages/quarantine/include/cornelrelay/quarantine/fingerprint.h
+++ b/packages/quarantine/include/cornelrelay/quarantine/fingerprint.h
@@ -32,8 +32,8 @@
   static Fingerprint OfSegment(const core::ServiceId& service, std::string_view id);
 
   constexpr std::uint64_t value() const { return m_value; }
-  /// \brief Whether OfRequest() has made it, not OfSegment(). The value says so, as reports carry
-  /// nothing else.
+  /// \brief Tells the fingerprints of OfRequest() from those of OfSegment(). A bit of the value, as
+  /// reports between processes carry nothing else.
   constexpr bool is_request() const { return (m_value & kRequestBit) != 0; }
 
   friend bool operator==(const Fingerprint&, const Fingerprint&) = default;
--- a/packages/quarantine/include/cornelrelay/quarantine/suspect_settings.h
+++ b/packages/quarantine/include/cornelrelay/quarantine/suspect_settings.h
@@ -17,19 +17,18 @@
   /// Processes wait up to this share of the delay longer, each its own, so that not all of them
   /// make the trial at once.
   double trial_jitter = 0.5;
-  /// The same time, for each crash, if most requests since the crash had the suspect: the service
-  /// has little else to do, so holding them back costs as much as one more crash. The time that a
-  /// group of ranks needs to form again.
+  /// Time from each crash to a trial if most requests since then had the suspect. To hold them back
+  /// for longer costs more than one more crash, after which a group of ranks forms again in 5 s.
   core::Duration majority_trial_delay = std::chrono::seconds(5);
-  /// Number of requests with the suspect from which on it can be told that most have it.
+  /// Fewer requests with the suspect do not show that most have it.
   std::size_t majority_requests = 3;
   /// A suspect gets no further trial after this many crashes.
   std::size_t max_crashes = 4;
   /// A trial without output or crash is over after this time, the longest that callers wait.
   core::Duration trial_time = std::chrono::seconds(10);
   /// Trials of requests that lack a segment which may have caused the crash begin within this time
-  /// after it. Each process waits another share of it, so that in a large fleet a
-  /// few processes find the sound segments before the others try.
+  /// after it. Each process waits another share of it, so that in a large fleet a few processes
+  /// find the sound segments before the others try.
   core::Duration partial_trial_window = std::chrono::seconds(3);
   /// Such a trial is over after this time. Another one follows, as the first may have met an
   /// upstream that is not back yet.
--- a/packages/quarantine/include/cornelrelay/quarantine/suspect_table.h
+++ b/packages/quarantine/include/cornelrelay/quarantine/suspect_table.h
@@ -29,9 +29,9 @@
 ///
 /// Segments that were lost in the same crashes cannot be told apart: one of them is the cause. If a
 /// request has only some of them, the others explain the crashes as well. Upstreams also crash for
-/// reasons of their own. So if half of the crashes of a suspect have such an explanation, a trial
-/// of the request is made within seconds, and requests like it that are already running go on. Once
-/// a suspect has its last crash, such trials end unless all of its crashes are alike.
+/// other reasons. So if the crashes without such an explanation would not quarantine the suspect, a
+/// trial of the request is made within seconds, and requests like it that are already running go
+/// on. Once a suspect has its last crash, such trials end unless all of its crashes are alike.
 ///
 /// A suspect that most requests have gets its trials sooner, too: holding them back would leave the
 /// service with little to do.
@@ -80,11 +80,9 @@
     std::map<std::uint64_t, Crash> crashes;
     std::optional<core::RequestId> trial;
     core::Instant trial_end{};
-    core::Instant cleared{};  ///< when output last ended its quarantine
-    /// Requests with it that HoldBack() was asked about since its last crash, and the number of all
-    /// requests at that time.
-    std::uint64_t requests = 0;
-    std::uint64_t all_requests_before = 0;
+    core::Instant cleared{};                ///< when output last ended its quarantine
+    std::uint64_t requests = 0;             ///< with it, since its last crash
+    std::uint64_t all_requests_before = 0;  ///< m_request_count at its last crash
   };
   using Actions = std::vector<SuspectAction>;
 
@@ -103,17 +101,18 @@
   void RememberOutput(Fingerprint feature, core::Instant at);
   bool IsQuarantined(Fingerprint feature) const { return m_quarantined.contains(feature); }
   void UpdateQuarantine(core::Instant now, Fingerprint feature, Actions& out);
-  /// \brief Counts a request for HoldsBackMost().
+  /// \brief Counts a request and those of its features that are quarantined, for HoldsBackMost().
   void CountRequest(const RequestFeatures& features);
   /// \brief Whether most requests since the last crash of the suspect had it.
   bool HoldsBackMost(const Suspect& suspect) const;
-  /// \brief Whether features that the request does not have may have caused so many crashes of the
-  /// suspect that the others would not quarantine it, and its trials have not failed too often.
+  /// \brief Whether features that the request does not have may have caused the crashes of the
+  /// suspect, but for so few that they would not quarantine it, and its trials have not failed too
+  /// often.
   bool IsExplainedWithout(const Suspect& suspect, const RequestFeatures& features) const;
-  /// \brief Whether the request has a segment that is not in quarantine and has given no output. A
-  /// trial that it fails would not tell which of them is the cause.
+  /// \brief Whether the request has a segment that is not in quarantine and has given no output. If
+  /// its trial failed, that segment might be the cause.
   bool HasUntriedSegment(const RequestFeatures& features) const;
-  /// \brief Whether a feature that was lost in the crash, too, may have caused it as well.
+  /// \brief Whether a crash in which two features were lost may have been caused by the other one.
   bool MayExplain(Fingerprint other, const Crash& its_loss, const Crash& loss) const;
   void Expire(core::Instant now, Actions& out);
   static std::size_t Weight(const Crash& crash);
@@ -132,7 +131,7 @@
   std::map<Fingerprint, core::Instant> m_outputs;  ///< last output of each feature
   std::set<Fingerprint> m_quarantined;
   std::uint64_t m_trial_count = 0;
-  std::uint64_t m_request_count = 0;  ///< requests with segments, for HoldsBackMost()
+  std::uint64_t m_request_count = 0;  ///< requests with segments that HoldBack() was asked about
 };
 
 }  // namespace cornelrelay::quarantine
