--- a/packages/net/src/pooled_exchange.cc
+++ b/packages/net/src/pooled_exchange.cc
@@ -250,7 +250,9 @@
   while (waits) {
     m_body_used += PutBody(*m_parser, m_connection->buffer, m_body_used, ec);
     waits = ec == http::error::need_more;
-    if (waits) ec = co_await ReadMore();
+    if (waits) {
+      ec = co_await ReadMore();
+    }
     if (ec == asio::error::eof) {
       waits = false;
       m_parser->put_eof(ec);
