--- a/packages/net/tests/put_body_test.cc
+++ b/packages/net/tests/put_body_test.cc
@@ -18,6 +18,7 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 using boost::system::error_code;
+using std::string_literals::operator""s;
 
 struct Parsed {
   bool done = false;
@@ -103,8 +104,7 @@
 
 /// \brief Texts of the bytes that mean something between chunks.
 rc::Gen<std::string> FramingBytes() {
-  return rc::gen::container<std::string>(
-      rc::gen::elementOf(std::string("0001a\r\r\n\n\r\n;:= \tx\"\0", 21)));
+  return rc::gen::container<std::string>(rc::gen::elementOf("0001a\r\r\n\n\r\n;:= \tx\"\0"s));
 }
 
 }  // namespace
